--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator command line.
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operator command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/connection.rs
@@ -0,0 +1,1 @@
+//! What lives for one connection to a target: its liveness and reuse rules.
--- /dev/null
+++ b/crates/core/src/process.rs
@@ -0,0 +1,3 @@
+//! What lives for the process: planner, seat, followed records and health.
+
+pub mod planner;
--- /dev/null
+++ b/crates/core/src/process/planner/event.rs
@@ -0,0 +1,264 @@
+//! What the planner is told. Every answer of a worker arrives as an event that
+//! names the task it belongs to, so late and repeated answers are recognised.
+
+use std::fmt::{self, Display, Formatter};
+
+use crate::prelude::*;
+use crate::version::settings::{ConfigVersion, SystemSettings};
+
+/// Fencing term of the planner seat: the offset of its claim record plus one.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct SeatTerm(pub u64);
+
+impl Display for SeatTerm {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "term{}", self.0)
+    }
+}
+
+/// One member of one attempt of a job. Displayed as `job/attempt/member`, which
+/// is the task identifier on the worker; the lease identifier is the same text.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct TaskKey {
+    /// Job of the task.
+    pub job: JobId,
+    /// Attempt of the job, counted from one.
+    pub attempt: u32,
+    /// Index in the gang, counted from zero.
+    pub member: u32,
+}
+
+impl Display for TaskKey {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.job, self.attempt, self.member)
+    }
+}
+
+impl TaskKey {
+    /// Reads the text that `Display` writes; nothing for any other text.
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.rsplitn(3, '/');
+        let member = parts.next()?.parse().ok()?;
+        let attempt = parts.next()?.parse().ok()?;
+        let job = JobId::from(parts.next()?);
+        Some(Self {
+            job,
+            attempt,
+            member,
+        })
+    }
+}
+
+/// Resources of a worker as the host list reports them.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WorkerRecord {
+    /// Name of the worker.
+    pub name: WorkerName,
+    /// Rack within the zone.
+    pub rack: RackName,
+    /// Incarnation of the worker's process; increases with each restart.
+    pub incarnation: u64,
+    /// Whether the worker is to receive no new work. Never reset for one incarnation.
+    pub leaving: bool,
+    /// Services that the worker runs.
+    pub services: BTreeSet<ServiceName>,
+    /// Execution slots.
+    pub slots: u32,
+    /// Processor cores.
+    pub cores: u32,
+    /// Memory in mebibytes.
+    pub memory_mb: u64,
+    /// Accelerators, numbered from zero; neighbours in number are adjacent.
+    pub accelerators: u32,
+}
+
+/// A job whose acceptance is in the log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AcceptedJob {
+    /// Idempotency key of the job.
+    pub id: JobId,
+    /// Customer on whose account it runs.
+    pub customer: CustomerName,
+    /// Declared class.
+    pub class: ClassName,
+    /// Home zone.
+    pub zone: ZoneName,
+    /// Offset of the acceptance record; gives the order of arrival.
+    pub offset: u64,
+    /// Unix time of acceptance.
+    pub accepted_at: WallTime,
+    /// Time left at the moment of the event until the job must have started.
+    pub start_within: Option<Duration>,
+    /// Attempts that records say may have started.
+    pub attempts_started: u32,
+}
+
+/// Why a worker did not do what it was asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TargetFault {
+    /// Not enough free capacity; nothing was started.
+    Full,
+    /// The worker takes no new work; nothing was started.
+    Leaving,
+    /// The worker has seen a later term; nothing was started.
+    StaleTerm,
+    /// The lease lapsed or never existed; nothing was started.
+    UnknownLease,
+    /// No answer: the request may or may not have taken effect.
+    OutcomeUnknown,
+    /// The connection could not be made; nothing was started.
+    Unreachable,
+}
+
+/// State of a task in a worker's own list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ListedState {
+    /// Resources are held; nothing runs.
+    Reserved,
+    /// The task runs.
+    Running,
+    /// The task saved its state under this name and ended.
+    Checkpointed(String),
+    /// The task finished.
+    Finished,
+    /// The task failed for this reason.
+    Failed(String),
+    /// The task was stopped on request.
+    Stopped,
+    /// The lease lapsed and the worker ended the task.
+    Lapsed,
+}
+
+/// One task in a worker's own list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListedTask {
+    /// Task.
+    pub key: TaskKey,
+    /// State on the worker.
+    pub state: ListedState,
+    /// Accelerators held; empty once ended.
+    pub accelerators: Vec<u32>,
+    /// Processor cores held.
+    pub cores: u32,
+    /// Memory held in mebibytes.
+    pub memory_mb: u64,
+    /// Time since the start.
+    pub run_time: Duration,
+    /// Time until the lease lapses.
+    pub lease_left: Duration,
+}
+
+/// Everything the planner reacts to.
+#[derive(Clone, Debug)]
+pub enum PlannerEvent {
+    /// A configuration came into force.
+    ConfigAdopted {
+        /// Its number; never lower than the one before.
+        version: ConfigVersion,
+        /// Its settings.
+        settings: Arc<SystemSettings>,
+    },
+    /// The seat is held and active: actions may start work. The planner first
+    /// asks every worker for its tasks.
+    SeatGained {
+        /// Term of the seat.
+        term: SeatTerm,
+    },
+    /// The seat is lost: no action may start work from now on.
+    SeatLost,
+    /// A worker of the zone is listed or changed.
+    WorkerSeen {
+        /// Its resources.
+        worker: WorkerRecord,
+    },
+    /// A worker is no longer listed.
+    WorkerGone {
+        /// Its name.
+        worker: WorkerName,
+    },
+    /// A worker's own list of tasks; complete for that worker.
+    TasksListed {
+        /// Worker that answered.
+        worker: WorkerName,
+        /// Its incarnation.
+        incarnation: u64,
+        /// All its tasks, ended ones included for a while.
+        tasks: Vec<ListedTask>,
+    },
+    /// A worker did not answer the request for its list.
+    ListFailed {
+        /// Worker that did not answer.
+        worker: WorkerName,
+    },
+    /// A job was accepted with this zone as its home.
+    JobAccepted {
+        /// The job.
+        job: AcceptedJob,
+    },
+    /// The caller asked for the end of a job.
+    JobCancelled {
+        /// The job.
+        job: JobId,
+    },
+    /// A record says the job has ended or moved away; it needs no more care.
+    JobClosed {
+        /// The job.
+        job: JobId,
+    },
+    /// Answer to `Reserve`.
+    ReserveAnswered {
+        /// Task of the request.
+        task: TaskKey,
+        /// Accelerators granted, or why not.
+        result: Result<Vec<u32>, TargetFault>,
+    },
+    /// The record of an attempt's start is in the log.
+    StartRecorded {
+        /// The job.
+        job: JobId,
+        /// The attempt.
+        attempt: u32,
+    },
+    /// Answer to `Start`.
+    StartAnswered {
+        /// Task of the request.
+        task: TaskKey,
+        /// Whether it started.
+        result: Result<(), TargetFault>,
+    },
+    /// Answer to `Renew`.
+    RenewAnswered {
+        /// Worker asked.
+        worker: WorkerName,
+        /// Tasks whose lease the worker no longer knows, or why it did not answer.
+        result: Result<Vec<TaskKey>, TargetFault>,
+    },
+    /// Answer to `Checkpoint`.
+    CheckpointAnswered {
+        /// Task of the request.
+        task: TaskKey,
+        /// Name of the checkpoint, or why there is none.
+        result: Result<String, TargetFault>,
+    },
+    /// Answer to `Stop` or `Release`.
+    StopAnswered {
+        /// Task of the request.
+        task: TaskKey,
+        /// Whether the worker holds nothing for it any more.
+        result: Result<(), TargetFault>,
+    },
+    /// The record of a job's ending is in the log.
+    EndRecorded {
+        /// The job.
+        job: JobId,
+    },
+    /// Lagging use of a running task.
+    UsageReported {
+        /// The task.
+        task: TaskKey,
+        /// Resident memory in mebibytes.
+        memory_mb: u64,
+    },
+    /// Time passed; sent at least once a second.
+    Tick,
+}
--- /dev/null
+++ b/crates/core/src/request.rs
@@ -0,0 +1,1 @@
+//! What lives for one request: its outcome and the rules for repeating it.
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon of an entry host.
+
+fn main() {}
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Seeded measurements of policy, calls, recovery and capacity.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The event loop of an entry host and its connections.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins of the platform for tests and trials.
