--- /dev/null
+++ b/crates/node/src/border.rs
@@ -0,0 +1,7 @@
+//! Conversions between the external formats and the inner types, one module per
+//! interface. A change of format touches its module here and nothing else.
+
+pub mod caller;
+pub mod hosts;
+pub mod log;
+pub mod target;
--- /dev/null
+++ b/crates/node/src/border/hosts.rs
@@ -0,0 +1,107 @@
+//! The platform's list of hosts, interface version 1. The list lags; it seeds
+//! the view of who exists and never proves that a host is gone.
+
+use std::net::SocketAddr;
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::planner::event::WorkerRecord;
+use flamingowalk_wire::hosts as wire;
+use hyper::Method;
+
+use crate::connection::http_client::{ExchangeFault, HttpClient};
+
+/// Time the list has for an answer.
+const LIST_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A worker as the list shows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListedWorker {
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Address for calls and tasks.
+    pub address: SocketAddr,
+    /// Connections the worker takes.
+    pub connections: u32,
+    /// Its resources.
+    pub record: WorkerRecord,
+}
+
+/// An entry host as the list shows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListedHost {
+    /// Name.
+    pub name: HostName,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Peer address.
+    pub address: SocketAddr,
+    /// Incarnation of its process.
+    pub incarnation: u64,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+}
+
+/// One reading of the list.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct HostListing {
+    /// Revision of the list; a lower one is older.
+    pub revision: u64,
+    /// Workers of all zones.
+    pub workers: Vec<ListedWorker>,
+    /// Entry hosts of all zones.
+    pub hosts: Vec<ListedHost>,
+    /// Entries left out because their address or capacity cannot be read.
+    pub malformed: u64,
+}
+
+/// Reads the list.
+///
+/// # Errors
+/// An [`ExchangeFault`]; the view so far stays in use.
+pub async fn read_hosts(
+    client: &HttpClient,
+    address: SocketAddr,
+) -> Result<HostListing, ExchangeFault> {
+    let list: wire::HostList = client
+        .exchange_json(address, Method::GET, "/v1/hosts", None::<&()>, LIST_TIMEOUT)
+        .await?;
+    let mut listing = HostListing { revision: list.revision, ..HostListing::default() };
+    for entry in &list.hosts {
+        add_entry(&mut listing, entry);
+    }
+    Ok(listing)
+}
+
+fn add_entry(listing: &mut HostListing, entry: &wire::HostEntry) {
+    let Ok(address) = entry.address.parse() else {
+        listing.malformed += 1;
+        return;
+    };
+    let leaving = matches!(entry.state, wire::HostState::Leaving);
+    match (&entry.role, &entry.capacity) {
+        (wire::HostRole::Entry, _) => listing.hosts.push(ListedHost {
+            name: entry.name.as_str().into(),
+            zone: entry.zone.as_str().into(),
+            address,
+            incarnation: entry.incarnation,
+            leaving,
+        }),
+        (wire::HostRole::Worker, Some(capacity)) => listing.workers.push(ListedWorker {
+            zone: entry.zone.as_str().into(),
+            address,
+            connections: capacity.connections,
+            record: WorkerRecord {
+                name: entry.name.as_str().into(),
+                rack: capacity.rack.as_str().into(),
+                incarnation: entry.incarnation,
+                leaving,
+                services: capacity.services.iter().map(|name| name.as_str().into()).collect(),
+                slots: capacity.slots,
+                cores: capacity.cores,
+                memory_mb: capacity.memory_mb,
+                accelerators: capacity.accelerators,
+            },
+        }),
+        (wire::HostRole::Worker, None) => listing.malformed += 1,
+    }
+}
--- /dev/null
+++ b/crates/node/src/border/target.rs
@@ -0,0 +1,254 @@
+//! The task interface of workers, version 1. Each function carries out one
+//! planner action and returns the inner answer.
+
+use std::net::SocketAddr;
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::planner::action::{StartOrder, TaskDemand};
+use flamingowalk_core::process::planner::event::{
+    ListedState, ListedTask, SeatTerm, TargetFault, TaskKey,
+};
+use flamingowalk_wire::target as wire;
+use hyper::Method;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::connection::http_client::{ExchangeFault, HttpClient};
+
+/// Time a worker has for the answer to a task request.
+const TASK_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time a worker has to save the state of a task.
+const CHECKPOINT_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// One worker as a target of task requests.
+#[derive(Clone, Debug)]
+pub struct TargetClient {
+    /// Shared client.
+    pub client: HttpClient,
+    /// Address of the worker.
+    pub address: SocketAddr,
+    /// Fencing term sent with every request that changes something.
+    pub term: SeatTerm,
+}
+
+/// The tasks of a worker with the incarnation that reported them.
+#[derive(Clone, Debug)]
+pub struct ListedTasks {
+    /// Incarnation of the worker.
+    pub incarnation: u64,
+    /// Whether the worker says it is leaving.
+    pub leaving: bool,
+    /// Its tasks; tasks of other systems are left out.
+    pub tasks: Vec<ListedTask>,
+}
+
+impl TargetClient {
+    /// Reserves resources; returns the accelerators granted.
+    ///
+    /// # Errors
+    /// A [`TargetFault`]; all but `OutcomeUnknown` prove that nothing is held.
+    pub async fn reserve(
+        &self,
+        task: &TaskKey,
+        demand: TaskDemand,
+        lease: Duration,
+    ) -> Result<Vec<u32>, TargetFault> {
+        let request = wire::ReserveRequest {
+            task_id: task.to_string(),
+            lease_id: task.to_string(),
+            term: self.term.0,
+            slots: demand.slots,
+            accelerators: demand.accelerators,
+            cores: demand.cores,
+            memory_mb: demand.memory_mb,
+            lease_ms: whole_millis(lease),
+        };
+        let answer: wire::Reservation = self.post("reserve", &request, TASK_TIMEOUT).await?;
+        Ok(answer.accelerators)
+    }
+
+    /// Starts a reserved task.
+    ///
+    /// # Errors
+    /// A [`TargetFault`]; all but `OutcomeUnknown` prove that nothing was started.
+    pub async fn start(
+        &self,
+        task: &TaskKey,
+        order: &StartOrder,
+        lease: Duration,
+    ) -> Result<(), TargetFault> {
+        let request = wire::StartRequest {
+            task_id: task.to_string(),
+            lease_id: task.to_string(),
+            term: self.term.0,
+            lease_ms: whole_millis(lease),
+            payload: wire::TaskPayload {
+                job_id: task.job.to_string(),
+                customer: order.customer.to_string(),
+                class: order.class.to_string(),
+                service: order.service.to_string(),
+                attempt: task.attempt,
+                member: task.member,
+                members: order.members,
+                idempotent: order.idempotent,
+                checkpoint: order.checkpoint,
+                resume_from: order.resume_from.clone(),
+            },
+        };
+        let _: serde_json::Value = self.post("start", &request, TASK_TIMEOUT).await?;
+        Ok(())
+    }
+
+    /// Extends leases; returns the tasks whose lease the worker does not know.
+    ///
+    /// # Errors
+    /// A [`TargetFault`] when the worker did not answer or refused the term.
+    pub async fn renew(
+        &self,
+        tasks: &[TaskKey],
+        lease: Duration,
+    ) -> Result<Vec<TaskKey>, TargetFault> {
+        let request = wire::RenewRequest {
+            lease_ids: tasks.iter().map(TaskKey::to_string).collect(),
+            term: self.term.0,
+            lease_ms: whole_millis(lease),
+        };
+        let answer: wire::RenewResponse = self.post("renew", &request, TASK_TIMEOUT).await?;
+        Ok(answer.unknown.iter().filter_map(|id| TaskKey::parse(id)).collect())
+    }
+
+    /// Gives a reservation back.
+    ///
+    /// # Errors
+    /// A [`TargetFault`]; `UnknownLease` means there is nothing to give back.
+    pub async fn release(&self, task: &TaskKey) -> Result<(), TargetFault> {
+        let request = self.task_request(task, None);
+        let _: serde_json::Value = self.post("release", &request, TASK_TIMEOUT).await?;
+        Ok(())
+    }
+
+    /// Ends a task.
+    ///
+    /// # Errors
+    /// A [`TargetFault`]; `UnknownLease` means there is nothing to end.
+    pub async fn stop(&self, task: &TaskKey) -> Result<(), TargetFault> {
+        let request = self.task_request(task, None);
+        let _: serde_json::Value = self.post("stop", &request, TASK_TIMEOUT).await?;
+        Ok(())
+    }
+
+    /// Limits the processor share of a task, in percent.
+    ///
+    /// # Errors
+    /// A [`TargetFault`] when the worker did not answer or refused.
+    pub async fn throttle(&self, task: &TaskKey, percent: u32) -> Result<(), TargetFault> {
+        let request = self.task_request(task, Some(percent));
+        let _: serde_json::Value = self.post("throttle", &request, TASK_TIMEOUT).await?;
+        Ok(())
+    }
+
+    /// Saves the state of a task and ends it; returns the checkpoint's name.
+    ///
+    /// # Errors
+    /// A [`TargetFault`] when the worker did not answer or cannot save the state.
+    pub async fn checkpoint(&self, task: &TaskKey) -> Result<String, TargetFault> {
+        let request = self.task_request(task, None);
+        let status: wire::TaskStatus =
+            self.post("checkpoint", &request, CHECKPOINT_TIMEOUT).await?;
+        status.checkpoint.ok_or(TargetFault::UnknownLease)
+    }
+
+    /// Lists all tasks of the worker.
+    ///
+    /// # Errors
+    /// A [`TargetFault`] when no whole list came.
+    pub async fn list_tasks(&self) -> Result<ListedTasks, TargetFault> {
+        let answer: Result<wire::TaskList, ExchangeFault> = self
+            .client
+            .exchange_json(self.address, Method::GET, "/v1/tasks", None::<&()>, TASK_TIMEOUT)
+            .await;
+        let list = answer.map_err(|fault| target_fault(&fault))?;
+        Ok(ListedTasks {
+            incarnation: list.incarnation,
+            leaving: list.leaving,
+            tasks: list.tasks.iter().filter_map(listed_task).collect(),
+        })
+    }
+
+    fn task_request(&self, task: &TaskKey, throttle_percent: Option<u32>) -> wire::TaskRequest {
+        wire::TaskRequest {
+            task_id: task.to_string(),
+            lease_id: task.to_string(),
+            term: self.term.0,
+            throttle_percent,
+        }
+    }
+
+    async fn post<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        verb: &str,
+        request: &Q,
+        timeout: Duration,
+    ) -> Result<A, TargetFault> {
+        let path = format!("/v1/tasks/{verb}");
+        let answer = self
+            .client
+            .exchange_json(self.address, Method::POST, &path, Some(request), timeout)
+            .await;
+        answer.map_err(|fault| target_fault(&fault))
+    }
+}
+
+fn target_fault(fault: &ExchangeFault) -> TargetFault {
+    match fault {
+        ExchangeFault::Unreachable { .. } => TargetFault::Unreachable,
+        ExchangeFault::NoAnswer { .. } | ExchangeFault::Malformed { .. } => {
+            TargetFault::OutcomeUnknown
+        }
+        ExchangeFault::Status { body, .. } => refusal_fault(body),
+    }
+}
+
+fn refusal_fault(body: &str) -> TargetFault {
+    let Ok(refusal) = serde_json::from_str::<wire::TargetRefusal>(body) else {
+        return TargetFault::OutcomeUnknown;
+    };
+    match refusal.kind {
+        wire::TargetRefusalKind::Full => TargetFault::Full,
+        wire::TargetRefusalKind::Leaving => TargetFault::Leaving,
+        wire::TargetRefusalKind::StaleTerm => TargetFault::StaleTerm,
+        wire::TargetRefusalKind::UnknownLease
+        | wire::TargetRefusalKind::UnknownTask
+        | wire::TargetRefusalKind::Unsupported => TargetFault::UnknownLease,
+    }
+}
+
+fn listed_task(status: &wire::TaskStatus) -> Option<ListedTask> {
+    let key = TaskKey::parse(&status.task_id)?;
+    let state = match status.state {
+        wire::TaskState::Reserved => ListedState::Reserved,
+        wire::TaskState::Running => ListedState::Running,
+        wire::TaskState::Checkpointed => {
+            ListedState::Checkpointed(status.checkpoint.clone().unwrap_or_default())
+        }
+        wire::TaskState::Finished => ListedState::Finished,
+        wire::TaskState::Failed => {
+            ListedState::Failed(status.failure.clone().unwrap_or_else(|| "no reason given".into()))
+        }
+        wire::TaskState::Stopped => ListedState::Stopped,
+        wire::TaskState::Lapsed => ListedState::Lapsed,
+    };
+    Some(ListedTask {
+        key,
+        state,
+        accelerators: status.accelerators.clone(),
+        cores: status.cores,
+        memory_mb: status.memory_mb,
+        run_time: Duration::from_millis(status.run_ms),
+        lease_left: Duration::from_millis(status.lease_left_ms),
+    })
+}
+
+fn whole_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/process.rs
@@ -0,0 +1,18 @@
+//! What lives for the process: the event loop, its state and the tasks that
+//! follow the log and the host list.
+
+pub mod call_desk;
+pub mod counters;
+pub mod entry_host;
+pub mod event_loop;
+pub mod host_clock;
+pub mod host_event;
+pub mod host_poll;
+pub mod host_settings;
+pub mod host_state;
+pub mod job_desk;
+pub mod log_reader;
+pub mod log_writer;
+pub mod planner_port;
+pub mod seat_port;
+pub mod state_dump;
--- /dev/null
+++ b/crates/node/src/process/counters.rs
@@ -0,0 +1,43 @@
+//! Names of the process's counters and gauges. Counters come first; log lines
+//! are written only for changes of state.
+
+use metrics::{describe_counter, describe_gauge};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+/// Calls that ended, by `outcome`.
+pub const CALLS_ENDED: &str = "flamingowalk_calls_ended_total";
+/// Job requests that ended, by `verb` and `outcome`.
+pub const JOB_REQUESTS: &str = "flamingowalk_job_requests_total";
+/// Log reads, by `stream` and `outcome`.
+pub const LOG_READS: &str = "flamingowalk_log_reads_total";
+/// Log appends, by `stream` and `outcome`.
+pub const LOG_APPENDS: &str = "flamingowalk_log_appends_total";
+/// Records that could not be used, by `stream` and `cause`.
+pub const RECORDS_SKIPPED: &str = "flamingowalk_records_skipped_total";
+/// Readings of the host list, by `outcome`.
+pub const LIST_READS: &str = "flamingowalk_host_list_reads_total";
+/// Requests to workers, by `verb` and `outcome`.
+pub const TASK_REQUESTS: &str = "flamingowalk_task_requests_total";
+/// Configuration version in force.
+pub const CONFIG_VERSION: &str = "flamingowalk_config_version";
+/// One while this host holds its zone's planner seat.
+pub const SEAT_HELD: &str = "flamingowalk_seat_held";
+/// Jobs that have not ended.
+pub const OPEN_JOBS: &str = "flamingowalk_open_jobs";
+
+/// Installs the process's recorder; a second call in one process returns nothing,
+/// and the hosts of that process share the first recorder.
+pub fn install_recorder() -> Option<PrometheusHandle> {
+    let handle = PrometheusBuilder::new().install_recorder().ok()?;
+    describe_counter!(CALLS_ENDED, "Calls that ended, by outcome");
+    describe_counter!(JOB_REQUESTS, "Job requests that ended, by verb and outcome");
+    describe_counter!(LOG_READS, "Log reads, by stream and outcome");
+    describe_counter!(LOG_APPENDS, "Log appends, by stream and outcome");
+    describe_counter!(RECORDS_SKIPPED, "Records that could not be used, by stream and cause");
+    describe_counter!(LIST_READS, "Readings of the host list, by outcome");
+    describe_counter!(TASK_REQUESTS, "Requests to workers, by verb and outcome");
+    describe_gauge!(CONFIG_VERSION, "Configuration version in force");
+    describe_gauge!(SEAT_HELD, "One while this host holds its zone's planner seat");
+    describe_gauge!(OPEN_JOBS, "Jobs that have not ended");
+    Some(handle)
+}
--- /dev/null
+++ b/crates/node/src/process/entry_host.rs
@@ -0,0 +1,172 @@
+//! Starts an entry host: binds its port, starts the tasks around the loop and
+//! gives back a handle. Must run inside a `tokio::task::LocalSet`.
+
+use std::io;
+use std::net::SocketAddr;
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::version::settings::{ConfigVersion, SystemSettings};
+use metrics_exporter_prometheus::PrometheusHandle;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinHandle, spawn_local};
+
+use crate::border::hosts::HostListing;
+use crate::connection::http_client::HttpClient;
+use crate::connection::http_server::serve_connections;
+use crate::process::call_desk::CallDesk;
+use crate::process::event_loop::run_loop;
+use crate::process::host_clock::HostClock;
+use crate::process::host_event::{EventSender, HostEvent, LogStream};
+use crate::process::host_poll::poll_hosts;
+use crate::process::host_settings::HostSettings;
+use crate::process::host_state::{HostState, StreamPosition};
+use crate::process::job_desk::JobDesk;
+use crate::process::log_reader::follow_stream;
+use crate::process::log_writer::write_stream;
+use crate::process::seat_port::SeatPort;
+use crate::request::route::route_request;
+
+/// Interval between ticks of the loop.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Why a host did not start.
+#[derive(Debug, Error)]
+pub enum StartFault {
+    /// An address of the settings cannot be listened on.
+    #[error("cannot listen on {address} ({error}); free the port or change [listen] caller")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        error: io::Error,
+    },
+}
+
+/// A running entry host.
+#[derive(Debug)]
+pub struct EntryHandle {
+    /// Address for callers, with the port that the system picked.
+    pub address: SocketAddr,
+    /// Incarnation of the process.
+    pub incarnation: u64,
+    events: EventSender,
+    server: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl EntryHandle {
+    /// Begins a graceful shutdown.
+    pub fn drain(&self) {
+        let _ = self.events.send(HostEvent::DrainAsked);
+    }
+
+    /// Waits until the shutdown is over.
+    pub async fn finished(mut self) {
+        let _ = (&mut self.server).await;
+    }
+}
+
+impl Drop for EntryHandle {
+    fn drop(&mut self) {
+        self.server.abort();
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Starts an entry host.
+///
+/// # Errors
+/// A [`StartFault`] that names what to change.
+pub async fn start_host(
+    settings: HostSettings,
+    recorder: Option<PrometheusHandle>,
+) -> Result<EntryHandle, StartFault> {
+    let listener = bind_listener(settings.caller_address).await?;
+    let address = listener.local_addr().unwrap_or(settings.caller_address);
+    let incarnation = HostClock::wall().0;
+    let clock = HostClock::start();
+    let client = HttpClient::default();
+    let (events, arrivals) = mpsc::unbounded_channel();
+    let (drained, drained_watch) = watch::channel(false);
+    let mut state = new_state(settings, incarnation, clock, drained);
+    let mut tasks = start_streams(&mut state, &client, &events);
+    let interval = state.settings.list_interval;
+    let list_address = state.settings.list_address;
+    tasks.push(spawn_local(poll_hosts(client.clone(), list_address, interval, events.clone())));
+    tasks.push(spawn_local(send_ticks(events.clone())));
+    let loop_events = events.clone();
+    tasks.push(spawn_local(run_loop(state, client, loop_events, arrivals)));
+    let handler_events = events.clone();
+    let server = spawn_local(serve_connections(listener, drained_watch, move |request, remote| {
+        route_request(request, remote, handler_events.clone(), recorder.clone())
+    }));
+    Ok(EntryHandle { address, incarnation, events, server, tasks })
+}
+
+async fn bind_listener(address: SocketAddr) -> Result<TcpListener, StartFault> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| StartFault::Listen { address, error })
+}
+
+fn new_state(
+    settings: HostSettings,
+    incarnation: u64,
+    clock: HostClock,
+    drained: watch::Sender<bool>,
+) -> HostState {
+    let zone = settings.zone.clone();
+    let seat =
+        SeatPort::new(zone.clone(), settings.name.clone(), incarnation, settings.seat_time);
+    HostState {
+        incarnation,
+        clock,
+        rng: ChaCha8Rng::seed_from_u64(incarnation),
+        config_version: ConfigVersion(0),
+        system: Arc::new(SystemSettings::default()),
+        streams: BTreeMap::new(),
+        writers: BTreeMap::new(),
+        listing: HostListing::default(),
+        calls: CallDesk::new(zone),
+        jobs: JobDesk::default(),
+        seat,
+        planner: None,
+        drain_since: None,
+        drained,
+        call_count: 0,
+        settings,
+    }
+}
+
+fn start_streams(
+    state: &mut HostState,
+    client: &HttpClient,
+    events: &EventSender,
+) -> Vec<JoinHandle<()>> {
+    let address = state.settings.log_address;
+    let clock = state.clock;
+    let streams =
+        [LogStream::Config, LogStream::Jobs, LogStream::Seat(state.settings.zone.clone())];
+    let mut tasks = Vec::new();
+    for stream in streams {
+        let (writer, records) = mpsc::unbounded_channel();
+        state.writers.insert(stream.clone(), writer);
+        state.streams.insert(stream.clone(), StreamPosition::default());
+        let following =
+            follow_stream(client.clone(), address, stream.clone(), clock, events.clone());
+        tasks.push(spawn_local(following));
+        tasks.push(spawn_local(write_stream(client.clone(), address, stream, records)));
+    }
+    tasks
+}
+
+async fn send_ticks(events: EventSender) {
+    while events.send(HostEvent::Ticked).is_ok() {
+        tokio::time::sleep(TICK_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/process/host_event.rs
@@ -0,0 +1,116 @@
+//! Everything that can reach the event loop of an entry host.
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::planner::event::{PlannerEvent, SeatTerm};
+use flamingowalk_wire::caller::{HostStatus, JobStatus, JobSubmission};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::border::caller::JobFault;
+use crate::border::hosts::HostListing;
+use crate::border::log::LogPage;
+use crate::connection::http_client::ExchangeFault;
+use crate::process::state_dump::StateDump;
+use crate::request::call_request::{CallReply, CallRequest, CallTarget};
+
+/// Sends events to the loop.
+pub type EventSender = mpsc::UnboundedSender<HostEvent>;
+
+/// Name of a log stream with what it holds.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum LogStream {
+    /// Published configurations.
+    Config,
+    /// Acceptance, start and end of jobs of all zones.
+    Jobs,
+    /// Seat records of one zone.
+    Seat(ZoneName),
+}
+
+impl LogStream {
+    /// Name of the stream on the log.
+    pub fn name(&self) -> String {
+        match self {
+            Self::Config => "config".to_owned(),
+            Self::Jobs => "jobs".to_owned(),
+            Self::Seat(zone) => format!("seat.{zone}"),
+        }
+    }
+}
+
+/// An event of the loop.
+#[derive(Debug)]
+pub enum HostEvent {
+    /// A caller sent a call.
+    CallArrived {
+        /// The call.
+        request: CallRequest,
+        /// Where its reply goes.
+        reply: oneshot::Sender<CallReply>,
+    },
+    /// A call left its target.
+    CallEnded {
+        /// Target of the call.
+        target: CallTarget,
+    },
+    /// A caller submitted a job.
+    JobSubmitted {
+        /// The submission.
+        submission: JobSubmission,
+        /// Where its reply goes.
+        reply: oneshot::Sender<Result<JobStatus, JobFault>>,
+    },
+    /// A caller asked for a job's state.
+    JobAsked {
+        /// The job.
+        job: JobId,
+        /// Where the reply goes.
+        reply: oneshot::Sender<Result<JobStatus, JobFault>>,
+    },
+    /// A caller asked for a job's end.
+    CancelAsked {
+        /// The job.
+        job: JobId,
+        /// Where the reply goes.
+        reply: oneshot::Sender<Result<JobStatus, JobFault>>,
+    },
+    /// Somebody asked for the summary of this host.
+    StatusAsked {
+        /// Where the reply goes.
+        reply: oneshot::Sender<HostStatus>,
+    },
+    /// Somebody asked for the state of this host.
+    DumpAsked {
+        /// Where the reply goes.
+        reply: oneshot::Sender<StateDump>,
+    },
+    /// Somebody asked whether this host takes requests.
+    ReadyAsked {
+        /// Where the reply goes.
+        reply: oneshot::Sender<bool>,
+    },
+    /// The host is to shut down gracefully.
+    DrainAsked,
+    /// A page of a stream was read, or not.
+    LogRead {
+        /// The stream.
+        stream: LogStream,
+        /// When the read was sent.
+        sent_at: MonotonicTime,
+        /// The page.
+        result: Result<LogPage, ExchangeFault>,
+    },
+    /// The host list was read, or not.
+    HostsRead {
+        /// The listing.
+        result: Result<HostListing, ExchangeFault>,
+    },
+    /// A worker answered a planner action.
+    PlannerAnswered {
+        /// Term under which the action was sent; answers to other terms are ignored.
+        term: SeatTerm,
+        /// The answer.
+        event: PlannerEvent,
+    },
+    /// Time passed.
+    Ticked,
+}
--- /dev/null
+++ b/crates/node/src/process/planner_port.rs
@@ -0,0 +1,126 @@
+//! Carries out the planner's actions: requests to workers run as tasks whose
+//! answers come back as events; records go to the log writer.
+
+use std::net::SocketAddr;
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::planner::action::PlannerAction;
+use flamingowalk_core::process::planner::event::{PlannerEvent, SeatTerm, TargetFault};
+use metrics::counter;
+
+use crate::border::target::TargetClient;
+use crate::connection::http_client::HttpClient;
+use crate::process::counters::TASK_REQUESTS;
+use crate::process::host_event::{EventSender, HostEvent};
+
+/// Carries out the actions of one seat term.
+#[derive(Clone, Debug)]
+pub struct PlannerPort {
+    /// Client for requests to workers.
+    pub client: HttpClient,
+    /// Where answers go.
+    pub events: EventSender,
+    /// Term of the seat.
+    pub term: SeatTerm,
+}
+
+impl PlannerPort {
+    /// Sends a request to a worker; an unknown worker is answered as unreachable.
+    pub fn send(&self, action: PlannerAction, address: Option<SocketAddr>) {
+        let events = self.events.clone();
+        let term = self.term;
+        let client = self.client.clone();
+        tokio::task::spawn_local(async move {
+            let event = match address {
+                Some(address) => perform(TargetClient { client, address, term }, action).await,
+                None => unreachable_answer(action),
+            };
+            if let Some(event) = event {
+                let _ = events.send(HostEvent::PlannerAnswered { term, event });
+            }
+        });
+    }
+}
+
+async fn perform(target: TargetClient, action: PlannerAction) -> Option<PlannerEvent> {
+    let event = match action {
+        PlannerAction::ListTasks { worker } => match target.list_tasks().await {
+            Ok(list) => {
+                let incarnation = list.incarnation;
+                PlannerEvent::TasksListed { worker, incarnation, tasks: list.tasks }
+            }
+            Err(_) => PlannerEvent::ListFailed { worker },
+        },
+        PlannerAction::Reserve { task, demand, lease, .. } => {
+            let result = target.reserve(&task, demand, lease).await;
+            PlannerEvent::ReserveAnswered { task, result }
+        }
+        PlannerAction::Start { task, order, lease, .. } => {
+            let result = target.start(&task, &order, lease).await;
+            PlannerEvent::StartAnswered { task, result }
+        }
+        PlannerAction::Renew { worker, tasks, lease } => {
+            let result = target.renew(&tasks, lease).await;
+            PlannerEvent::RenewAnswered { worker, result }
+        }
+        PlannerAction::Checkpoint { task, .. } => {
+            let result = target.checkpoint(&task).await;
+            PlannerEvent::CheckpointAnswered { task, result }
+        }
+        PlannerAction::Release { task, .. } => {
+            let result = target.release(&task).await;
+            PlannerEvent::StopAnswered { task, result }
+        }
+        PlannerAction::Stop { task, .. } => {
+            let result = target.stop(&task).await;
+            PlannerEvent::StopAnswered { task, result }
+        }
+        PlannerAction::Throttle { task, percent, .. } => {
+            let _ = target.throttle(&task, percent).await;
+            return None;
+        }
+        PlannerAction::RecordStart { .. } | PlannerAction::RecordEnd { .. } => return None,
+    };
+    count_answer(&event);
+    Some(event)
+}
+
+fn unreachable_answer(action: PlannerAction) -> Option<PlannerEvent> {
+    let fault = TargetFault::Unreachable;
+    match action {
+        PlannerAction::ListTasks { worker } => Some(PlannerEvent::ListFailed { worker }),
+        PlannerAction::Reserve { task, .. } => {
+            Some(PlannerEvent::ReserveAnswered { task, result: Err(fault) })
+        }
+        PlannerAction::Start { task, .. } => {
+            Some(PlannerEvent::StartAnswered { task, result: Err(fault) })
+        }
+        PlannerAction::Renew { worker, .. } => {
+            Some(PlannerEvent::RenewAnswered { worker, result: Err(fault) })
+        }
+        PlannerAction::Checkpoint { task, .. } => {
+            Some(PlannerEvent::CheckpointAnswered { task, result: Err(fault) })
+        }
+        PlannerAction::Release { task, .. } | PlannerAction::Stop { task, .. } => {
+            Some(PlannerEvent::StopAnswered { task, result: Err(fault) })
+        }
+        PlannerAction::Throttle { .. }
+        | PlannerAction::RecordStart { .. }
+        | PlannerAction::RecordEnd { .. } => None,
+    }
+}
+
+fn count_answer(event: &PlannerEvent) {
+    let (verb, done) = match event {
+        PlannerEvent::TasksListed { .. } => ("list", true),
+        PlannerEvent::ListFailed { .. } => ("list", false),
+        PlannerEvent::ReserveAnswered { result, .. } => ("reserve", result.is_ok()),
+        PlannerEvent::StartAnswered { result, .. } => ("start", result.is_ok()),
+        PlannerEvent::RenewAnswered { result, .. } => ("renew", result.is_ok()),
+        PlannerEvent::CheckpointAnswered { result, .. } => ("checkpoint", result.is_ok()),
+        PlannerEvent::StopAnswered { result, .. } => ("stop", result.is_ok()),
+        _ => return,
+    };
+    let outcome = if done { "done" } else { "failed" };
+    counter!(TASK_REQUESTS, "verb" => verb, "outcome" => outcome).increment(1);
+}
--- /dev/null
+++ b/crates/node/src/process/state_dump.rs
@@ -0,0 +1,151 @@
+//! The state of an entry host as text and JSON, typed and ordered, for people
+//! on call and for tests.
+
+use std::fmt::{self, Display, Formatter};
+
+use serde::Serialize;
+
+/// Everything a dump shows.
+#[derive(Clone, Debug, Serialize)]
+pub struct StateDump {
+    /// Host, zone and readiness.
+    pub host: HostSection,
+    /// Planner seat of the zone.
+    pub seat: SeatSection,
+    /// Log streams in order of name.
+    pub streams: Vec<StreamSection>,
+    /// Entry hosts in order of name.
+    pub members: Vec<MemberSection>,
+    /// Targets in order of name.
+    pub targets: Vec<TargetSection>,
+    /// Jobs that have not ended, in order of identifier.
+    pub jobs: Vec<JobSection>,
+    /// The planner's own dump, when this host holds the seat.
+    pub planner: Option<String>,
+}
+
+/// Host, zone and readiness.
+#[derive(Clone, Debug, Serialize)]
+pub struct HostSection {
+    /// Name of the host.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Incarnation of the process.
+    pub incarnation: u64,
+    /// Whether the host takes requests.
+    pub ready: bool,
+    /// Whether the host is shutting down.
+    pub draining: bool,
+    /// Calls in flight.
+    pub calls: u32,
+    /// Configuration version in force; zero before the first.
+    pub config_version: u64,
+}
+
+/// Planner seat of the zone.
+#[derive(Clone, Debug, Serialize)]
+pub struct SeatSection {
+    /// Newest term; zero when there is none.
+    pub term: u64,
+    /// Host that holds it.
+    pub holder: Option<String>,
+    /// Whether this host may start work now.
+    pub may_start: bool,
+}
+
+/// One followed stream.
+#[derive(Clone, Debug, Serialize)]
+pub struct StreamSection {
+    /// Name of the stream.
+    pub name: String,
+    /// Next offset to read.
+    pub next: u64,
+    /// Milliseconds since the last whole read was sent; absent before the first.
+    pub age_ms: Option<u64>,
+}
+
+/// One entry host.
+#[derive(Clone, Debug, Serialize)]
+pub struct MemberSection {
+    /// Name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Incarnation.
+    pub incarnation: u64,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+}
+
+/// One target.
+#[derive(Clone, Debug, Serialize)]
+pub struct TargetSection {
+    /// Name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Calls in flight from this host.
+    pub in_flight: u32,
+    /// Execution slots.
+    pub slots: u32,
+    /// Whether it receives no new work.
+    pub leaving: bool,
+}
+
+/// One open job.
+#[derive(Clone, Debug, Serialize)]
+pub struct JobSection {
+    /// Identifier.
+    pub id: String,
+    /// Customer.
+    pub customer: String,
+    /// Class.
+    pub class: String,
+    /// Home zone.
+    pub zone: String,
+    /// Phase as callers see it.
+    pub phase: String,
+}
+
+impl Display for StateDump {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let host = &self.host;
+        writeln!(
+            f,
+            "host {} zone {} incarnation {} ready {} draining {} calls {} config{}",
+            host.name,
+            host.zone,
+            host.incarnation,
+            host.ready,
+            host.draining,
+            host.calls,
+            host.config_version
+        )?;
+        let holder = self.seat.holder.as_deref().unwrap_or("none");
+        writeln!(f, "seat term{} holder {holder} may-start {}", self.seat.term, self.seat.may_start)?;
+        for stream in &self.streams {
+            let age = stream.age_ms.map_or_else(|| "never".to_owned(), |age| format!("{age}ms"));
+            writeln!(f, "stream {} next {} read {age}", stream.name, stream.next)?;
+        }
+        for member in &self.members {
+            let leaving = if member.leaving { " leaving" } else { "" };
+            let (name, zone) = (&member.name, &member.zone);
+            writeln!(f, "member {name} zone {zone} incarnation {}{leaving}", member.incarnation)?;
+        }
+        for target in &self.targets {
+            let leaving = if target.leaving { " leaving" } else { "" };
+            let (name, zone) = (&target.name, &target.zone);
+            let (calls, slots) = (target.in_flight, target.slots);
+            writeln!(f, "target {name} zone {zone} calls {calls}/{slots}{leaving}")?;
+        }
+        for job in &self.jobs {
+            let (id, customer, class) = (&job.id, &job.customer, &job.class);
+            writeln!(f, "job {id} {customer} {class} zone {} {}", job.zone, job.phase)?;
+        }
+        if let Some(planner) = &self.planner {
+            writeln!(f, "{}", planner.trim_end())?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/node/src/request/route.rs
@@ -0,0 +1,131 @@
+//! Routes of the HTTP port of an entry host.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::sync::oneshot;
+
+use crate::border::caller::{CallHeaders, REQUEST_HEADER};
+use crate::connection::http_server::{
+    WholeRequest, WholeResponse, json_response, text_response, typed_response,
+};
+use crate::process::host_event::{EventSender, HostEvent};
+use crate::request::call::serve_call;
+use crate::request::call_request::{CallFault, CallRequest, fault_response};
+use crate::request::job_request::{cancel_job, show_job, submit_job};
+
+/// Serves one request of any route.
+pub async fn route_request(
+    request: WholeRequest,
+    _remote: SocketAddr,
+    events: EventSender,
+    recorder: Option<PrometheusHandle>,
+) -> WholeResponse {
+    let path = request.uri().path().to_owned();
+    let method = request.method().clone();
+    if let Some(service) = path.strip_prefix("/v1/call/") {
+        return route_call(request, service, &method, events).await;
+    }
+    if let Some(id) = path.strip_prefix("/v1/jobs/") {
+        return match method {
+            Method::GET => show_job(id, events).await,
+            Method::DELETE => cancel_job(id, events).await,
+            _ => wrong_method("GET or DELETE"),
+        };
+    }
+    match (method, path.as_str()) {
+        (Method::POST, "/v1/jobs") => submit_job(request.into_body(), events).await,
+        (Method::GET, "/v1/status") => {
+            reply_with(&events, |reply| HostEvent::StatusAsked { reply }).await
+        }
+        (Method::GET, "/debug/state") => dump_state(&request, &events).await,
+        (Method::POST, "/v1/drain") => {
+            let sent = events.send(HostEvent::DrainAsked).is_ok();
+            let text = if sent { "draining" } else { "already stopped" };
+            text_response(StatusCode::ACCEPTED, text.to_owned())
+        }
+        (Method::GET, "/healthz") => text_response(StatusCode::OK, "alive".to_owned()),
+        (Method::GET, "/readyz") => show_readiness(&events).await,
+        (Method::GET, "/metrics") => {
+            let text = recorder.map(|handle| handle.render()).unwrap_or_default();
+            typed_response(StatusCode::OK, "text/plain; version=0.0.4", Bytes::from(text))
+        }
+        _ => text_response(
+            StatusCode::NOT_FOUND,
+            format!("there is nothing at {path}; docs/INTERFACES.md lists the routes"),
+        ),
+    }
+}
+
+async fn route_call(
+    request: WholeRequest,
+    service: &str,
+    method: &Method,
+    events: EventSender,
+) -> WholeResponse {
+    if method != Method::POST {
+        return wrong_method("POST");
+    }
+    let headers = CallHeaders::parse(request.headers());
+    match headers {
+        Ok(headers) => {
+            let service = service.into();
+            serve_call(CallRequest { service, headers, body: request.into_body() }, events).await
+        }
+        Err(fault) => {
+            let id = request.headers().get(REQUEST_HEADER).and_then(|value| value.to_str().ok());
+            fault_response(id.unwrap_or_default(), &CallFault::Invalid(fault.to_string()))
+        }
+    }
+}
+
+async fn ask<T>(
+    events: &EventSender,
+    event: impl FnOnce(oneshot::Sender<T>) -> HostEvent,
+) -> Option<T> {
+    let (reply, answer) = oneshot::channel();
+    events.send(event(reply)).ok()?;
+    answer.await.ok()
+}
+
+async fn reply_with<T: serde::Serialize>(
+    events: &EventSender,
+    event: impl FnOnce(oneshot::Sender<T>) -> HostEvent,
+) -> WholeResponse {
+    match ask(events, event).await {
+        Some(body) => json_response(StatusCode::OK, &body),
+        None => stopped_response(),
+    }
+}
+
+async fn dump_state(request: &WholeRequest, events: &EventSender) -> WholeResponse {
+    let Some(dump) = ask(events, |reply| HostEvent::DumpAsked { reply }).await else {
+        return stopped_response();
+    };
+    let wants_json = request.uri().query().is_some_and(|query| query.contains("format=json"));
+    if wants_json {
+        json_response(StatusCode::OK, &dump)
+    } else {
+        text_response(StatusCode::OK, dump.to_string())
+    }
+}
+
+async fn show_readiness(events: &EventSender) -> WholeResponse {
+    let ready = ask(events, |reply| HostEvent::ReadyAsked { reply }).await;
+    if ready == Some(true) {
+        text_response(StatusCode::OK, "ready".to_owned())
+    } else {
+        text_response(StatusCode::SERVICE_UNAVAILABLE, "starting or draining".to_owned())
+    }
+}
+
+fn stopped_response() -> WholeResponse {
+    let text = "the host is stopping; use another host".to_owned();
+    text_response(StatusCode::SERVICE_UNAVAILABLE, text)
+}
+
+fn wrong_method(allowed: &str) -> WholeResponse {
+    text_response(StatusCode::METHOD_NOT_ALLOWED, format!("use {allowed} here"))
+}
