--- /dev/null
+++ b/crates/core/src/version/folder_text.rs
@@ -0,0 +1,210 @@
+//! Reading one file of the operator folder. The INI parser gives no lines and
+//! skips some malformed text in silence, so a scan of the lines stands beside
+//! it: it finds the line of each key and every line that the parser must not see.
+
+use arcstr::ArcStr;
+use ini::{Ini, ParseOption};
+
+use crate::prelude::*;
+use crate::version::folder_fault::{FaultKind, FolderFault, SettingPlace};
+use crate::version::merged_folder::FolderFile;
+
+/// One key as a file sets it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FileSetting {
+    /// Section, its words separated by one blank.
+    pub section: String,
+    /// Key.
+    pub key: String,
+    /// Value without surrounding blanks; one line.
+    pub value: String,
+    /// Where it is set.
+    pub place: SettingPlace,
+}
+
+/// A section header of a file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FileSection {
+    /// Section, its words separated by one blank.
+    pub name: String,
+    /// Where it begins.
+    pub place: SettingPlace,
+}
+
+/// What one file says.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FileText {
+    /// Section headers, also those without keys.
+    pub sections: Vec<FileSection>,
+    /// Keys in the order of their lines; no section and key occurs twice.
+    pub settings: Vec<FileSetting>,
+}
+
+/// Key found by the scan of lines.
+struct ScannedKey {
+    section: Option<String>,
+    key: String,
+    line: u32,
+}
+
+/// Reads a file and adds its faults to `faults`.
+pub fn read_file(file: &FolderFile, faults: &mut Vec<FolderFault>) -> FileText {
+    let mut reader = FileReader {
+        name: ArcStr::from(file.name.as_str()),
+        text: FileText::default(),
+        keys: Vec::new(),
+        faults,
+        stray_lines: 0,
+    };
+    reader.scan_lines(&file.text);
+    if reader.stray_lines == 0 {
+        reader.parse_values(&file.text);
+    }
+    reader.text
+}
+
+/// The words of a section header, separated by one blank.
+pub fn normalize_section(header: &str) -> String {
+    header.split_whitespace().collect::<Vec<_>>().join(" ")
+}
+
+struct FileReader<'a> {
+    name: ArcStr,
+    text: FileText,
+    keys: Vec<ScannedKey>,
+    faults: &'a mut Vec<FolderFault>,
+    stray_lines: usize,
+}
+
+impl FileReader<'_> {
+    fn place(&self, line: u32) -> SettingPlace {
+        SettingPlace {
+            file: self.name.clone(),
+            line,
+        }
+    }
+
+    fn fault(&mut self, line: u32, section: &str, key: &str, kind: FaultKind) {
+        let fault = FolderFault {
+            place: self.place(line),
+            section: section.to_owned(),
+            key: key.to_owned(),
+            kind,
+        };
+        self.faults.push(fault);
+    }
+
+    fn scan_lines(&mut self, text: &str) {
+        let mut section = None;
+        for (index, line) in text.lines().enumerate() {
+            let number = index as u32 + 1;
+            let line = line.trim();
+            if line.is_empty() || line.starts_with([';', '#']) {
+                continue;
+            }
+            if let Some(header) = line.strip_prefix('[').and_then(|l| l.strip_suffix(']')) {
+                section = Some(self.scan_header(header, number));
+            } else {
+                self.scan_key(section.as_ref(), line, number);
+            }
+        }
+    }
+
+    fn scan_header(&mut self, header: &str, line: u32) -> String {
+        if header.contains(['[', ']', '\\']) {
+            self.stray(line);
+        }
+        let name = normalize_section(header);
+        let place = self.place(line);
+        self.text.sections.push(FileSection {
+            name: name.clone(),
+            place,
+        });
+        name
+    }
+
+    /// A trailing backslash would join two lines and hide the second.
+    fn scan_key(&mut self, section: Option<&String>, line: &str, number: u32) {
+        let key = match line.split_once(['=', ':']) {
+            Some((key, _)) if !line.starts_with('[') && !line.ends_with('\\') => key.trim(),
+            _ => return self.stray(number),
+        };
+        if key.is_empty() || key.contains('\\') {
+            return self.stray(number);
+        }
+        self.keys.push(ScannedKey {
+            section: section.cloned(),
+            key: key.to_owned(),
+            line: number,
+        });
+    }
+
+    fn stray(&mut self, line: u32) {
+        self.stray_lines += 1;
+        self.fault(line, "", "", FaultKind::StrayLine);
+    }
+
+    fn parse_values(&mut self, text: &str) {
+        let option = ParseOption {
+            enabled_quote: false,
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        match Ini::load_from_str_opt(text, option) {
+            Ok(parsed) => self.take_values(&parsed),
+            Err(error) => {
+                let message = error.msg.to_string();
+                self.fault(error.line as u32, "", "", FaultKind::Unreadable { message });
+            }
+        }
+    }
+
+    /// Parser and scan see the same keys in the same order, since stray lines
+    /// were excluded before.
+    fn take_values(&mut self, parsed: &Ini) {
+        let values: Vec<(Option<String>, &str, &str)> = parsed
+            .iter()
+            .flat_map(|(section, keys)| {
+                let section = section.map(normalize_section);
+                keys.iter().map(move |(k, v)| (section.clone(), k, v))
+            })
+            .collect();
+        let keys = std::mem::take(&mut self.keys);
+        let alike = values.len() == keys.len()
+            && values
+                .iter()
+                .zip(&keys)
+                .all(|(value, key)| value.0 == key.section && value.1 == key.key);
+        if !alike {
+            let message = "a line is not understood".to_owned();
+            return self.fault(0, "", "", FaultKind::Unreadable { message });
+        }
+        let mut first_lines = BTreeMap::new();
+        for (key, (_, _, value)) in keys.into_iter().zip(values) {
+            self.take_value(key, value, &mut first_lines);
+        }
+    }
+
+    fn take_value(
+        &mut self,
+        scanned: ScannedKey,
+        value: &str,
+        first_lines: &mut BTreeMap<(String, String), u32>,
+    ) {
+        let ScannedKey { section, key, line } = scanned;
+        let Some(section) = section else {
+            return self.fault(line, "", &key, FaultKind::OutsideSection);
+        };
+        if let Some(&first_line) = first_lines.get(&(section.clone(), key.clone())) {
+            return self.fault(line, &section, &key, FaultKind::DuplicateKey { first_line });
+        }
+        first_lines.insert((section.clone(), key.clone()), line);
+        let place = self.place(line);
+        self.text.settings.push(FileSetting {
+            section,
+            key,
+            value: value.trim().to_owned(),
+            place,
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/version/merged_folder.rs
@@ -0,0 +1,157 @@
+//! The operator folder after merging: files in the order of their names, the
+//! later file winning per section and key. Its canonical text goes into the log.
+
+use std::fmt::{self, Display, Formatter, Write};
+
+use sha2::{Digest, Sha256};
+
+use crate::prelude::*;
+use crate::version::folder_fault::{FolderFault, FolderFaults, SettingPlace};
+use crate::version::folder_text::{FileSetting, read_file};
+
+/// A file of the operator folder.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FolderFile {
+    /// Name within the folder.
+    pub name: String,
+    /// Whole text.
+    pub text: String,
+}
+
+/// A value and the line that set it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PlacedValue {
+    /// Value; one line without surrounding blanks.
+    pub value: String,
+    /// Where it is set.
+    pub place: SettingPlace,
+}
+
+/// A section after merging.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct MergedSection {
+    /// First header of the section.
+    pub place: SettingPlace,
+    /// Values that won, by key.
+    pub values: BTreeMap<String, PlacedValue>,
+}
+
+/// A setting that a later file replaced.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OverriddenKey {
+    /// Section.
+    pub section: String,
+    /// Key.
+    pub key: String,
+    /// Setting that lost.
+    pub lost: PlacedValue,
+    /// Setting that won over it.
+    pub winner: PlacedValue,
+}
+
+impl Display for OverriddenKey {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let Self {
+            section,
+            key,
+            lost,
+            winner,
+        } = self;
+        write!(
+            f,
+            "[{section}] {key}: `{}` of {} is replaced by `{}` of {}",
+            lost.value, lost.place, winner.value, winner.place
+        )
+    }
+}
+
+/// All sections of a folder. Displayed as canonical INI text, sorted by section
+/// and key: equal contents give equal text.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct MergedFolder {
+    /// Sections by name.
+    pub sections: BTreeMap<String, MergedSection>,
+    /// Settings that lost, in the order in which they were replaced.
+    pub overridden: Vec<OverriddenKey>,
+}
+
+impl MergedFolder {
+    /// Whether some file has the section.
+    pub fn has_section(&self, section: &str) -> bool {
+        self.sections.contains_key(section)
+    }
+
+    fn take_setting(&mut self, setting: FileSetting) {
+        let values = &mut self
+            .sections
+            .entry(setting.section.clone())
+            .or_default()
+            .values;
+        let winner = PlacedValue {
+            value: setting.value,
+            place: setting.place,
+        };
+        if let Some(lost) = values.insert(setting.key.clone(), winner.clone()) {
+            self.overridden.push(OverriddenKey {
+                section: setting.section,
+                key: setting.key,
+                lost,
+                winner,
+            });
+        }
+    }
+}
+
+impl Display for MergedFolder {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        for (index, (name, section)) in self.sections.iter().enumerate() {
+            let gap = if index == 0 { "" } else { "\n" };
+            writeln!(f, "{gap}[{name}]")?;
+            for (key, placed) in &section.values {
+                writeln!(f, "{key} = {}", placed.value)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Merges files in the order of their names.
+///
+/// # Errors
+///
+/// All faults of all texts; the meaning of sections and keys is not checked here.
+pub fn merge_folder(files: &[FolderFile]) -> Result<MergedFolder, FolderFaults> {
+    let mut files: Vec<&FolderFile> = files.iter().collect();
+    files.sort_by(|a, b| a.name.cmp(&b.name));
+    let mut merged = MergedFolder::default();
+    let mut faults: Vec<FolderFault> = Vec::new();
+    for file in files {
+        let text = read_file(file, &mut faults);
+        for section in text.sections {
+            let place = section.place;
+            merged
+                .sections
+                .entry(section.name)
+                .or_insert_with(|| MergedSection {
+                    place,
+                    values: BTreeMap::new(),
+                });
+        }
+        for setting in text.settings {
+            merged.take_setting(setting);
+        }
+    }
+    match FolderFaults::from_list(faults) {
+        Some(faults) => Err(faults),
+        None => Ok(merged),
+    }
+}
+
+/// SHA-256 of a text in hexadecimal.
+pub fn content_hash(text: &str) -> String {
+    let mut hex = String::new();
+    for byte in Sha256::digest(text.as_bytes()) {
+        let _ = write!(hex, "{byte:02x}");
+    }
+    hex
+}
--- /dev/null
+++ b/crates/core/src/version/section_reader.rs
@@ -0,0 +1,222 @@
+//! Typed reading of one merged section. Each read notes its key, so that the
+//! keys nobody asked for are reported as unknown at the end.
+
+use std::fmt::Display;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+
+use crate::prelude::*;
+use crate::version::folder_fault::{FaultKind, FolderFault, SettingPlace};
+use crate::version::merged_folder::MergedSection;
+
+/// Longest run time that a class may declare.
+const RUN_TIME_LIMIT: Duration = Duration::from_hours(24 * 365);
+
+/// Reader of one section; collects faults instead of stopping at the first.
+#[derive(Debug)]
+pub struct SectionReader<'a> {
+    name: &'a str,
+    section: &'a MergedSection,
+    known: Vec<&'static str>,
+    faults: Vec<FolderFault>,
+}
+
+impl<'a> SectionReader<'a> {
+    /// A reader that has read nothing yet.
+    pub fn new(name: &'a str, section: &'a MergedSection) -> Self {
+        Self {
+            name,
+            section,
+            known: Vec::new(),
+            faults: Vec::new(),
+        }
+    }
+
+    /// A number within `range`; a fault when missing.
+    pub fn number<T>(&mut self, key: &'static str, range: &RangeInclusive<T>) -> Option<T>
+    where
+        T: Copy + Display + FromStr + PartialOrd,
+    {
+        let expected = number_range(range);
+        let value = self.required(key, &expected)?;
+        self.parsed(key, value, &expected, |text| parse_number(text, range))
+    }
+
+    /// A number within `range`, or `default` when the key is absent.
+    pub fn number_or<T>(
+        &mut self,
+        key: &'static str,
+        range: &RangeInclusive<T>,
+        default: T,
+    ) -> Option<T>
+    where
+        T: Copy + Display + FromStr + PartialOrd,
+    {
+        let Some(value) = self.value(key) else {
+            return Some(default);
+        };
+        self.parsed(key, value, &number_range(range), |text| {
+            parse_number(text, range)
+        })
+    }
+
+    /// One of the words of `choices`, or `default` when the key is absent.
+    pub fn choice_or<T: Copy>(
+        &mut self,
+        key: &'static str,
+        choices: &[(&str, T)],
+        default: T,
+    ) -> Option<T> {
+        if self.section.values.contains_key(key) {
+            return self.choice(key, choices);
+        }
+        self.known.push(key);
+        Some(default)
+    }
+
+    /// One of the words of `choices`; a fault when missing.
+    pub fn choice<T: Copy>(&mut self, key: &'static str, choices: &[(&str, T)]) -> Option<T> {
+        let words: Vec<&str> = choices.iter().map(|choice| choice.0).collect();
+        let expected = words.join("|");
+        let value = self.required(key, &expected)?;
+        self.parsed(key, value, &expected, |text| {
+            choices
+                .iter()
+                .find(|choice| choice.0 == text)
+                .map(|choice| choice.1)
+        })
+    }
+
+    /// `yes` or `no`; no when the key is absent.
+    pub fn flag(&mut self, key: &'static str) -> Option<bool> {
+        self.choice_or(key, &[("yes", true), ("no", false)], false)
+    }
+
+    /// A duration such as `90s`, `15m` or `4h`; a fault when missing.
+    pub fn run_time(&mut self, key: &'static str) -> Option<Duration> {
+        let expected = "90s, 15m or 4h, at most a year";
+        let value = self.required(key, expected)?;
+        self.parsed(key, value, expected, parse_run_time)
+    }
+
+    /// A name; a fault when missing or malformed.
+    pub fn name(&mut self, key: &'static str) -> Option<&'a str> {
+        let value = self.required(key, "a name")?;
+        if is_name(value) {
+            return Some(value);
+        }
+        let name = value.to_owned();
+        self.fault(key, FaultKind::BadName { name });
+        None
+    }
+
+    /// A name, or nothing when the key is absent. Nothing at all when malformed.
+    pub fn name_or_none(&mut self, key: &'static str) -> Option<Option<&'a str>> {
+        if self.section.values.contains_key(key) {
+            return self.name(key).map(Some);
+        }
+        self.known.push(key);
+        Some(None)
+    }
+
+    /// Adds a fault of a key, or of the section when the key is absent.
+    pub fn fault(&mut self, key: &str, kind: FaultKind) {
+        let fault = section_fault(self.name, self.section, key, kind);
+        self.faults.push(fault);
+    }
+
+    /// Reports keys that were never read and gives all faults back.
+    pub fn finish(mut self) -> Vec<FolderFault> {
+        let known = self.known.join(", ");
+        for key in self.section.values.keys() {
+            if !self.known.contains(&key.as_str()) {
+                let kind = FaultKind::UnknownKey {
+                    known: known.clone(),
+                };
+                let fault = section_fault(self.name, self.section, key, kind);
+                self.faults.push(fault);
+            }
+        }
+        self.faults
+    }
+
+    fn value(&mut self, key: &'static str) -> Option<&'a str> {
+        self.known.push(key);
+        let placed = self.section.values.get(key)?;
+        Some(placed.value.as_str())
+    }
+
+    fn required(&mut self, key: &'static str, expected: &str) -> Option<&'a str> {
+        let value = self.value(key);
+        if value.is_none() {
+            let expected = expected.to_owned();
+            self.fault(key, FaultKind::MissingKey { key, expected });
+        }
+        value
+    }
+
+    fn parsed<T>(
+        &mut self,
+        key: &str,
+        value: &str,
+        expected: &str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        let parsed = parse(value);
+        if parsed.is_none() {
+            let kind = FaultKind::BadValue {
+                value: value.to_owned(),
+                expected: expected.to_owned(),
+            };
+            self.fault(key, kind);
+        }
+        parsed
+    }
+}
+
+/// A fault at a key, or at the section's header when the key is absent.
+pub fn section_fault(
+    name: &str,
+    section: &MergedSection,
+    key: &str,
+    kind: FaultKind,
+) -> FolderFault {
+    let place: &SettingPlace = section
+        .values
+        .get(key)
+        .map_or(&section.place, |placed| &placed.place);
+    FolderFault {
+        place: place.clone(),
+        section: name.to_owned(),
+        key: key.to_owned(),
+        kind,
+    }
+}
+
+/// Whether a text can stand as a name in addresses, messages and task identifiers.
+pub fn is_name(text: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    (1..=64).contains(&text.len()) && text.chars().all(allowed)
+}
+
+fn number_range<T: Display>(range: &RangeInclusive<T>) -> String {
+    format!("a number from {} to {}", range.start(), range.end())
+}
+
+fn parse_number<T: FromStr + PartialOrd>(text: &str, range: &RangeInclusive<T>) -> Option<T> {
+    let number = text.parse().ok()?;
+    range.contains(&number).then_some(number)
+}
+
+fn parse_run_time(text: &str) -> Option<Duration> {
+    let unit = text.chars().last()?;
+    let secs_per_unit: u64 = match unit {
+        's' => 1,
+        'm' => 60,
+        'h' => 3_600,
+        _ => return None,
+    };
+    let count: u64 = text.strip_suffix(unit)?.parse().ok()?;
+    let time = Duration::from_secs(count.checked_mul(secs_per_unit)?);
+    (time > Duration::ZERO && time <= RUN_TIME_LIMIT).then_some(time)
+}
