Add stand-ins of the log, the host list and workers

Tests and the trial command need the platform's side of every interface. Each stand-in listens on a loopback port that the system picks, answers with the generated border types, and has fault switches: down, slow, answer lost after the effect, connections silent for good, leaving, failing tasks. Worker leases lapse, terms fence, accelerators of a task are adjacent, and a task that started once never starts again.

--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,173 @@
+//! The HTTP server beneath every stand-in. It applies the fault switches around
+//! a handler that sees whole requests.
+
+use std::convert::Infallible;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Method, Request, Response};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::sleep;
+
+use crate::error::StandinError;
+use crate::fault::{FaultSwitches, RequestFate};
+use crate::reply::Reply;
+
+/// Pause after a failed accept, so that a lack of file handles does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// A request whose body has been read to its end.
+#[derive(Debug)]
+pub(crate) struct WholeRequest {
+    /// Method.
+    pub method: Method,
+    /// Path without the query.
+    pub path: String,
+    /// Query, empty if there is none.
+    pub query: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl WholeRequest {
+    /// Value of a query key as a number; nothing if absent or malformed.
+    pub(crate) fn query_number(&self, key: &str) -> Option<u64> {
+        let pairs = self
+            .query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='));
+        pairs
+            .filter(|(name, _)| *name == key)
+            .find_map(|(_, value)| value.parse().ok())
+    }
+}
+
+/// Ends a connection without an answer.
+#[derive(Debug, Error)]
+#[error("connection closed by a fault switch or a broken request")]
+struct ClosedConnection;
+
+/// A listening server; dropping it ends the listener and every connection.
+#[derive(Debug)]
+pub(crate) struct HttpServer {
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    /// Faults applied to its requests.
+    pub faults: FaultSwitches,
+    accept: AbortHandle,
+}
+
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        self.accept.abort();
+    }
+}
+
+impl HttpServer {
+    /// Listens on a free loopback port. At most `connections` are open at once;
+    /// further ones are closed when accepted.
+    pub(crate) async fn start<H, F>(connections: usize, handle: H) -> Result<Self, StandinError>
+    where
+        H: Fn(WholeRequest) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Reply> + Send + 'static,
+    {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let faults = FaultSwitches::default();
+        let task = tokio::spawn(accept_all(listener, connections, faults.clone(), handle));
+        let accept = task.abort_handle();
+        Ok(Self {
+            address,
+            faults,
+            accept,
+        })
+    }
+}
+
+async fn accept_all<H, F>(listener: TcpListener, limit: usize, faults: FaultSwitches, handle: H)
+where
+    H: Fn(WholeRequest) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    // The set ends all connections when this task is aborted.
+    let mut connections = JoinSet::new();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        while connections.try_join_next().is_some() {}
+        if connections.len() >= limit {
+            continue;
+        }
+        if let Some(id) = faults.accept() {
+            connections.spawn(serve(stream, id, faults.clone(), handle.clone()));
+        }
+    }
+}
+
+async fn serve<H, F>(stream: TcpStream, id: u64, faults: FaultSwitches, handle: H)
+where
+    H: Fn(WholeRequest) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let service = service_fn(move |request| answer(request, id, faults.clone(), handle.clone()));
+    // An error here is a closed connection, which the client sees by itself.
+    let _: Result<(), hyper::Error> = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn answer<H, F>(
+    request: Request<Incoming>,
+    connection: u64,
+    faults: FaultSwitches,
+    handle: H,
+) -> Result<Response<Full<Bytes>>, ClosedConnection>
+where
+    H: Fn(WholeRequest) -> F,
+    F: Future<Output = Reply>,
+{
+    let request = read_whole(request).await?;
+    match faults.receive(connection) {
+        RequestFate::Close => Err(ClosedConnection),
+        RequestFate::Silent => Ok(never_answer().await),
+        RequestFate::Handle { delay, lose_answer } => {
+            if !delay.is_zero() {
+                sleep(delay).await;
+            }
+            let reply = handle(request).await;
+            if lose_answer {
+                return Err(ClosedConnection);
+            }
+            Ok(reply)
+        }
+    }
+}
+
+async fn never_answer() -> Reply {
+    let never: Infallible = std::future::pending().await;
+    match never {}
+}
+
+async fn read_whole(request: Request<Incoming>) -> Result<WholeRequest, ClosedConnection> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.or(Err(ClosedConnection))?.to_bytes();
+    Ok(WholeRequest {
+        method: head.method,
+        path: head.uri.path().to_owned(),
+        query: head.uri.query().unwrap_or_default().to_owned(),
+        headers: head.headers,
+        body,
+    })
+}
--- /dev/null
+++ b/crates/standin/src/worker/state.rs
@@ -0,0 +1,377 @@
+//! Tasks and resources of a stand-in worker. Terms fence, leases lapse, and a
+//! task that has started once never starts again.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flamingowalk_wire::target::{
+    RenewRequest, RenewResponse, Reservation, ReserveRequest, StartRequest, TargetRefusal,
+    TargetRefusalKind, TaskList, TaskPayload, TaskRequest, TaskState, TaskStatus, TaskUsage,
+    UsageReport,
+};
+
+use super::held::{FULL_SHARE, HeldTask};
+use super::options::WorkerOptions;
+
+/// Time for which an ended task stays in the list.
+const ENDED_KEPT: Duration = Duration::from_mins(1);
+/// Age of every usage report.
+const USAGE_AGE_MS: u64 = 2_000;
+
+/// All that a worker knows.
+#[derive(Debug)]
+pub(super) struct WorkerState {
+    /// How the worker is set up.
+    pub options: Arc<WorkerOptions>,
+    /// Whether new work is refused.
+    pub leaving: bool,
+    /// Whether tasks and calls fail right after their start.
+    pub failing_starts: bool,
+    /// Whether tasks fail at the end of their run time.
+    pub failing_ends: bool,
+    /// Factor on the run time of new tasks and calls.
+    pub slowness: u32,
+    /// Memory reported, in percent of the reservation.
+    pub memory_percent: u64,
+    /// Starts per task identifier; at most one each.
+    pub task_runs: BTreeMap<String, u32>,
+    /// Runs per request identifier of a call.
+    pub call_runs: BTreeMap<String, u32>,
+    /// Calls that run now; each holds a slot.
+    pub calls_in_flight: u32,
+    /// Highest planner term seen; a lower one is refused.
+    highest_term: u64,
+    /// Tasks by identifier, ended ones for a while.
+    tasks: BTreeMap<String, HeldTask>,
+    /// Time since the start of the worker; never decreases.
+    now: Duration,
+}
+
+fn refusal(kind: TargetRefusalKind, message: &str) -> TargetRefusal {
+    TargetRefusal {
+        kind,
+        message: message.into(),
+    }
+}
+
+/// Refusal of new work by a leaving worker.
+pub(super) fn leaving_refusal() -> TargetRefusal {
+    refusal(
+        TargetRefusalKind::Leaving,
+        "worker is leaving; use another worker",
+    )
+}
+
+/// Refusal for lack of capacity.
+pub(super) fn full_refusal() -> TargetRefusal {
+    refusal(
+        TargetRefusalKind::Full,
+        "not enough free capacity; use another worker or retry later",
+    )
+}
+
+/// Refusal of something that the worker cannot do.
+pub(super) fn unsupported_refusal(message: &str) -> TargetRefusal {
+    refusal(TargetRefusalKind::Unsupported, message)
+}
+
+fn lease_refusal() -> TargetRefusal {
+    refusal(
+        TargetRefusalKind::UnknownLease,
+        "lease lapsed or never existed; reserve again under a new task",
+    )
+}
+
+impl WorkerState {
+    /// A worker without tasks.
+    pub(super) fn new(options: Arc<WorkerOptions>) -> Self {
+        Self {
+            options,
+            leaving: false,
+            failing_starts: false,
+            failing_ends: false,
+            slowness: 1,
+            memory_percent: 100,
+            task_runs: BTreeMap::new(),
+            call_runs: BTreeMap::new(),
+            calls_in_flight: 0,
+            highest_term: 0,
+            tasks: BTreeMap::new(),
+            now: Duration::ZERO,
+        }
+    }
+
+    /// Brings every task up to `now` and forgets those that ended long ago.
+    pub(super) fn advance(&mut self, now: Duration) {
+        debug_assert!(now >= self.now, "time of a worker went back");
+        self.now = now;
+        for task in self.tasks.values_mut() {
+            task.advance(now, self.failing_ends);
+        }
+        self.tasks
+            .retain(|_, task| task.is_live() || task.ended_at + ENDED_KEPT > now);
+    }
+
+    fn check_term(&mut self, term: u64) -> Result<(), TargetRefusal> {
+        if term < self.highest_term {
+            return Err(refusal(
+                TargetRefusalKind::StaleTerm,
+                "a later planner term was seen; give up the seat",
+            ));
+        }
+        self.highest_term = term;
+        Ok(())
+    }
+
+    fn live(&self) -> impl Iterator<Item = &HeldTask> {
+        self.tasks.values().filter(|task| task.is_live())
+    }
+
+    /// Slots that neither a task nor a call holds.
+    pub(super) fn free_slots(&self) -> u32 {
+        let held: u32 = self.live().map(|task| task.request.slots).sum();
+        self.options
+            .slots
+            .saturating_sub(held + self.calls_in_flight)
+    }
+
+    fn fits(&self, request: &ReserveRequest) -> bool {
+        let cores: u32 = self.live().map(|task| task.request.cores).sum();
+        let memory: u64 = self.live().map(|task| task.request.memory_mb).sum();
+        request.slots <= self.free_slots()
+            && cores + request.cores <= self.options.cores
+            && memory + request.memory_mb <= self.options.memory_mb
+    }
+
+    /// The smallest run of adjacent free accelerators that holds `count`.
+    fn adjacent_block(&self, count: u32) -> Option<Vec<u32>> {
+        if count == 0 {
+            return Some(Vec::new());
+        }
+        let held: Vec<u32> = self
+            .live()
+            .flat_map(|task| task.accelerators.iter().copied())
+            .collect();
+        let free: Vec<u32> = (0..self.options.accelerators)
+            .filter(|number| !held.contains(number))
+            .collect();
+        let runs = free.chunk_by(|left, right| left + 1 == *right);
+        let fitting = runs.filter(|run| run.len() >= count as usize);
+        let smallest = fitting.min_by_key(|run| run.len())?;
+        Some(smallest[..count as usize].to_vec())
+    }
+
+    /// Holds resources under a lease; the same request again gives the same answer.
+    pub(super) fn reserve(
+        &mut self,
+        request: &ReserveRequest,
+    ) -> Result<Reservation, TargetRefusal> {
+        self.check_term(request.term)?;
+        if let Some(task) = self
+            .tasks
+            .get(&request.task_id)
+            .filter(|task| task.is_live())
+        {
+            if task.request.lease_id != request.lease_id {
+                return Err(lease_refusal());
+            }
+            return Ok(reservation(task));
+        }
+        if self.task_runs.contains_key(&request.task_id) {
+            return Err(lease_refusal());
+        }
+        if self.leaving {
+            return Err(leaving_refusal());
+        }
+        if !self.fits(request) {
+            return Err(full_refusal());
+        }
+        let block = self.adjacent_block(request.accelerators);
+        let block = block.ok_or_else(full_refusal)?;
+        let task = HeldTask::new(request.clone(), block, self.now);
+        let answer = reservation(&task);
+        self.tasks.insert(request.task_id.clone(), task);
+        Ok(answer)
+    }
+
+    /// Starts a reserved task; a task that started before keeps its state.
+    pub(super) fn start(&mut self, request: StartRequest) -> Result<TaskStatus, TargetRefusal> {
+        self.check_term(request.term)?;
+        let now = self.now;
+        let work = self.run_time(&request.payload);
+        let failing = self.failing_starts;
+        let leaving = self.leaving;
+        let task = self
+            .tasks
+            .get_mut(&request.task_id)
+            .filter(|task| task.request.lease_id == request.lease_id)
+            .ok_or_else(lease_refusal)?;
+        if task.payload.is_some() {
+            return Ok(task.status(now));
+        }
+        if task.state != TaskState::Reserved {
+            return Err(lease_refusal());
+        }
+        if leaving {
+            return Err(leaving_refusal());
+        }
+        task.state = TaskState::Running;
+        task.started_at = now;
+        task.progress_at = now;
+        task.lease_until = now + Duration::from_millis(request.lease_ms);
+        task.request.term = request.term;
+        task.done = resumed_work(&request.payload);
+        task.work = work;
+        task.payload = Some(request.payload);
+        if failing {
+            task.failure = Some("task failed at its start".into());
+            task.end(TaskState::Failed, now);
+        }
+        *self.task_runs.entry(request.task_id).or_default() += 1;
+        Ok(task.status(now))
+    }
+
+    fn run_time(&self, payload: &TaskPayload) -> Duration {
+        (self.options.run_time)(payload) * self.slowness
+    }
+
+    /// Extends leases that still hold.
+    pub(super) fn renew(&mut self, request: &RenewRequest) -> Result<RenewResponse, TargetRefusal> {
+        self.check_term(request.term)?;
+        let until = self.now + Duration::from_millis(request.lease_ms);
+        let mut response = RenewResponse::default();
+        for lease in &request.lease_ids {
+            let mut live = self.tasks.values_mut().filter(|task| task.is_live());
+            match live.find(|task| task.request.lease_id == *lease) {
+                Some(task) => {
+                    task.lease_until = until;
+                    response.renewed.push(lease.clone());
+                }
+                None => response.unknown.push(lease.clone()),
+            }
+        }
+        Ok(response)
+    }
+
+    /// Gives a reservation back; one that is unknown is free already.
+    pub(super) fn release(&mut self, request: &TaskRequest) -> Result<(), TargetRefusal> {
+        self.check_term(request.term)?;
+        let held = self.tasks.get(&request.task_id);
+        let Some(task) = held.filter(|task| task.request.lease_id == request.lease_id) else {
+            return Ok(());
+        };
+        if task.state == TaskState::Running {
+            return Err(unsupported_refusal("task runs; stop it instead"));
+        }
+        if task.payload.is_none() {
+            self.tasks.remove(&request.task_id);
+        }
+        Ok(())
+    }
+
+    fn find(&mut self, request: &TaskRequest) -> Result<&mut HeldTask, TargetRefusal> {
+        self.check_term(request.term)?;
+        let held = self.tasks.get_mut(&request.task_id);
+        held.filter(|task| task.request.lease_id == request.lease_id)
+            .ok_or_else(|| {
+                refusal(
+                    TargetRefusalKind::UnknownTask,
+                    "worker has no such task; read its task list",
+                )
+            })
+    }
+
+    /// Saves the state of a running task and ends it.
+    pub(super) fn checkpoint(
+        &mut self,
+        request: &TaskRequest,
+    ) -> Result<TaskStatus, TargetRefusal> {
+        let now = self.now;
+        let task = self.find(request)?;
+        let able = task
+            .payload
+            .as_ref()
+            .is_some_and(|payload| payload.checkpoint);
+        if !able {
+            return Err(unsupported_refusal(
+                "task cannot checkpoint; stop it instead",
+            ));
+        }
+        if task.state == TaskState::Running {
+            task.end(TaskState::Checkpointed, now);
+            let done = task.done.as_millis();
+            task.checkpoint = Some(format!("{}@{done}", task.request.task_id));
+        }
+        Ok(task.status(now))
+    }
+
+    /// Limits the processor share of a running task; zero suspends it.
+    pub(super) fn throttle(&mut self, request: &TaskRequest) -> Result<TaskStatus, TargetRefusal> {
+        let now = self.now;
+        let task = self.find(request)?;
+        let Some(percent) = request.throttle_percent else {
+            return Err(unsupported_refusal("no share; give throttle_percent"));
+        };
+        task.record_progress(now);
+        task.share = percent.min(FULL_SHARE);
+        Ok(task.status(now))
+    }
+
+    /// Ends a task or reservation.
+    pub(super) fn stop(&mut self, request: &TaskRequest) -> Result<TaskStatus, TargetRefusal> {
+        let now = self.now;
+        let task = self.find(request)?;
+        if task.is_live() {
+            task.end(TaskState::Stopped, now);
+        }
+        Ok(task.status(now))
+    }
+
+    /// All tasks, ended ones included for a while.
+    pub(super) fn list(&self) -> TaskList {
+        TaskList {
+            highest_term: self.highest_term,
+            incarnation: self.options.incarnation,
+            leaving: self.leaving,
+            tasks: self
+                .tasks
+                .values()
+                .map(|task| task.status(self.now))
+                .collect(),
+            worker: self.options.name.clone(),
+        }
+    }
+
+    /// Use of the running tasks.
+    pub(super) fn usage(&self) -> UsageReport {
+        let running = self.live().filter(|task| task.payload.is_some());
+        let tasks = running.map(|task| TaskUsage {
+            cpu_percent: task.request.cores * task.share,
+            memory_mb: task.request.memory_mb * self.memory_percent / 100,
+            task_id: task.request.task_id.clone(),
+        });
+        UsageReport {
+            age_ms: USAGE_AGE_MS,
+            tasks: tasks.collect(),
+            worker: self.options.name.clone(),
+        }
+    }
+}
+
+fn reservation(task: &HeldTask) -> Reservation {
+    Reservation {
+        accelerators: task.accelerators.clone(),
+        lease_id: task.request.lease_id.clone(),
+        lease_ms: task.request.lease_ms,
+    }
+}
+
+/// Work that the checkpoint of a payload has saved.
+fn resumed_work(payload: &TaskPayload) -> Duration {
+    let name = payload.resume_from.as_deref().unwrap_or_default();
+    let millis = name
+        .rsplit_once('@')
+        .and_then(|(_, done)| done.parse().ok());
+    Duration::from_millis(millis.unwrap_or(0))
+}
