Seat of a zone as a pure state machine

Cause: two entry hosts must never plan one zone at a time, with a log that comes and goes and hosts that keep nothing. Change: the ledger folds the seat stream; log reads and promises, counted from when they were sent, carry the holder; claimants wait for the last active holder. A separate verifier reports all faults.

--- /dev/null
+++ b/crates/core/src/process/seat/record.rs
@@ -0,0 +1,79 @@
+//! Records of a zone's seat stream, in the form that decisions use.
+
+use std::fmt::{self, Display, Formatter};
+use std::net::SocketAddr;
+
+use crate::prelude::*;
+use crate::process::planner::event::SeatTerm;
+
+/// One run of an entry host's process. A restarted host is another member: it
+/// has forgotten what it promised and refused.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct RosterMember {
+    /// Name of the host.
+    pub host: HostName,
+    /// Incarnation of its process; differs for every run.
+    pub incarnation: u64,
+    /// Where peers reach it. Not part of its identity.
+    pub address: SocketAddr,
+}
+
+impl RosterMember {
+    /// Whether both name the same run of the same host.
+    pub fn is_same_run(&self, other: &Self) -> bool {
+        self.host == other.host && self.incarnation == other.incarnation
+    }
+}
+
+impl Display for RosterMember {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.host, self.incarnation)
+    }
+}
+
+/// Offset of the record that named a roster: a claim or a roster record.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct RosterOffset(pub u64);
+
+impl Display for RosterOffset {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "roster{}", self.0)
+    }
+}
+
+/// One record of the seat stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SeatRecord {
+    /// A host claims the seat. Void unless `base_term` is the newest term.
+    Claim {
+        /// Term that the claim replaces; zero when there was none.
+        base_term: SeatTerm,
+        /// Claiming host.
+        holder: RosterMember,
+        /// Candidates whose promises count, the holder among them.
+        roster: Vec<RosterMember>,
+    },
+    /// The holder's wait is over. Void unless `term` is the newest term.
+    Active {
+        /// Term that became active.
+        term: SeatTerm,
+    },
+    /// The holder names new candidates. Void unless `term` is the newest term and
+    /// `base_roster` its newest roster.
+    Roster {
+        /// Term of the holder.
+        term: SeatTerm,
+        /// Roster that this one replaces.
+        base_roster: RosterOffset,
+        /// New candidates, the holder among them.
+        roster: Vec<RosterMember>,
+    },
+    /// The holder has stopped starting jobs for good. Void unless `term` is the
+    /// newest term.
+    Yield {
+        /// Term that ended.
+        term: SeatTerm,
+        /// Host that should claim next, if the holder knows one.
+        successor: Option<HostName>,
+    },
+}
--- /dev/null
+++ b/crates/core/src/process/seat/state.rs
@@ -0,0 +1,573 @@
+//! The seat as one host sees it: typed events in, typed actions out.
+
+use std::fmt::{self, Display, Formatter};
+
+use crate::prelude::*;
+use crate::process::planner::event::SeatTerm;
+use crate::process::seat::action::SeatAction;
+use crate::process::seat::authority::{AuthorityState, MemberRun, PendingRoster};
+use crate::process::seat::candidate::CandidateState;
+use crate::process::seat::event::SeatEvent;
+use crate::process::seat::ledger::{SeatLedger, SeatTenure};
+use crate::process::seat::record::{RosterMember, SeatRecord};
+use crate::process::seat::times::SeatTimes;
+
+/// Claimants outside the roster look this many times as long for a member's word
+/// before they claim without one.
+const WORD_PATIENCE: u32 = 3;
+
+/// Seat of one zone as one run of one entry host sees it.
+#[derive(Clone, Debug)]
+pub struct SeatState {
+    pub(crate) own: RosterMember,
+    zone: ZoneName,
+    times: SeatTimes,
+    pub(crate) ledger: SeatLedger,
+    pub(crate) authority: AuthorityState,
+    pub(crate) candidate: CandidateState,
+    /// Live peers of the zone. Soft.
+    peers: BTreeMap<HostName, RosterMember>,
+    /// This host promises nothing to this term or any before it; never lowered.
+    pub(crate) refused_until: SeatTerm,
+    /// Newest term this host has heard of in any way; never lowered.
+    pub(crate) newest_seen: SeatTerm,
+    /// Since when the newest holder has been silent or has yielded.
+    vacant_since: Option<MonotonicTime>,
+    /// When the last append was asked for; the next waits `t`, unless a record of
+    /// the stream came in between.
+    appended_at: Option<MonotonicTime>,
+    /// When members were last asked for promises or words.
+    asked_at: Option<MonotonicTime>,
+    /// Whether this host is about to stop; never reset.
+    draining: bool,
+    /// Whether `Gained` was the last of `Gained` and `Lost`.
+    pub(crate) held: bool,
+    /// Latest time that an event brought.
+    pub(crate) last_now: MonotonicTime,
+}
+
+impl SeatState {
+    /// A host that has read nothing and promised nothing.
+    pub fn new(own: RosterMember, zone: ZoneName, times: SeatTimes) -> Self {
+        debug_assert!(times.t < times.w, "promises must outlast one log read");
+        Self {
+            own,
+            zone,
+            times,
+            ledger: SeatLedger::default(),
+            authority: AuthorityState::default(),
+            candidate: CandidateState::default(),
+            peers: BTreeMap::new(),
+            refused_until: SeatTerm(0),
+            newest_seen: SeatTerm(0),
+            vacant_since: None,
+            appended_at: None,
+            asked_at: None,
+            draining: false,
+            held: false,
+            last_now: MonotonicTime::default(),
+        }
+    }
+
+    /// What the log says.
+    pub fn ledger(&self) -> &SeatLedger {
+        &self.ledger
+    }
+
+    /// Durations of the protocol.
+    pub fn times(&self) -> SeatTimes {
+        self.times
+    }
+
+    /// This run of this host.
+    pub fn own(&self) -> &RosterMember {
+        &self.own
+    }
+
+    /// Term that this host holds and that is active, whether or not it is still
+    /// carried by evidence.
+    pub fn held_term(&self) -> Option<SeatTerm> {
+        self.own_tenure()
+            .filter(|tenure| tenure.active && !tenure.yielded)
+            .map(|tenure| tenure.term)
+    }
+
+    /// Whether this host may start a job at `now`. To be asked after every wait
+    /// and just before every send, with a clock read at that moment.
+    pub fn may_start(&self, now: MonotonicTime) -> bool {
+        let Some(tenure) = self.own_tenure() else {
+            return false;
+        };
+        if !tenure.active || tenure.yielded || self.draining {
+            return false;
+        }
+        if self.authority.carried_by_log(now, self.times) {
+            return true;
+        }
+        self.authority.carried_by_promises(now, self.times, tenure)
+    }
+
+    /// Whether a stopping host has nothing left to append.
+    pub fn is_drained(&self) -> bool {
+        self.draining && self.held_term().is_none()
+    }
+
+    /// Takes one event and adds what is to be done to `actions`.
+    pub fn handle(&mut self, now: MonotonicTime, event: SeatEvent, actions: &mut Vec<SeatAction>) {
+        debug_assert!(now >= self.last_now, "the monotonic clock went backwards");
+        self.last_now = now;
+        self.note_lapse(now, actions);
+        self.take_event(now, event, actions);
+        // `Lost` goes before any append that lets another host claim.
+        self.note_lapse(now, actions);
+        self.note_vacancy(now);
+        if self.own_tenure().is_some() {
+            self.act_as_holder(now, actions);
+        } else {
+            self.act_as_candidate(now, actions);
+        }
+        self.note_gain(now, actions);
+    }
+
+    fn take_event(&mut self, now: MonotonicTime, event: SeatEvent, actions: &mut Vec<SeatAction>) {
+        match event {
+            SeatEvent::LogRecord { offset, record } => self.take_record(now, offset, &record),
+            SeatEvent::LogTailRead { sent_at } => {
+                debug_assert!(sent_at <= now, "a read cannot end before it was sent");
+                self.authority.note_tail(sent_at);
+            }
+            SeatEvent::PromiseAnswered {
+                from,
+                incarnation,
+                term,
+                sent_at,
+                granted,
+            } => {
+                let run = MemberRun {
+                    host: from,
+                    incarnation,
+                };
+                if granted {
+                    self.authority.note_promise(run, term, sent_at);
+                }
+            }
+            SeatEvent::PromiseAsked {
+                from,
+                term,
+                incarnation,
+                request,
+            } => {
+                let granted = self.grant_promise(term, incarnation);
+                actions.push(SeatAction::AnswerPromise {
+                    to: from,
+                    term,
+                    request,
+                    granted,
+                    incarnation: self.own.incarnation,
+                });
+            }
+            SeatEvent::RefusalAsked {
+                from,
+                term,
+                request,
+            } => {
+                let refused = self.grant_refusal(term);
+                actions.push(SeatAction::AnswerRefusal {
+                    to: from,
+                    term,
+                    request,
+                    refused,
+                    incarnation: self.own.incarnation,
+                });
+            }
+            SeatEvent::RefusalAnswered {
+                from,
+                incarnation,
+                term,
+                refused,
+            } => {
+                let run = MemberRun {
+                    host: from,
+                    incarnation,
+                };
+                if refused {
+                    self.candidate.note_word(run, term, now);
+                }
+            }
+            SeatEvent::MemberSeen { member } => {
+                if member.host != self.own.host {
+                    self.peers.insert(member.host.clone(), member);
+                }
+            }
+            SeatEvent::MemberGone { host } => {
+                self.peers.remove(&host);
+            }
+            SeatEvent::YieldRequested => self.draining = true,
+            SeatEvent::LogFailed | SeatEvent::Tick => {}
+        }
+    }
+
+    fn take_record(&mut self, now: MonotonicTime, offset: u64, record: &SeatRecord) {
+        let was_waiting = self.own_tenure().is_some_and(|tenure| !tenure.active);
+        let before = self.ledger.term();
+        if !self.ledger.apply(offset, record) {
+            return;
+        }
+        self.appended_at = None;
+        let term = self.ledger.term();
+        self.newest_seen = self.newest_seen.max(term);
+        if term != before {
+            self.begin_term(now, was_waiting);
+        }
+        self.settle_pending();
+    }
+
+    fn begin_term(&mut self, now: MonotonicTime, was_waiting: bool) {
+        self.authority.begin_term(self.ledger.term());
+        self.vacant_since = None;
+        self.candidate.claim_read_at = self.own_tenure().is_some().then_some(now);
+        if was_waiting {
+            self.candidate.overtaken = self.candidate.overtaken.saturating_add(1);
+        }
+    }
+
+    /// A pending roster ends once the log has another roster than its base.
+    fn settle_pending(&mut self) {
+        let in_force = self.ledger.current().map(|tenure| tenure.roster_offset);
+        let pending = self.authority.pending.as_ref();
+        if pending.is_some_and(|pending| Some(pending.base) != in_force) {
+            self.authority.pending = None;
+        }
+    }
+
+    /// A promise goes to the newest term only, by the very run that was asked,
+    /// and never to a term that this host has refused.
+    fn grant_promise(&mut self, term: SeatTerm, incarnation: u64) -> bool {
+        self.newest_seen = self.newest_seen.max(term);
+        incarnation == self.own.incarnation
+            && term >= self.newest_seen
+            && term > self.refused_until
+            && !self.draining
+    }
+
+    /// A member gives its word only when it does not itself see the holder, or
+    /// knows of a later term. The word is for good.
+    fn grant_refusal(&mut self, term: SeatTerm) -> bool {
+        if term <= self.refused_until {
+            return true;
+        }
+        let is_own = self.own_tenure().is_some_and(|own| own.term == term);
+        if is_own || !self.misses_holder(term) {
+            return false;
+        }
+        self.refused_until = term;
+        true
+    }
+
+    fn misses_holder(&self, term: SeatTerm) -> bool {
+        match self.ledger.current() {
+            Some(tenure) if tenure.term == term => !self.sees_holder(tenure),
+            _ => self.newest_seen > term,
+        }
+    }
+
+    fn own_tenure(&self) -> Option<&SeatTenure> {
+        self.ledger
+            .current()
+            .filter(|tenure| tenure.holder.is_same_run(&self.own))
+    }
+
+    fn sees_holder(&self, tenure: &SeatTenure) -> bool {
+        !tenure.yielded && self.sees_member(&tenure.holder)
+    }
+
+    fn sees_member(&self, member: &RosterMember) -> bool {
+        self.peers
+            .get(&member.host)
+            .is_some_and(|peer| peer.is_same_run(member))
+    }
+
+    fn note_vacancy(&mut self, now: MonotonicTime) {
+        let Some(tenure) = self.ledger.current() else {
+            return;
+        };
+        if tenure.holder.is_same_run(&self.own) && !tenure.yielded {
+            self.vacant_since = None;
+        } else if self.sees_holder(tenure) {
+            self.vacant_since = None;
+            if tenure.active {
+                self.candidate.overtaken = 0;
+            }
+        } else if self.vacant_since.is_none() {
+            self.vacant_since = Some(now);
+        }
+    }
+
+    fn act_as_holder(&mut self, now: MonotonicTime, actions: &mut Vec<SeatAction>) {
+        let Some(tenure) = self.own_tenure().cloned() else {
+            return;
+        };
+        if tenure.yielded {
+            return;
+        }
+        if !tenure.active {
+            self.append_active(now, &tenure, actions);
+        } else if self.draining {
+            self.append_yield(now, &tenure, actions);
+        } else {
+            self.append_roster(now, &tenure, actions);
+            self.ask_promises(now, &tenure, actions);
+        }
+    }
+
+    fn append_active(
+        &mut self,
+        now: MonotonicTime,
+        tenure: &SeatTenure,
+        actions: &mut Vec<SeatAction>,
+    ) {
+        let guard = self.ledger.guard();
+        let ends_at = self.candidate.wait_ends_at(guard, &self.own, self.times);
+        if ends_at.is_none_or(|ends_at| now < ends_at) {
+            if let Some(guard) = guard.cloned() {
+                self.ask_words(now, &guard, tenure.term, actions);
+            }
+            return;
+        }
+        if self.append_due(now) {
+            actions.push(SeatAction::AppendActive { term: tenure.term });
+        }
+    }
+
+    fn append_yield(
+        &mut self,
+        now: MonotonicTime,
+        tenure: &SeatTenure,
+        actions: &mut Vec<SeatAction>,
+    ) {
+        if !self.append_due(now) {
+            return;
+        }
+        let successor = tenure
+            .other_members()
+            .find(|member| self.sees_member(member))
+            .map(|member| member.host.clone());
+        actions.push(SeatAction::AppendYield {
+            term: tenure.term,
+            successor,
+        });
+    }
+
+    fn append_roster(
+        &mut self,
+        now: MonotonicTime,
+        tenure: &SeatTenure,
+        actions: &mut Vec<SeatAction>,
+    ) {
+        if self.authority.pending.is_none() {
+            let roster = self.live_roster();
+            let log_answers = self.authority.carried_by_log(now, self.times);
+            if same_members(&roster, &tenure.roster) || !log_answers {
+                return;
+            }
+            self.authority.pending = Some(PendingRoster {
+                base: tenure.roster_offset,
+                roster,
+            });
+        }
+        if !self.append_due(now) {
+            return;
+        }
+        if let Some(pending) = &self.authority.pending {
+            actions.push(SeatAction::AppendRoster {
+                term: tenure.term,
+                base_roster: pending.base,
+                roster: pending.roster.clone(),
+            });
+        }
+    }
+
+    /// Promises are asked for once the log has been silent for one interval, so
+    /// that they are there before the newest read no longer carries the holder.
+    fn ask_promises(
+        &mut self,
+        now: MonotonicTime,
+        tenure: &SeatTenure,
+        actions: &mut Vec<SeatAction>,
+    ) {
+        let interval = self.times.promise_interval();
+        let log_silent = self
+            .authority
+            .log_sent_at
+            .is_none_or(|sent_at| now >= sent_at + interval);
+        if !log_silent || !self.ask_due(now) {
+            return;
+        }
+        for member in self.authority.needed_members(tenure) {
+            actions.push(SeatAction::AskPromise {
+                to: member.clone(),
+                term: tenure.term,
+            });
+        }
+    }
+
+    fn act_as_candidate(&mut self, now: MonotonicTime, actions: &mut Vec<SeatAction>) {
+        if self.draining || !self.claim_due(now) {
+            return;
+        }
+        let base_term = self.ledger.term();
+        if !self.has_evidence(now)
+            && let Some(tenure) = self.former_tenure().cloned()
+        {
+            self.ask_words(now, &tenure, base_term, actions);
+            return;
+        }
+        let log_answers = self.authority.carried_by_log(now, self.times);
+        if !log_answers || !self.append_due(now) {
+            return;
+        }
+        // From here on this host promises nothing to the terms that it replaces.
+        self.refused_until = self.refused_until.max(base_term);
+        actions.push(SeatAction::AppendClaim {
+            base_term,
+            roster: self.live_roster(),
+        });
+    }
+
+    /// Tenure whose holder a claim of this host would have to outwait.
+    fn former_tenure(&self) -> Option<&SeatTenure> {
+        let current = self.ledger.current()?;
+        if current.active {
+            return (!current.yielded).then_some(current);
+        }
+        self.ledger.guard()
+    }
+
+    /// Whether a claim would have to wait no longer than the short wait, or this
+    /// host has looked long enough for a member's word.
+    fn has_evidence(&self, now: MonotonicTime) -> bool {
+        let Some(former) = self.former_tenure() else {
+            return true;
+        };
+        let ended_at = self.candidate.promises_ended_at(former, &self.own, now);
+        ended_at.is_some() || self.vacant_for(now) >= self.patience() * WORD_PATIENCE
+    }
+
+    fn claim_due(&self, now: MonotonicTime) -> bool {
+        let Some(tenure) = self.ledger.current() else {
+            return true;
+        };
+        let is_named = tenure.successor.as_ref() == Some(&self.own.host);
+        let is_open = tenure.yielded && (tenure.successor.is_none() || is_named);
+        let is_own_past = tenure.holder.host == self.own.host;
+        if is_open || (is_own_past && self.candidate.overtaken == 0) {
+            return true;
+        }
+        self.vacant_since.is_some() && self.vacant_for(now) >= self.patience()
+    }
+
+    fn vacant_for(&self, now: MonotonicTime) -> Duration {
+        self.vacant_since
+            .map_or(Duration::ZERO, |since| now.since(since))
+    }
+
+    fn patience(&self) -> Duration {
+        self.candidate.patience(self.times)
+    }
+
+    fn ask_words(
+        &mut self,
+        now: MonotonicTime,
+        former: &SeatTenure,
+        newest: SeatTerm,
+        actions: &mut Vec<SeatAction>,
+    ) {
+        if former.has_member(&self.own) || !self.ask_due(now) {
+            return;
+        }
+        // The word is asked for the newest term that is to be replaced.
+        let is_replaced = self.own_tenure().is_none();
+        let term = if is_replaced { newest } else { former.term };
+        for member in former.other_members() {
+            actions.push(SeatAction::AskRefusal {
+                to: member.clone(),
+                term,
+            });
+        }
+    }
+
+    /// This host and every live peer of the zone, in the order of names.
+    fn live_roster(&self) -> Vec<RosterMember> {
+        let mut roster: Vec<_> = self.peers.values().cloned().collect();
+        roster.push(self.own.clone());
+        roster.sort();
+        roster
+    }
+
+    fn append_due(&mut self, now: MonotonicTime) -> bool {
+        let due = self.appended_at.is_none_or(|at| now >= at + self.times.t);
+        if due {
+            self.appended_at = Some(now);
+        }
+        due
+    }
+
+    fn ask_due(&mut self, now: MonotonicTime) -> bool {
+        let interval = self.times.promise_interval();
+        let due = self.asked_at.is_none_or(|at| now >= at + interval);
+        if due {
+            self.asked_at = Some(now);
+        }
+        due
+    }
+
+    /// Reports a lapse before the event that might end it, so that the planner
+    /// learns of every gap in its authority.
+    fn note_lapse(&mut self, now: MonotonicTime, actions: &mut Vec<SeatAction>) {
+        if self.held && !self.may_start(now) {
+            self.held = false;
+            actions.push(SeatAction::Lost);
+        }
+    }
+
+    fn note_gain(&mut self, now: MonotonicTime, actions: &mut Vec<SeatAction>) {
+        if !self.held
+            && self.may_start(now)
+            && let Some(term) = self.held_term()
+        {
+            self.held = true;
+            actions.push(SeatAction::Gained { term });
+        }
+    }
+}
+
+fn same_members(left: &[RosterMember], right: &[RosterMember]) -> bool {
+    left.len() == right.len()
+        && left
+            .iter()
+            .all(|member| right.iter().any(|other| other.is_same_run(member)))
+}
+
+impl Display for SeatState {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let may_start = self.may_start(self.last_now);
+        writeln!(f, "seat of {} at {}", self.zone, self.own)?;
+        write!(f, "{}", self.ledger)?;
+        writeln!(
+            f,
+            "  refused until {}, newest seen {}",
+            self.refused_until, self.newest_seen
+        )?;
+        match self.authority.log_sent_at {
+            Some(sent_at) => writeln!(f, "  log read {sent_at}")?,
+            None => writeln!(f, "  log never read")?,
+        }
+        if let Some(pending) = &self.authority.pending {
+            writeln!(f, "  roster change pending on {}", pending.base)?;
+        }
+        for peer in self.peers.values() {
+            writeln!(f, "  sees {peer}")?;
+        }
+        writeln!(f, "  may start {may_start}, draining {}", self.draining)
+    }
+}
--- /dev/null
+++ b/crates/core/tests/seat.rs
@@ -0,0 +1,490 @@
+//! The seat of a zone against tables of records, answers and times.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::planner::event::SeatTerm;
+use flamingowalk_core::process::seat::verifier::verify_seat;
+use flamingowalk_core::process::seat::{
+    RosterMember, RosterOffset, SeatAction, SeatEvent, SeatLedger, SeatRecord, SeatState, SeatTimes,
+};
+use rstest::rstest;
+
+const TIMES: SeatTimes = SeatTimes {
+    t: Duration::from_secs(4),
+    w: Duration::from_secs(100),
+    drift: Duration::from_secs(1),
+};
+
+fn member(host: &str, incarnation: u64) -> RosterMember {
+    RosterMember {
+        host: HostName::from(host),
+        incarnation,
+        address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7000),
+    }
+}
+
+fn roster(names: &[&str]) -> Vec<RosterMember> {
+    names.iter().map(|name| member(name, 1)).collect()
+}
+
+fn claim(base: u64, holder: &str, names: &[&str]) -> SeatRecord {
+    SeatRecord::Claim {
+        base_term: SeatTerm(base),
+        holder: member(holder, 1),
+        roster: roster(names),
+    }
+}
+
+fn active(term: u64) -> SeatRecord {
+    SeatRecord::Active {
+        term: SeatTerm(term),
+    }
+}
+
+fn yielded(term: u64) -> SeatRecord {
+    SeatRecord::Yield {
+        term: SeatTerm(term),
+        successor: None,
+    }
+}
+
+fn roster_record(term: u64, base: u64, names: &[&str]) -> SeatRecord {
+    SeatRecord::Roster {
+        term: SeatTerm(term),
+        base_roster: RosterOffset(base),
+        roster: roster(names),
+    }
+}
+
+/// One host with its clock in seconds and the offset of the next record.
+struct SeatBench {
+    state: SeatState,
+    offset: u64,
+}
+
+impl SeatBench {
+    fn new(host: &str) -> Self {
+        let state = SeatState::new(member(host, 1), ZoneName::from("celje-b"), TIMES);
+        Self { state, offset: 0 }
+    }
+
+    fn at(&mut self, secs: u64, event: SeatEvent) -> Vec<SeatAction> {
+        let now = MonotonicTime::from_secs(secs);
+        let mut actions = Vec::new();
+        self.state.handle(now, event, &mut actions);
+        assert_eq!(verify_seat(&self.state, now), []);
+        actions
+    }
+
+    fn read(&mut self, secs: u64, record: SeatRecord) -> Vec<SeatAction> {
+        let offset = self.offset;
+        self.offset += 1;
+        self.at(secs, SeatEvent::LogRecord { offset, record })
+    }
+
+    fn tail(&mut self, secs: u64, sent_secs: u64) -> Vec<SeatAction> {
+        let sent_at = MonotonicTime::from_secs(sent_secs);
+        self.at(secs, SeatEvent::LogTailRead { sent_at })
+    }
+
+    fn promise(&mut self, secs: u64, from: &str, run: u64, term: u64, sent: u64) {
+        let event = SeatEvent::PromiseAnswered {
+            from: HostName::from(from),
+            incarnation: run,
+            term: SeatTerm(term),
+            sent_at: MonotonicTime::from_secs(sent),
+            granted: true,
+        };
+        self.at(secs, event);
+    }
+
+    fn word(&mut self, secs: u64, from: &str, run: u64, term: u64) -> Vec<SeatAction> {
+        let event = SeatEvent::RefusalAnswered {
+            from: HostName::from(from),
+            incarnation: run,
+            term: SeatTerm(term),
+            refused: true,
+        };
+        self.at(secs, event)
+    }
+
+    fn ask_promise(&mut self, secs: u64, term: u64, incarnation: u64) -> bool {
+        let event = SeatEvent::PromiseAsked {
+            from: HostName::from("a"),
+            term: SeatTerm(term),
+            incarnation,
+            request: 9,
+        };
+        let actions = self.at(secs, event);
+        actions.iter().any(|action| {
+            matches!(action, SeatAction::AnswerPromise { granted, request: 9, .. } if *granted)
+        })
+    }
+
+    fn ask_refusal(&mut self, secs: u64, term: u64) -> bool {
+        let event = SeatEvent::RefusalAsked {
+            from: HostName::from("x"),
+            term: SeatTerm(term),
+            request: 9,
+        };
+        let actions = self.at(secs, event);
+        actions.iter().any(|action| {
+            matches!(action, SeatAction::AnswerRefusal { refused, request: 9, .. } if *refused)
+        })
+    }
+
+    fn may_start(&self, secs: u64) -> bool {
+        self.state.may_start(MonotonicTime::from_secs(secs))
+    }
+
+    /// Host `a` as the active holder of term 1, its log read sent at `secs`.
+    fn holder(names: &[&str], secs: u64) -> Self {
+        let mut bench = Self::new("a");
+        for name in names.iter().filter(|name| **name != "a") {
+            bench.see(0, name, 1);
+        }
+        bench.read(0, claim(0, "a", names));
+        bench.read(0, active(1));
+        bench.tail(secs, secs);
+        bench
+    }
+
+    fn see(&mut self, secs: u64, host: &str, run: u64) -> Vec<SeatAction> {
+        let member = member(host, run);
+        self.at(secs, SeatEvent::MemberSeen { member })
+    }
+}
+
+#[test]
+fn claim_single_host() {
+    let mut bench = SeatBench::new("a");
+    let claimed = bench.tail(1, 1);
+    let own = roster(&["a"]);
+    let expected = SeatAction::AppendClaim {
+        base_term: SeatTerm(0),
+        roster: own,
+    };
+    assert_eq!(claimed, [expected]);
+    assert!(!bench.may_start(1));
+    let waited = bench.read(2, claim(0, "a", &["a"]));
+    assert_eq!(waited, [SeatAction::AppendActive { term: SeatTerm(1) }]);
+    assert!(!bench.may_start(2));
+    let gained = bench.read(3, active(1));
+    assert_eq!(gained, [SeatAction::Gained { term: SeatTerm(1) }]);
+    assert!(bench.may_start(3));
+    insta::assert_snapshot!(bench.state.to_string());
+}
+
+#[test]
+fn claim_answer_lost() {
+    let mut bench = SeatBench::new("a");
+    assert_eq!(bench.tail(1, 1).len(), 1);
+    assert_eq!(bench.at(2, SeatEvent::LogFailed), []);
+    assert_eq!(bench.tail(3, 3), [], "the first append may yet take effect");
+    assert_eq!(bench.tail(5, 5).len(), 1, "repeated after one interval");
+    bench.read(6, claim(0, "a", &["a"]));
+    bench.read(6, claim(0, "a", &["a"]));
+    assert_eq!(bench.state.ledger().term(), SeatTerm(1));
+    assert_eq!(bench.state.ledger().void_records(), 1);
+}
+
+/// What happened before host `b` read its own claim at 10 s, and when its wait
+/// ends; the words are from (host, run, term, time).
+#[rstest]
+#[case::first_claim(&[], &[], 10)]
+#[case::member(&[claim(0, "a", &["a", "b"]), active(1)], &[], 15)]
+#[case::over_yield(&[claim(0, "a", &["a"]), active(1), yielded(1)], &[], 10)]
+#[case::stranger(&[claim(0, "a", &["a", "c"]), active(1)], &[], 111)]
+#[case::word(&[claim(0, "a", &["a", "c"]), active(1)], &[("c", 1, 1, 9)], 15)]
+#[case::word_late(&[claim(0, "a", &["a", "c"]), active(1)], &[("c", 1, 1, 12)], 17)]
+#[case::word_other_run(&[claim(0, "a", &["a", "c"]), active(1)], &[("c", 2, 1, 9)], 111)]
+#[case::word_of_holder(&[claim(0, "a", &["a", "c"]), active(1)], &[("a", 1, 1, 9)], 111)]
+#[case::word_of_stranger(&[claim(0, "a", &["a", "c"]), active(1)], &[("d", 1, 1, 9)], 111)]
+#[case::word_older_term(&[claim(0, "a", &["a", "c"]), active(1)], &[("c", 1, 0, 9)], 111)]
+#[case::dropped(
+    &[claim(0, "a", &["a", "b"]), active(1), roster_record(1, 0, &["a", "c"])], &[], 111
+)]
+#[case::added(
+    &[claim(0, "a", &["a"]), active(1), roster_record(1, 0, &["a", "b"])], &[], 15
+)]
+#[case::over_waiting_member(
+    &[claim(0, "a", &["a", "b"]), active(1), claim(1, "c", &["c"])], &[], 15
+)]
+#[case::over_waiting_stranger(
+    &[claim(0, "a", &["a", "c"]), active(1), claim(1, "c", &["b", "c"])], &[], 111
+)]
+#[case::over_waiting_yield(
+    &[claim(0, "a", &["a"]), active(1), claim(1, "c", &["b", "c"]), yielded(3)], &[], 111
+)]
+fn wait_table(
+    #[case] records: &[SeatRecord],
+    #[case] words: &[(&str, u64, u64, u64)],
+    #[case] ends_secs: u64,
+) {
+    let mut bench = SeatBench::new("b");
+    for record in records {
+        bench.read(1, record.clone());
+    }
+    for (host, run, term, secs) in words.iter().filter(|word| word.3 <= 10) {
+        bench.word(*secs, host, *run, *term);
+    }
+    let base = bench.state.ledger().term();
+    // The claim is fed without the append having been asked for, so the member
+    // stops promising here.
+    assert!(bench.ask_refusal(10, base.0));
+    let mut seen = bench.read(10, claim(base.0, "b", &["b"]));
+    for (host, run, term, secs) in words.iter().filter(|word| word.3 > 10) {
+        bench.word(*secs, host, *run, *term);
+    }
+    for secs in 13..ends_secs {
+        assert!(!has_active(&bench.at(secs, SeatEvent::Tick)), "at {secs} s");
+    }
+    if ends_secs > 10 {
+        seen = bench.at(ends_secs, SeatEvent::Tick);
+    }
+    assert!(has_active(&seen));
+}
+
+fn has_active(actions: &[SeatAction]) -> bool {
+    actions
+        .iter()
+        .any(|action| matches!(action, SeatAction::AppendActive { .. }))
+}
+
+/// Last second at which `a` may start, its log read sent at 10 s, after promises
+/// of (host, run, term, sent, received).
+#[rstest]
+#[case::log_only(&["a", "b"], &[], 13)]
+#[case::alone(&["a"], &[], 109)]
+#[case::promise(&["a", "b"], &[("b", 1, 1, 12, 13)], 15)]
+#[case::promise_of_one(&["a", "b", "c"], &[("b", 1, 1, 12, 13)], 13)]
+#[case::promise_of_all(&["a", "b", "c"], &[("b", 1, 1, 12, 13), ("c", 1, 1, 13, 13)], 15)]
+#[case::promise_other_run(&["a", "b"], &[("b", 2, 1, 12, 13)], 13)]
+#[case::promise_other_term(&["a", "b"], &[("b", 1, 2, 12, 13)], 13)]
+#[case::promise_reordered(&["a", "b"], &[("b", 1, 1, 12, 12), ("b", 1, 1, 11, 13)], 15)]
+fn may_start_table(
+    #[case] names: &[&str],
+    #[case] promises: &[(&str, u64, u64, u64, u64)],
+    #[case] last_secs: u64,
+) {
+    let mut bench = SeatBench::holder(names, 10);
+    for (host, run, term, sent, received) in promises {
+        bench.promise(*received, host, *run, *term, *sent);
+    }
+    assert!(bench.may_start(last_secs));
+    assert!(!bench.may_start(last_secs + 1));
+}
+
+#[test]
+fn may_start_promises_outlast_w() {
+    let mut bench = SeatBench::holder(&["a", "b"], 10);
+    for secs in 11..=110 {
+        bench.promise(secs, "b", 1, 1, secs);
+    }
+    assert!(bench.may_start(109));
+    assert!(!bench.may_start(110), "promises carry for w at most");
+}
+
+#[test]
+fn may_start_paused() {
+    let mut bench = SeatBench::holder(&["a", "b"], 10);
+    let late = bench.tail(60, 11);
+    assert_eq!(late[0], SeatAction::Lost, "the pause is reported");
+    assert!(
+        !bench.may_start(60),
+        "a late answer carries from its request"
+    );
+    let regained = bench.tail(61, 60);
+    assert!(regained.contains(&SeatAction::Gained { term: SeatTerm(1) }));
+}
+
+#[test]
+fn may_start_later_claim_read() {
+    let mut bench = SeatBench::holder(&["a", "b"], 10);
+    let lost = bench.read(10, claim(1, "b", &["a", "b"]));
+    assert_eq!(lost[0], SeatAction::Lost);
+    bench.promise(10, "b", 1, 1, 10);
+    assert!(!bench.may_start(10));
+}
+
+/// Member `b` restarted as its run 2, so the roster is being replaced.
+#[rstest]
+#[case::old_only(&[1], false, 13)]
+#[case::new_only(&[2], false, 13)]
+#[case::both(&[1, 2], false, 15)]
+#[case::read_back_new(&[2], true, 15)]
+#[case::read_back_old(&[1], true, 13)]
+fn roster_change_table(#[case] runs: &[u64], #[case] read_back: bool, #[case] last_secs: u64) {
+    let mut bench = SeatBench::holder(&["a", "b"], 10);
+    let changed = bench.see(10, "b", 2);
+    let roster = vec![member("a", 1), member("b", 2)];
+    let expected = SeatAction::AppendRoster {
+        term: SeatTerm(1),
+        base_roster: RosterOffset(0),
+        roster: roster.clone(),
+    };
+    assert_eq!(changed, [expected]);
+    bench.at(11, SeatEvent::LogFailed);
+    if read_back {
+        let record = SeatRecord::Roster {
+            term: SeatTerm(1),
+            base_roster: RosterOffset(0),
+            roster,
+        };
+        bench.read(12, record);
+    }
+    for run in runs {
+        bench.promise(12, "b", *run, 1, 12);
+    }
+    assert!(bench.may_start(last_secs));
+    assert!(!bench.may_start(last_secs + 1));
+}
+
+#[rstest]
+#[case::repeated(roster_record(1, 0, &["a", "c"]), false)]
+#[case::same_base(roster_record(1, 0, &["a", "d"]), false)]
+#[case::other_base(roster_record(1, 1, &["a", "d"]), true)]
+fn roster_pending_settled(#[case] record: SeatRecord, #[case] pending: bool) {
+    let mut bench = SeatBench::holder(&["a"], 10);
+    let changed = bench.see(10, "c", 1);
+    assert!(matches!(changed[0], SeatAction::AppendRoster { .. }));
+    bench.at(11, SeatEvent::LogFailed);
+    bench.at(14, SeatEvent::Tick);
+    bench.at(14, SeatEvent::MemberGone { host: "c".into() });
+    bench.read(14, record);
+    assert_eq!(bench.state.to_string().contains("pending"), pending);
+}
+
+#[rstest]
+#[case::newest(1, 1, true)]
+#[case::unknown_later(5, 1, true)]
+#[case::other_run(1, 2, false)]
+fn promise_asked(#[case] term: u64, #[case] incarnation: u64, #[case] granted: bool) {
+    let mut bench = SeatBench::new("b");
+    bench.read(0, claim(0, "a", &["a", "b"]));
+    assert_eq!(bench.ask_promise(1, term, incarnation), granted);
+}
+
+#[test]
+fn promise_asked_after_later_term() {
+    let mut bench = SeatBench::new("b");
+    bench.read(0, claim(0, "a", &["a", "b"]));
+    assert!(bench.ask_promise(1, 2, 1));
+    assert!(!bench.ask_promise(1, 1, 1), "a later term was heard of");
+}
+
+#[test]
+fn promise_asked_after_claim() {
+    let mut bench = SeatBench::new("b");
+    bench.read(0, claim(0, "a", &["a", "b"]));
+    bench.read(0, active(1));
+    bench.at(1, SeatEvent::Tick);
+    let claimed = bench.tail(5, 5);
+    assert!(matches!(claimed[0], SeatAction::AppendClaim { .. }));
+    assert!(!bench.ask_promise(6, 1, 1), "the claim may be in the log");
+    bench.see(6, "a", 1);
+    assert!(!bench.ask_promise(7, 1, 1), "for good");
+}
+
+#[test]
+fn refusal_asked_for_good() {
+    let mut bench = SeatBench::new("b");
+    bench.read(0, claim(0, "a", &["a", "b"]));
+    bench.see(1, "a", 1);
+    assert!(!bench.ask_refusal(1, 1), "the holder is alive");
+    bench.at(2, SeatEvent::MemberGone { host: "a".into() });
+    assert!(bench.ask_refusal(2, 1));
+    bench.see(3, "a", 1);
+    assert!(!bench.ask_promise(3, 1, 1));
+    assert!(bench.ask_refusal(3, 1));
+}
+
+#[test]
+fn refusal_asked_of_holder() {
+    let mut bench = SeatBench::holder(&["a", "b"], 10);
+    assert!(!bench.ask_refusal(10, 1));
+    assert!(bench.may_start(10));
+}
+
+#[test]
+fn claim_holder_silent() {
+    let mut bench = SeatBench::new("b");
+    bench.see(0, "a", 1);
+    bench.read(0, claim(0, "a", &["a", "b"]));
+    bench.read(0, active(1));
+    assert_eq!(bench.tail(10, 10), [], "the holder is alive");
+    bench.at(11, SeatEvent::MemberGone { host: "a".into() });
+    assert_eq!(bench.tail(14, 14), [], "not silent for long");
+    let claimed = bench.tail(15, 15);
+    assert!(matches!(claimed[0], SeatAction::AppendClaim { .. }));
+}
+
+#[test]
+fn claim_stranger_asks_first() {
+    let mut bench = SeatBench::new("x");
+    bench.read(0, claim(0, "a", &["a", "b"]));
+    bench.read(0, active(1));
+    let asked = bench.tail(5, 5);
+    let expected = SeatAction::AskRefusal {
+        to: member("b", 1),
+        term: SeatTerm(1),
+    };
+    assert_eq!(asked, [expected]);
+    bench.tail(8, 8);
+    let claimed = bench.word(9, "b", 1, 1);
+    assert!(matches!(claimed[0], SeatAction::AppendClaim { .. }));
+    assert!(!bench.ask_promise(10, 1, 1));
+}
+
+#[test]
+fn yield_before_claim() {
+    let mut bench = SeatBench::holder(&["a", "b"], 10);
+    let stopped = bench.at(11, SeatEvent::YieldRequested);
+    let expected = SeatAction::AppendYield {
+        term: SeatTerm(1),
+        successor: Some(HostName::from("b")),
+    };
+    assert_eq!(stopped, [SeatAction::Lost, expected]);
+    assert!(
+        !bench.may_start(11),
+        "nothing starts once a yield may be read"
+    );
+    bench.at(12, SeatEvent::LogFailed);
+    assert!(
+        !bench
+            .tail(13, 13)
+            .contains(&SeatAction::Gained { term: SeatTerm(1) })
+    );
+    assert!(!bench.state.is_drained());
+    bench.read(14, yielded(1));
+    assert!(bench.state.is_drained());
+}
+
+#[rstest]
+#[case::claim_old_base(claim(0, "b", &["b"]))]
+#[case::claim_future_base(claim(7, "b", &["b"]))]
+#[case::claim_without_holder(claim(1, "b", &["a"]))]
+#[case::active_old_term(active(0))]
+#[case::active_twice(active(1))]
+#[case::roster_old_base(roster_record(1, 9, &["a", "b"]))]
+#[case::roster_without_holder(roster_record(1, 0, &["b"]))]
+#[case::roster_old_term(roster_record(0, 0, &["a", "b"]))]
+#[case::yield_old_term(yielded(0))]
+fn ledger_void_record(#[case] record: SeatRecord) {
+    let mut ledger = SeatLedger::default();
+    assert!(ledger.apply(0, &claim(0, "a", &["a"])));
+    assert!(ledger.apply(1, &active(1)));
+    let before = ledger.current().cloned();
+    assert!(!ledger.apply(2, &record));
+    assert_eq!(ledger.current().cloned(), before);
+    assert_eq!(ledger.void_records(), 1);
+}
+
+#[test]
+fn ledger_repeated_offset() {
+    let mut ledger = SeatLedger::default();
+    assert!(ledger.apply(4, &claim(0, "a", &["a"])));
+    assert!(!ledger.apply(4, &claim(5, "b", &["b"])));
+    assert_eq!(ledger.term(), SeatTerm(5));
+}
