--- /dev/null
+++ b/crates/cli/src/caller_verbs.rs
@@ -0,0 +1,157 @@
+//! Verbs of callers: `call`, `submit`, `status` and `cancel`.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use flamingowalk_core::prelude::*;
+use flamingowalk_node::border::caller::{
+    CUSTOMER_HEADER, DEADLINE_HEADER, IDEMPOTENT_HEADER, REQUEST_HEADER,
+};
+use flamingowalk_node::connection::http_client::HttpClient;
+use flamingowalk_wire::caller::{HostStatus, JobStatus, JobSubmission};
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+
+use crate::command::{CallOptions, SubmitOptions};
+use crate::exit::{CommandFault, status_fault};
+use crate::output::{OutputFormat, TextTable, render_json};
+
+/// Time an entry host has for the answer to a job request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Sends one call.
+///
+/// # Errors
+/// A [`CommandFault`] with the entry host's typed error.
+pub async fn call(options: CallOptions) -> Result<String, CommandFault> {
+    let uri = format!("http://{}/v1/call/{}", options.host, options.service);
+    let mut builder = Request::post(uri)
+        .header(CUSTOMER_HEADER, &options.customer)
+        .header(REQUEST_HEADER, &options.id)
+        .header(IDEMPOTENT_HEADER, options.idempotent.to_string());
+    if let Some(deadline) = options.deadline_ms {
+        builder = builder.header(DEADLINE_HEADER, deadline);
+    }
+    let request = builder
+        .body(Full::new(Bytes::from(options.body)))
+        .map_err(|error| CommandFault::Refused(format!("the call cannot be sent ({error})")))?;
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let unknown = |detail: String| {
+        CommandFault::Unknown(format!("{} gave no whole answer ({detail})", options.host))
+    };
+    let response = client.request(request).await.map_err(|error| unknown(error.to_string()))?;
+    let status = response.status();
+    let whole = response.into_body().collect().await;
+    let body = whole.map_err(|error| unknown(error.to_string()))?.to_bytes();
+    let text = String::from_utf8_lossy(&body).into_owned();
+    if status.is_success() { Ok(text) } else { Err(status_fault(status.as_u16(), text)) }
+}
+
+/// Submits one job.
+///
+/// # Errors
+/// A [`CommandFault`] with the entry host's typed error.
+pub async fn submit(options: SubmitOptions) -> Result<String, CommandFault> {
+    let submission = JobSubmission {
+        class: options.class,
+        customer: options.customer,
+        id: options.id,
+        start_within_ms: options.start_within_ms,
+        zone: options.zone,
+    };
+    let client = HttpClient::default();
+    let status: JobStatus = client
+        .exchange_json(options.host, Method::POST, "/v1/jobs", Some(&submission), REQUEST_TIMEOUT)
+        .await?;
+    Ok(render_jobs(&[status], options.output))
+}
+
+/// Shows one job, or an entry host with all its jobs.
+///
+/// # Errors
+/// A [`CommandFault`] with the entry host's typed error.
+pub async fn status(
+    host: SocketAddr,
+    output: OutputFormat,
+    job: Option<String>,
+) -> Result<String, CommandFault> {
+    let client = HttpClient::default();
+    match job {
+        Some(job) => {
+            let path = format!("/v1/jobs/{job}");
+            let status = ask_job(&client, host, Method::GET, &path).await?;
+            Ok(render_jobs(&[status], output))
+        }
+        None => {
+            let status: HostStatus = client
+                .exchange_json(host, Method::GET, "/v1/status", None::<&()>, REQUEST_TIMEOUT)
+                .await?;
+            Ok(render_host(&status, output))
+        }
+    }
+}
+
+/// Asks for the end of a job.
+///
+/// # Errors
+/// A [`CommandFault`] with the entry host's typed error.
+pub async fn cancel(
+    host: SocketAddr,
+    output: OutputFormat,
+    job: &str,
+) -> Result<String, CommandFault> {
+    let client = HttpClient::default();
+    let path = format!("/v1/jobs/{job}");
+    let status = ask_job(&client, host, Method::DELETE, &path).await?;
+    Ok(render_jobs(&[status], output))
+}
+
+async fn ask_job(
+    client: &HttpClient,
+    host: SocketAddr,
+    method: Method,
+    path: &str,
+) -> Result<JobStatus, CommandFault> {
+    let answer = client.exchange_json(host, method, path, None::<&()>, REQUEST_TIMEOUT).await;
+    Ok(answer?)
+}
+
+/// Jobs as a table or as JSON.
+pub fn render_jobs(jobs: &[JobStatus], output: OutputFormat) -> String {
+    if output == OutputFormat::Json {
+        return render_json(&jobs);
+    }
+    let mut table =
+        TextTable::with_heads(&["JOB", "CUSTOMER", "CLASS", "ZONE", "PHASE", "WORKERS", "REASON"]);
+    for job in jobs {
+        table.add(vec![
+            job.id.clone(),
+            job.customer.clone(),
+            job.class.clone(),
+            job.zone.clone().unwrap_or_default(),
+            job.phase.to_string(),
+            job.workers.join(","),
+            job.reason.clone().unwrap_or_default(),
+        ]);
+    }
+    table.render()
+}
+
+fn render_host(status: &HostStatus, output: OutputFormat) -> String {
+    if output == OutputFormat::Json {
+        return render_json(status);
+    }
+    let holder = status.seat_holder.as_deref().unwrap_or("nobody");
+    let head = format!(
+        "host {} in {}: ready {}, draining {}, config{}, seat term{} held by {holder}\n",
+        status.host,
+        status.zone,
+        status.ready,
+        status.draining,
+        status.config_version,
+        status.seat_term
+    );
+    head + &render_jobs(&status.jobs, output)
+}
--- /dev/null
+++ b/crates/cli/src/exit.rs
@@ -0,0 +1,51 @@
+//! How a verb can fail, and the exit code of each way.
+
+use std::process::ExitCode;
+
+use flamingowalk_node::connection::http_client::ExchangeFault;
+use thiserror::Error;
+
+/// Exit code when the request was refused or failed.
+pub const EXIT_REFUSED: u8 = 1;
+/// Exit code when nothing answered, or the outcome is not known.
+pub const EXIT_UNKNOWN: u8 = 3;
+
+/// Why a verb failed.
+#[derive(Clone, Debug, Error, Eq, PartialEq)]
+pub enum CommandFault {
+    /// The request was refused or failed for good.
+    #[error("{0}")]
+    Refused(String),
+    /// Nothing answered, or the outcome is not known.
+    #[error("{0}")]
+    Unknown(String),
+}
+
+impl CommandFault {
+    /// Exit code of the fault.
+    pub fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::Refused(_) => ExitCode::from(EXIT_REFUSED),
+            Self::Unknown(_) => ExitCode::from(EXIT_UNKNOWN),
+        }
+    }
+}
+
+impl From<ExchangeFault> for CommandFault {
+    fn from(fault: ExchangeFault) -> Self {
+        match fault {
+            ExchangeFault::Status { status, body, .. } => status_fault(status.as_u16(), body),
+            other => Self::Unknown(other.to_string()),
+        }
+    }
+}
+
+/// The fault for an answer with an error status; 504 leaves the outcome open.
+pub fn status_fault(status: u16, body: String) -> CommandFault {
+    const GATEWAY_TIMEOUT: u16 = 504;
+    if status == GATEWAY_TIMEOUT {
+        CommandFault::Unknown(body)
+    } else {
+        CommandFault::Refused(body)
+    }
+}
--- /dev/null
+++ b/crates/cli/src/folder_verbs.rs
@@ -0,0 +1,76 @@
+//! Verbs that read an operator folder: `check` and `merge`.
+
+use std::fmt::Write as _;
+use std::fs;
+use std::path::Path;
+
+use flamingowalk_core::version::{FolderFile, MergedFolder, check_folder, merge_folder};
+
+use crate::exit::CommandFault;
+
+/// Ending of the files that belong to a folder.
+const FOLDER_ENDING: &str = "ini";
+
+/// Reads the INI files of a folder in the order of their names.
+///
+/// # Errors
+/// [`CommandFault::Refused`] when the folder or a file cannot be read.
+pub fn read_folder(folder: &Path) -> Result<Vec<FolderFile>, CommandFault> {
+    let unreadable = |path: &Path, error: std::io::Error| {
+        let text = format!("{}: cannot be read ({error}); check the path", path.display());
+        CommandFault::Refused(text)
+    };
+    let entries = fs::read_dir(folder).map_err(|error| unreadable(folder, error))?;
+    let mut files = Vec::new();
+    for entry in entries {
+        let path = entry.map_err(|error| unreadable(folder, error))?.path();
+        if path.extension().is_some_and(|ending| ending == FOLDER_ENDING) {
+            let text = fs::read_to_string(&path).map_err(|error| unreadable(&path, error))?;
+            let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+            files.push(FolderFile { name, text });
+        }
+    }
+    if files.is_empty() {
+        let text = format!("{}: holds no .ini files; check the path", folder.display());
+        return Err(CommandFault::Refused(text));
+    }
+    files.sort_by(|left, right| left.name.cmp(&right.name));
+    Ok(files)
+}
+
+/// Reads, merges and checks a folder.
+///
+/// # Errors
+/// [`CommandFault::Refused`] with all faults of the folder.
+pub fn checked_folder(folder: &Path) -> Result<MergedFolder, CommandFault> {
+    let files = read_folder(folder)?;
+    let merged =
+        merge_folder(&files).map_err(|faults| CommandFault::Refused(faults.to_string()))?;
+    check_folder(&merged).map_err(|faults| CommandFault::Refused(faults.to_string()))?;
+    Ok(merged)
+}
+
+/// Checks a folder.
+///
+/// # Errors
+/// [`CommandFault::Refused`] with all faults of the folder.
+pub fn check(folder: &Path) -> Result<String, CommandFault> {
+    let merged = checked_folder(folder)?;
+    let count = merged.sections.len();
+    Ok(format!("{}: no faults in {count} sections", folder.display()))
+}
+
+/// Prints the merged folder; replaced keys follow as comments.
+///
+/// # Errors
+/// [`CommandFault::Refused`] when the folder cannot be read or parsed.
+pub fn merge(folder: &Path) -> Result<String, CommandFault> {
+    let files = read_folder(folder)?;
+    let merged =
+        merge_folder(&files).map_err(|faults| CommandFault::Refused(faults.to_string()))?;
+    let mut text = merged.to_string();
+    for key in &merged.overridden {
+        let _ = write!(text, "\n; {key}");
+    }
+    Ok(text)
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,63 @@
-//! The operator command line.
+//! The operator command line as a library: one module per group of verbs. Exit
+//! codes are 0 for done, 1 for refused or failed, 2 for wrong usage and 3 for
+//! unreachable or unknown.
+
+pub mod caller_verbs;
+pub mod command;
+pub mod exit;
+pub mod folder_verbs;
+pub mod host_verbs;
+pub mod output;
+pub mod publish;
+pub mod try_report;
+pub mod try_run;
+pub mod try_platform;
+
+use std::process::ExitCode;
+
+use tokio::task::LocalSet;
+
+use crate::command::{Command, command_options};
+use crate::exit::CommandFault;
+
+/// Reads the command line, runs the verb and returns the exit code.
+pub fn run() -> ExitCode {
+    let command = command_options().run();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let result = match runtime {
+        Ok(runtime) => LocalSet::new().block_on(&runtime, run_command(command)),
+        Err(error) => Err(CommandFault::Refused(format!("cannot start the runtime ({error})"))),
+    };
+    match result {
+        Ok(text) => {
+            println!("{}", text.trim_end());
+            ExitCode::SUCCESS
+        }
+        Err(fault) => {
+            eprintln!("{}", fault.to_string().trim_end());
+            fault.exit_code()
+        }
+    }
+}
+
+/// Runs one verb and returns what it prints.
+///
+/// # Errors
+/// A [`CommandFault`] that names the remedy and carries the exit code.
+pub async fn run_command(command: Command) -> Result<String, CommandFault> {
+    match command {
+        Command::Check { folder } => folder_verbs::check(&folder),
+        Command::Merge { folder } => folder_verbs::merge(&folder),
+        Command::Publish { folder, log, publisher } => {
+            publish::publish(&folder, log, &publisher).await
+        }
+        Command::Call(options) => caller_verbs::call(options).await,
+        Command::Submit(options) => caller_verbs::submit(options).await,
+        Command::Status { host, output, job } => caller_verbs::status(host, output, job).await,
+        Command::Cancel { host, output, job } => caller_verbs::cancel(host, output, &job).await,
+        Command::Drain { host } => host_verbs::drain(host).await,
+        Command::Dump { host, output } => host_verbs::dump(host, output).await,
+        Command::Try { example, output } => try_run::run_example(&example, output).await,
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,7 @@
-//! The operator command line.
+//! The operator command line; see the library for its verbs.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    flamingowalk_cli::run()
+}
--- /dev/null
+++ b/crates/cli/src/try_platform.rs
@@ -0,0 +1,188 @@
+//! The platform and the entry hosts of a trial, all in one process on loopback
+//! ports that the system picks.
+
+use std::net::SocketAddr;
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::version::settings::{SystemSettings, ZoneSettings};
+use flamingowalk_core::version::{FolderFile, MergedFolder, check_folder, merge_folder};
+use flamingowalk_node::{EntryHandle, HostSettings, start_host};
+use flamingowalk_standin::{HostsStandin, LogStandin, WorkerOptions, WorkerStandin};
+use flamingowalk_wire::hosts::{HostEntry, HostRole, HostState};
+
+use crate::exit::CommandFault;
+
+/// Entry hosts in each zone.
+const HOSTS_PER_ZONE: u32 = 2;
+/// Secret of the trial's entry hosts.
+const TRIAL_SECRET: &str = "trial";
+
+/// Files of the example folders, built in so that a trial needs no path.
+const EXAMPLE_FILES: [(&str, &str, &str); 10] = [
+    ("podlaga", "00-zones.ini", include_str!("../../../examples/podlaga/00-zones.ini")),
+    ("podlaga", "10-services.ini", include_str!("../../../examples/podlaga/10-services.ini")),
+    ("podlaga", "20-customers.ini", include_str!("../../../examples/podlaga/20-customers.ini")),
+    ("podlaga", "30-jobs.ini", include_str!("../../../examples/podlaga/30-jobs.ini")),
+    ("podlaga", "40-policy.ini", include_str!("../../../examples/podlaga/40-policy.ini")),
+    ("escolta", "00-zones.ini", include_str!("../../../examples/escolta/00-zones.ini")),
+    ("escolta", "10-services.ini", include_str!("../../../examples/escolta/10-services.ini")),
+    ("escolta", "20-customers.ini", include_str!("../../../examples/escolta/20-customers.ini")),
+    ("escolta", "30-jobs.ini", include_str!("../../../examples/escolta/30-jobs.ini")),
+    ("escolta", "40-policy.ini", include_str!("../../../examples/escolta/40-policy.ini")),
+];
+
+/// An example folder after all checks.
+#[derive(Clone, Debug)]
+pub struct ExampleFolder {
+    /// Merged folder.
+    pub merged: MergedFolder,
+    /// Its settings.
+    pub settings: SystemSettings,
+}
+
+/// Reads a built-in example.
+///
+/// # Errors
+/// [`CommandFault::Refused`] when there is no such example or it has faults.
+pub fn example_folder(name: &str) -> Result<ExampleFolder, CommandFault> {
+    let chosen = EXAMPLE_FILES.iter().filter(|file| file.0 == name);
+    let files: Vec<_> = chosen
+        .map(|file| FolderFile { name: file.1.to_owned(), text: file.2.to_owned() })
+        .collect();
+    if files.is_empty() {
+        let text = format!("there is no example {name:?}; use podlaga or escolta");
+        return Err(CommandFault::Refused(text));
+    }
+    let refused = |faults: flamingowalk_core::version::FolderFaults| {
+        CommandFault::Refused(faults.to_string())
+    };
+    let merged = merge_folder(&files).map_err(refused)?;
+    let settings = check_folder(&merged).map_err(refused)?;
+    Ok(ExampleFolder { merged, settings })
+}
+
+/// The running platform.
+#[derive(Debug)]
+pub struct TrialPlatform {
+    /// Log.
+    pub log: LogStandin,
+    /// Host list.
+    pub hosts: HostsStandin,
+    /// Workers of all zones.
+    pub workers: Vec<WorkerStandin>,
+    /// Entry hosts of all zones, in order of name.
+    pub entries: Vec<TrialHost>,
+}
+
+/// One running entry host.
+#[derive(Debug)]
+pub struct TrialHost {
+    /// Name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// The host.
+    pub handle: EntryHandle,
+}
+
+impl TrialPlatform {
+    /// Starts stand-ins and entry hosts for all zones of an example.
+    ///
+    /// # Errors
+    /// [`CommandFault::Refused`] when a port cannot be bound.
+    pub async fn start(settings: &SystemSettings) -> Result<Self, CommandFault> {
+        let log = LogStandin::start().await.map_err(refused)?;
+        let hosts = HostsStandin::start().await.map_err(refused)?;
+        let mut platform = Self { log, hosts, workers: Vec::new(), entries: Vec::new() };
+        for (zone, declared) in &settings.zones {
+            platform.start_workers(zone, declared, settings).await?;
+        }
+        for (zone, declared) in &settings.zones {
+            platform.start_entries(zone, declared).await?;
+        }
+        Ok(platform)
+    }
+
+    async fn start_workers(
+        &mut self,
+        zone: &ZoneName,
+        declared: &ZoneSettings,
+        settings: &SystemSettings,
+    ) -> Result<(), CommandFault> {
+        for rack in 0..declared.racks {
+            for place in 0..declared.workers_per_rack {
+                let options = WorkerOptions {
+                    name: format!("{zone}-r{rack}-w{place}"),
+                    zone: zone.to_string(),
+                    region: declared.region.to_string(),
+                    rack: format!("{zone}-r{rack}"),
+                    services: settings.services.keys().map(ServiceName::to_string).collect(),
+                    slots: declared.slots_per_worker,
+                    connections: declared.connections_per_worker,
+                    cores: declared.cores_per_worker,
+                    memory_mb: declared.memory_mb_per_worker,
+                    accelerators: declared.accelerators_per_worker,
+                    ..WorkerOptions::default()
+                };
+                let worker = WorkerStandin::start(options).await.map_err(refused)?;
+                self.hosts.add(worker.entry());
+                self.workers.push(worker);
+            }
+        }
+        Ok(())
+    }
+
+    async fn start_entries(
+        &mut self,
+        zone: &ZoneName,
+        declared: &ZoneSettings,
+    ) -> Result<(), CommandFault> {
+        for number in 0..HOSTS_PER_ZONE {
+            let name = format!("{zone}-entry{number}");
+            let text = self.host_settings(&name, zone, &declared.region);
+            let settings = HostSettings::parse(&name, &text)
+                .map_err(|faults| CommandFault::Refused(faults.to_string()))?;
+            let handle = start_host(settings, None).await.map_err(refused)?;
+            self.hosts.add(entry_listing(&name, zone, &declared.region, &handle));
+            self.entries.push(TrialHost { name, zone: zone.clone(), handle });
+        }
+        Ok(())
+    }
+
+    fn host_settings(&self, name: &str, zone: &ZoneName, region: &RegionName) -> String {
+        let (log, hosts) = (self.log.address(), self.hosts.address());
+        format!(
+            "[host]\nname = {name}\nzone = {zone}\nregion = {region}\n\
+             [listen]\ncaller = 127.0.0.1:0\npeer = 127.0.0.1:0\n\
+             [platform]\nlog = {log}\nhosts = {hosts}\nhosts-interval-ms = 200\n\
+             [peer]\nsecret = {TRIAL_SECRET}\n[drain]\nwait-ms = 100\nlimit-ms = 5000\n"
+        )
+    }
+
+    /// Addresses of the entry hosts for callers.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|entry| entry.handle.address).collect()
+    }
+}
+
+fn entry_listing(
+    name: &str,
+    zone: &ZoneName,
+    region: &RegionName,
+    handle: &EntryHandle,
+) -> HostEntry {
+    HostEntry {
+        address: handle.address.to_string(),
+        capacity: None,
+        incarnation: handle.incarnation,
+        name: name.to_owned(),
+        region: region.to_string(),
+        role: HostRole::Entry,
+        state: HostState::Live,
+        zone: zone.to_string(),
+    }
+}
+
+fn refused(error: impl std::fmt::Display) -> CommandFault {
+    CommandFault::Refused(error.to_string())
+}
--- a/crates/node/src/border.rs
+++ b/crates/node/src/border.rs
@@ -4,4 +4,5 @@
 pub mod caller;
 pub mod hosts;
 pub mod log;
+pub mod seat;
 pub mod target;
--- a/crates/node/src/connection/http_server.rs
+++ b/crates/node/src/connection/http_server.rs
@@ -2,7 +2,6 @@
 //! read whole before a request reaches its handler.
 
 use std::convert::Infallible;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,12 +41,13 @@
     F: Future<Output = WholeResponse> + 'static,
 {
     let handler = Rc::new(handler);
+    let connection_watch = drained.clone();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, remote)) => {
-                    let serving =
-                        serve_connection(stream, remote, drained.clone(), Rc::clone(&handler));
+                    let watch = connection_watch.clone();
+                    let serving = serve_connection(stream, remote, watch, Rc::clone(&handler));
                     tokio::task::spawn_local(serving);
                 }
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
--- a/crates/node/src/process/entry_host.rs
+++ b/crates/node/src/process/entry_host.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 
 use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::seat::{RosterMember, SeatState, SeatTimes};
 use flamingowalk_core::version::settings::{ConfigVersion, SystemSettings};
 use metrics_exporter_prometheus::PrometheusHandle;
 use rand::SeedableRng;
@@ -121,8 +122,7 @@
     drained: watch::Sender<bool>,
 ) -> HostState {
     let zone = settings.zone.clone();
-    let seat =
-        SeatPort::new(zone.clone(), settings.name.clone(), incarnation, settings.seat_time);
+    let seat = SeatPort::new(new_seat(&settings, incarnation), zone.clone());
     HostState {
         incarnation,
         clock,
@@ -143,6 +143,20 @@
     }
 }
 
+fn new_seat(settings: &HostSettings, incarnation: u64) -> SeatState {
+    let own = RosterMember {
+        host: settings.name.clone(),
+        incarnation,
+        address: settings.peer_address,
+    };
+    let times = SeatTimes {
+        t: settings.seat_time,
+        w: settings.seat_outage,
+        drift: settings.seat_drift,
+    };
+    SeatState::new(own, settings.zone.clone(), times)
+}
+
 fn start_streams(
     state: &mut HostState,
     client: &HttpClient,
--- a/crates/node/src/process/event_loop.rs
+++ b/crates/node/src/process/event_loop.rs
@@ -4,6 +4,7 @@
 use flamingowalk_core::process::planner::action::PlannerAction;
 use flamingowalk_core::process::planner::event::{PlannerEvent, SeatTerm};
 use flamingowalk_core::process::planner::state::PlannerState;
+use flamingowalk_core::process::seat::SeatEvent;
 use flamingowalk_core::version::folder_check::parse_canonical;
 use flamingowalk_core::version::settings::ConfigVersion;
 use flamingowalk_wire::caller::{JobStatus, JobSubmission};
@@ -97,6 +98,7 @@
         }
         HostEvent::Ticked => tick(state, client, events, actions),
     }
+    append_seat_records(state);
     carry_out(state, actions);
 }
 
@@ -198,6 +200,7 @@
 fn begin_drain(state: &mut HostState) {
     if state.drain_since.is_none() {
         state.drain_since = Some(state.clock.now());
+        state.seat.handle(state.clock.now(), SeatEvent::YieldRequested);
         log::info!(host = state.settings.name.as_str(); "drain began");
     }
 }
@@ -211,7 +214,12 @@
 ) {
     let outcome = if result.is_ok() { "done" } else { "failed" };
     counter!(LOG_READS, "stream" => stream.name(), "outcome" => outcome).increment(1);
-    let Ok(page) = result else { return };
+    let Ok(page) = result else {
+        if matches!(stream, LogStream::Seat(_)) {
+            state.seat.handle(state.clock.now(), SeatEvent::LogFailed);
+        }
+        return;
+    };
     for stored in &page.records {
         match &stream {
             LogStream::Config => take_config(state, stored, actions),
@@ -224,7 +232,7 @@
     if page.next_offset >= page.tail_offset {
         position.tail_read_at = Some(sent_at);
         if matches!(stream, LogStream::Seat(_)) {
-            state.seat.note_tail(sent_at);
+            state.seat.handle(state.clock.now(), SeatEvent::LogTailRead { sent_at });
         }
     }
     let now = state.clock.now();
@@ -291,7 +299,10 @@
         return;
     }
     state.calls.update(&listing.workers);
+    let now = state.clock.now();
     let before = std::mem::replace(&mut state.listing, listing);
+    let peers = state.zone_hosts();
+    state.seat.update_peers(now, peers);
     let zone = state.settings.zone.clone();
     let own = |listing: &HostListing| -> BTreeMap<WorkerName, _> {
         let workers = listing.workers.iter().filter(|worker| worker.zone == zone);
@@ -325,11 +336,14 @@
         state.planner = None;
     }
     plan(state, PlannerEvent::Tick, actions);
-    let live = state.zone_hosts();
-    if state.drain_since.is_none()
-        && let Some(claim) = state.seat.next_claim(now, &live)
-    {
-        state.append(&LogStream::Seat(state.settings.zone.clone()), claim);
+    state.seat.handle(now, SeatEvent::Tick);
+}
+
+fn append_seat_records(state: &mut HostState) {
+    let records = state.seat.take_records();
+    let stream = LogStream::Seat(state.settings.zone.clone());
+    for record in records {
+        state.append(&stream, record);
     }
 }
 
@@ -339,7 +353,7 @@
     events: &EventSender,
     actions: &mut Vec<PlannerAction>,
 ) {
-    let term = state.seat.term;
+    let term = state.seat.term();
     log::info!(host = state.settings.name.as_str(), term = term.0; "planner seat gained");
     let port = PlannerPort { client: client.clone(), events: events.clone(), term };
     let planner = PlannerState::new(state.settings.zone.clone(), state.incarnation);
--- a/crates/node/src/process/host_settings.rs
+++ b/crates/node/src/process/host_settings.rs
@@ -37,6 +37,8 @@
     pub seat_time: Duration,
     /// Time for which promises alone carry the seat while the log is unreachable.
     pub seat_outage: Duration,
+    /// Bound on how far two monotonic clocks diverge over the outage time.
+    pub seat_drift: Duration,
 }
 
 /// One fault of a settings file.
@@ -74,7 +76,7 @@
 }
 
 /// Keys of every section with their defaults; a key without one is required.
-const KNOWN_KEYS: [(&str, &str, Option<&str>); 13] = [
+const KNOWN_KEYS: [(&str, &str, Option<&str>); 14] = [
     ("host", "name", None),
     ("host", "zone", None),
     ("host", "region", None),
@@ -86,8 +88,9 @@
     ("peer", "secret", None),
     ("drain", "wait-ms", Some("2000")),
     ("drain", "limit-ms", Some("60000")),
-    ("seat", "time-ms", Some("3000")),
-    ("seat", "outage-ms", Some("4500000")),
+    ("seat", "time-ms", Some("4000")),
+    ("seat", "outage-ms", Some("5400000")),
+    ("seat", "drift-ms", Some("1000")),
 ];
 
 impl HostSettings {
@@ -112,6 +115,7 @@
             drain_limit: reader.millis("drain", "limit-ms"),
             seat_time: reader.millis("seat", "time-ms"),
             seat_outage: reader.millis("seat", "outage-ms"),
+            seat_drift: reader.millis("seat", "drift-ms"),
         };
         reader.check_times(&settings);
         if reader.faults.is_empty() {
@@ -235,8 +239,8 @@
             let problem = "the limit is below drain.wait-ms";
             self.fault("drain", "limit-ms", problem, "raise the limit or lower the wait");
         }
-        if settings.seat_outage < settings.seat_time {
-            let problem = "the outage time is below seat.time-ms";
+        if settings.seat_outage <= settings.seat_time {
+            let problem = "the outage time is not above seat.time-ms";
             self.fault("seat", "outage-ms", problem, "raise it above seat.time-ms");
         }
     }
--- a/crates/node/src/process/host_state.rs
+++ b/crates/node/src/process/host_state.rs
@@ -4,6 +4,7 @@
 
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::planner::state::PlannerState;
+use flamingowalk_core::process::seat::RosterMember;
 use flamingowalk_core::version::settings::{ConfigVersion, SystemSettings};
 use flamingowalk_wire::caller::HostStatus;
 use rand_chacha::ChaCha8Rng;
@@ -100,10 +101,15 @@
     }
 
     /// Listed entry hosts of this zone that are not leaving.
-    pub fn zone_hosts(&self) -> Vec<(String, u64)> {
+    pub fn zone_hosts(&self) -> Vec<RosterMember> {
         let own_zone = |host: &&ListedHost| host.zone == self.settings.zone && !host.leaving;
         let hosts = self.listing.hosts.iter().filter(own_zone);
-        hosts.map(|host| (host.name.to_string(), host.incarnation)).collect()
+        let member = |host: &ListedHost| RosterMember {
+            host: host.name.clone(),
+            incarnation: host.incarnation,
+            address: host.address,
+        };
+        hosts.map(member).collect()
     }
 
     /// Summary for callers and operators.
@@ -114,8 +120,8 @@
             ready: self.is_ready(),
             draining: self.drain_since.is_some(),
             config_version: self.config_version.0,
-            seat_holder: self.seat.holder.as_ref().map(|holder| holder.host.clone()),
-            seat_term: self.seat.term.0,
+            seat_holder: self.seat.holder().map(|holder| holder.host.to_string()),
+            seat_term: self.seat.term().0,
             jobs: self.jobs.jobs.values().map(super::job_desk::JobEntry::status).collect(),
         }
     }
@@ -126,8 +132,8 @@
         StateDump {
             host: self.host_section(),
             seat: SeatSection {
-                term: self.seat.term.0,
-                holder: self.seat.holder.as_ref().map(|holder| holder.host.clone()),
+                term: self.seat.term().0,
+                holder: self.seat.holder().map(|holder| holder.host.to_string()),
                 may_start: self.seat.may_start(now),
             },
             streams: self.stream_sections(now),
--- a/crates/node/src/process/job_desk.rs
+++ b/crates/node/src/process/job_desk.rs
@@ -174,7 +174,7 @@
             class: accepted.class.clone(),
             zone: Some(accepted.zone.clone()),
             phase: self.phase(),
-            reason: ended.and_then(|ended| ended.reason.clone()),
+            reason: ended.map(|e| e.reason.clone()).filter(|reason| !reason.is_empty()),
             workers: self.started.as_ref().map(|s| s.workers.clone()).unwrap_or_default(),
             accepted_offset: Some(self.offset),
             accepted_at_ms: Some(accepted.accepted_at_ms),
@@ -245,10 +245,10 @@
 /// The record of a job's ending.
 pub fn ending_record(job: &JobId, ending: &JobEnding, term: SeatTerm, wall: WallTime) -> NewRecord {
     let (kind, reason) = match ending {
-        JobEnding::Finished => (wire::EndingKind::Finished, None),
-        JobEnding::Failed(reason) => (wire::EndingKind::Failed, Some(reason.clone())),
-        JobEnding::Cancelled => (wire::EndingKind::Cancelled, None),
-        JobEnding::Refused(reason) => (wire::EndingKind::Refused, Some(reason.clone())),
+        JobEnding::Finished => (wire::EndingKind::Finished, String::new()),
+        JobEnding::Failed(reason) => (wire::EndingKind::Failed, reason.clone()),
+        JobEnding::Cancelled => (wire::EndingKind::Cancelled, String::new()),
+        JobEnding::Refused(reason) => (wire::EndingKind::Refused, reason.clone()),
     };
     let body = wire::JobEnded {
         job_id: job.to_string(),
--- a/crates/node/src/process/planner_port.rs
+++ b/crates/node/src/process/planner_port.rs
@@ -3,7 +3,6 @@
 
 use std::net::SocketAddr;
 
-use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::planner::action::PlannerAction;
 use flamingowalk_core::process::planner::event::{PlannerEvent, SeatTerm, TargetFault};
 use metrics::counter;
--- a/crates/node/src/process/seat_port.rs
+++ b/crates/node/src/process/seat_port.rs
@@ -1,122 +1,128 @@
-//! The planner seat of the zone as the log tells it. The offset of a claim is
-//! its term; a claim counts only if it names the term it replaces.
+//! Connects the seat's state machine with the log: records in, appends out.
 
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::planner::event::SeatTerm;
+use flamingowalk_core::process::seat::{RosterMember, SeatAction, SeatEvent, SeatState};
 use flamingowalk_wire::records as wire;
+use metrics::counter;
 
 use crate::border::log::{NewRecord, StoredRecord};
+use crate::border::seat::{read_seat_record, write_member};
+use crate::process::counters::RECORDS_SKIPPED;
 use crate::process::host_clock::HostClock;
 use crate::process::job_desk::new_record;
 
-/// Times the holder's proof must be missing before another host claims.
-const CLAIM_AFTER: u32 = 2;
-
-/// What this host knows of its zone's seat.
-#[derive(Clone, Debug)]
+/// The seat of the zone and its way to the log.
+#[derive(Debug)]
 pub struct SeatPort {
+    /// Decisions.
+    pub state: SeatState,
     zone: ZoneName,
-    host: HostName,
-    incarnation: u64,
-    /// Time for which a read of the log's tail carries the holder.
-    seat_time: Duration,
-    /// Newest valid claim.
-    pub term: SeatTerm,
-    /// Its holder.
-    pub holder: Option<wire::RosterMember>,
-    /// When this host's own wait after its claim is over.
-    active_at: Option<MonotonicTime>,
-    /// When the newest read that reached the tail was sent.
-    tail_read_at: Option<MonotonicTime>,
-    /// Since when the holder is not listed.
-    missing_since: Option<MonotonicTime>,
-    /// Whether a claim of this host is under way.
-    claiming: bool,
+    /// Actions that wait to be carried out; kept to save allocation.
+    actions: Vec<SeatAction>,
+    /// Peers last told to the state machine.
+    peers: BTreeMap<HostName, RosterMember>,
 }
 
 impl SeatPort {
-    /// A port that knows of no claim.
-    pub fn new(zone: ZoneName, host: HostName, incarnation: u64, seat_time: Duration) -> Self {
-        Self {
-            zone,
-            host,
-            incarnation,
-            seat_time,
-            term: SeatTerm(0),
-            holder: None,
-            active_at: None,
-            tail_read_at: None,
-            missing_since: None,
-            claiming: false,
-        }
+    /// A port around a new state machine.
+    pub fn new(state: SeatState, zone: ZoneName) -> Self {
+        Self { state, zone, actions: Vec::new(), peers: BTreeMap::new() }
+    }
+
+    /// Whether this host may start work at `now`.
+    pub fn may_start(&self, now: MonotonicTime) -> bool {
+        self.state.may_start(now)
+    }
+
+    /// Newest term that the log has.
+    pub fn term(&self) -> SeatTerm {
+        self.state.ledger().term()
+    }
+
+    /// Holder of the newest term.
+    pub fn holder(&self) -> Option<&RosterMember> {
+        self.state.ledger().current().map(|tenure| &tenure.holder)
     }
 
     /// Applies a record of the seat's stream.
     pub fn apply(&mut self, stored: &StoredRecord, now: MonotonicTime) {
-        if stored.record.kind != "seat-claim" {
-            return;
+        match read_seat_record(stored, &self.zone) {
+            Some(record) => {
+                self.handle(now, SeatEvent::LogRecord { offset: stored.offset, record });
+            }
+            None => {
+                counter!(RECORDS_SKIPPED, "stream" => "seat", "cause" => "kind").increment(1);
+            }
         }
-        let body = stored.record.body.clone();
-        let Ok(claim) = serde_json::from_value::<wire::SeatClaim>(body) else { return };
-        if claim.base_term != self.term.0 || claim.zone != self.zone.as_str() {
-            return;
-        }
-        let first = self.term == SeatTerm(0);
-        self.term = SeatTerm(stored.offset + 1);
-        let own = claim.holder.host == self.host.as_str()
-            && claim.holder.incarnation == self.incarnation;
-        let wait = if first { Duration::ZERO } else { self.seat_time };
-        self.active_at = own.then(|| now + wait);
-        self.holder = Some(claim.holder);
-        self.missing_since = None;
-        self.claiming = false;
-    }
-
-    /// Notes a read that reached the tail.
-    pub fn note_tail(&mut self, sent_at: MonotonicTime) {
-        self.tail_read_at = self.tail_read_at.max(Some(sent_at));
     }
 
-    /// Whether this host holds the seat and may start work at `now`.
-    pub fn may_start(&self, now: MonotonicTime) -> bool {
-        let active = self.active_at.is_some_and(|at| now >= at);
-        let proved = self.tail_read_at.is_some_and(|at| now.since(at) < self.seat_time);
-        active && proved
+    /// Passes an event on.
+    pub fn handle(&mut self, now: MonotonicTime, event: SeatEvent) {
+        self.state.handle(now, event, &mut self.actions);
     }
 
-    /// The claim to append, if the seat is free or its holder is gone.
-    pub fn next_claim(&mut self, now: MonotonicTime, live: &[(String, u64)]) -> Option<NewRecord> {
-        self.tail_read_at?;
-        if self.claiming || self.active_at.is_some() {
-            return None;
+    /// Passes on which hosts of the zone are listed.
+    pub fn update_peers(&mut self, now: MonotonicTime, peers: Vec<RosterMember>) {
+        let newer: BTreeMap<_, _> =
+            peers.into_iter().map(|peer| (peer.host.clone(), peer)).collect();
+        let older = std::mem::replace(&mut self.peers, newer.clone());
+        for host in older.into_keys().filter(|host| !newer.contains_key(host)) {
+            self.handle(now, SeatEvent::MemberGone { host });
         }
-        let listed = self.holder.as_ref().is_some_and(|holder| {
-            live.iter().any(|(name, incarnation)| {
-                *name == holder.host && *incarnation == holder.incarnation
-            })
-        });
-        if listed {
-            self.missing_since = None;
-            return None;
+        for member in newer.into_values() {
+            self.handle(now, SeatEvent::MemberSeen { member });
         }
-        let since = *self.missing_since.get_or_insert(now);
-        if self.holder.is_some() && now.since(since) < self.seat_time * CLAIM_AFTER {
-            return None;
+    }
+
+    /// Records to append for the actions so far. Messages to other hosts wait for
+    /// the peer links and are dropped; the seat then rests on the log alone.
+    pub fn take_records(&mut self) -> Vec<NewRecord> {
+        let actions = std::mem::take(&mut self.actions);
+        actions.into_iter().filter_map(|action| self.seat_record(action)).collect()
+    }
+
+    fn seat_record(&self, action: SeatAction) -> Option<NewRecord> {
+        let zone = self.zone.to_string();
+        let own = self.state.own();
+        let run = format!("{}/{}", own.host, own.incarnation);
+        let wall = HostClock::wall().0;
+        match action {
+            SeatAction::AppendClaim { base_term, roster } => {
+                let body = wire::SeatClaim {
+                    zone,
+                    base_term: base_term.0,
+                    holder: write_member(own),
+                    roster: roster.iter().map(write_member).collect(),
+                    claimed_at_ms: wall,
+                };
+                Some(new_record(format!("claim/{run}/{}/{wall}", base_term.0), "seat-claim", &body))
+            }
+            SeatAction::AppendActive { term } => {
+                let body = wire::SeatActive { zone, term: term.0 };
+                Some(new_record(format!("active/{run}/{}/{wall}", term.0), "seat-active", &body))
+            }
+            SeatAction::AppendRoster { term, base_roster, roster } => {
+                let body = wire::SeatRoster {
+                    zone,
+                    term: term.0,
+                    base_roster: base_roster.0,
+                    roster: roster.iter().map(write_member).collect(),
+                };
+                let id = format!("roster/{run}/{}/{}/{wall}", term.0, base_roster.0);
+                Some(new_record(id, "seat-roster", &body))
+            }
+            SeatAction::AppendYield { term, successor } => {
+                let successor = successor.map(|host| host.to_string());
+                let body = wire::SeatYield { zone, term: term.0, successor };
+                Some(new_record(format!("yield/{run}/{}/{wall}", term.0), "seat-yield", &body))
+            }
+            SeatAction::AskPromise { .. }
+            | SeatAction::AnswerPromise { .. }
+            | SeatAction::AskRefusal { .. }
+            | SeatAction::AnswerRefusal { .. }
+            | SeatAction::Gained { .. }
+            | SeatAction::Lost => None,
         }
-        self.claiming = true;
-        let own = wire::RosterMember {
-            host: self.host.to_string(),
-            incarnation: self.incarnation,
-            address: String::new(),
-        };
-        let claim = wire::SeatClaim {
-            zone: self.zone.to_string(),
-            base_term: self.term.0,
-            holder: own.clone(),
-            roster: vec![own],
-            claimed_at_ms: HostClock::wall().0,
-        };
-        let id = format!("claim/{}/{}/{}", self.host, self.incarnation, self.term.0);
-        Some(new_record(id, "seat-claim", &claim))
     }
 }
