--- a/crates/core/src/process/planner.rs
+++ b/crates/core/src/process/planner.rs
@@ -3,3 +3,13 @@
 
 pub mod action;
 pub mod event;
+pub mod gang;
+pub mod job_entry;
+pub mod job_queue;
+pub mod lease;
+pub mod ledger;
+pub mod listing;
+pub mod placement;
+pub mod rebuild;
+pub mod state;
+pub mod worker_entry;
--- /dev/null
+++ b/crates/core/src/process/planner/gang.rs
@@ -0,0 +1,513 @@
+//! The two-step start of a gang and its end: reserve all members, record the
+//! start, start all; stop what is left; record one ending.
+
+use rand::Rng;
+
+use crate::prelude::*;
+use crate::process::planner::action::{JobEnding, PlannerAction};
+use crate::process::planner::event::{TargetFault, TaskKey};
+use crate::process::planner::job_entry::{
+    GangMember, JobEntry, JobStage, MemberState, StopPurpose, task_demand,
+};
+use crate::process::planner::ledger::AcceleratorSet;
+use crate::process::planner::state::PlannerState;
+
+/// Backoff after the first refusal of a job; it doubles with each further one.
+const BACKOFF_BASE: Duration = Duration::from_millis(200);
+/// Longest backoff before it is spread.
+const BACKOFF_MAX: Duration = Duration::from_secs(10);
+/// Added to a lease before it counts as lapsed on the worker, for requests on
+/// their way and for clocks that run at different speeds.
+pub const LAPSE_MARGIN: Duration = Duration::from_secs(2);
+/// Least lease time left on every member for a start to be sent.
+const START_MARGIN: Duration = Duration::from_secs(1);
+/// Time after which a stop without an answer is asked for again.
+pub const STOP_RETRY: Duration = Duration::from_secs(1);
+
+impl PlannerState {
+    pub(super) fn lease(&self) -> Duration {
+        self.settings.policy.task_lease
+    }
+
+    /// Asks for the reservation of every member, in worker order. The job must be
+    /// queued and every member must fit on its worker.
+    pub(super) fn begin_reserve(
+        &mut self,
+        now: MonotonicTime,
+        id: &JobId,
+        workers: Vec<WorkerName>,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        debug_assert!(workers.is_sorted(), "members reserve in worker order");
+        self.dequeue(id);
+        let lease = self.lease();
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(demand) = entry.class.as_deref().map(task_demand) else {
+            return;
+        };
+        entry.attempt = entry.attempt.max(entry.listed_attempt) + 1;
+        entry.saved.clear();
+        entry.enter(JobStage::Reserving, now);
+        entry.members = workers
+            .into_iter()
+            .map(|worker| GangMember::asked(worker, now, lease))
+            .collect();
+        for (index, member) in entry.members.iter().enumerate() {
+            let task = entry.key(index);
+            let is_held = self.ledger.hold(&member.worker, &task, demand);
+            debug_assert!(is_held, "member placed where it does not fit");
+            actions.push(PlannerAction::Reserve {
+                worker: member.worker.clone(),
+                task,
+                demand,
+                lease,
+            });
+        }
+    }
+
+    pub(super) fn take_reserve(
+        &mut self,
+        now: MonotonicTime,
+        task: &TaskKey,
+        result: Result<Vec<u32>, TargetFault>,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let lease = self.lease();
+        let Some((entry, index)) = find_member(&mut self.jobs, task) else {
+            return;
+        };
+        let is_stopping = matches!(entry.stage, JobStage::Stopping(_));
+        let member = &mut entry.members[index];
+        if member.state != MemberState::ReserveAsked {
+            return;
+        }
+        match result {
+            Ok(numbers) => {
+                member.valid_until = member.since + lease;
+                member.enter(MemberState::Held, now);
+                self.ledger
+                    .grant(task, AcceleratorSet::from_numbers(&numbers));
+                if is_stopping {
+                    self.stop_members(now, &task.job, actions);
+                } else {
+                    self.record_if_held(now, &task.job, actions);
+                }
+            }
+            Err(TargetFault::OutcomeUnknown) => {
+                member.enter(MemberState::Held, now);
+                self.begin_stop(now, &task.job, StopPurpose::Retry, actions);
+            }
+            Err(fault) => {
+                let worker = member.worker.clone();
+                member.enter(MemberState::Gone, now);
+                self.ledger.release(task);
+                self.note_fault(now, &worker, fault, actions);
+                self.begin_stop(now, &task.job, StopPurpose::Retry, actions);
+            }
+        }
+    }
+
+    /// Learns from a refusal: the worker leaves, or its list is out of date.
+    fn note_fault(
+        &mut self,
+        now: MonotonicTime,
+        worker: &WorkerName,
+        fault: TargetFault,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        match fault {
+            TargetFault::Leaving => entry.leaving = true,
+            TargetFault::Full | TargetFault::UnknownLease => self.ask_list(now, worker, actions),
+            TargetFault::Unreachable => {
+                entry.listed = false;
+                entry.list_failed = true;
+            }
+            TargetFault::StaleTerm | TargetFault::OutcomeUnknown => {}
+        }
+    }
+
+    fn record_if_held(&mut self, now: MonotonicTime, id: &JobId, actions: &mut Vec<PlannerAction>) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let all_hold = entry.members.iter().all(|m| m.state == MemberState::Held);
+        if entry.stage != JobStage::Reserving || !all_hold {
+            return;
+        }
+        entry.enter(JobStage::Recording, now);
+        actions.push(PlannerAction::RecordStart {
+            job: id.clone(),
+            attempt: entry.attempt,
+            workers: entry.members.iter().map(|m| m.worker.clone()).collect(),
+        });
+    }
+
+    /// Starts every member, once the record is in the log and if all still hold.
+    pub(super) fn start_gang(
+        &mut self,
+        now: MonotonicTime,
+        id: &JobId,
+        attempt: u32,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let lease = self.lease();
+        let is_active = self.is_active();
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if !is_active || entry.stage != JobStage::Recording || entry.attempt != attempt {
+            return;
+        }
+        let holds =
+            |m: &GangMember| m.state == MemberState::Held && m.valid_until > now + START_MARGIN;
+        if !entry.members.iter().all(holds) {
+            self.begin_stop(now, id, StopPurpose::Retry, actions);
+            return;
+        }
+        entry.starts += 1;
+        entry.enter(JobStage::Starting, now);
+        for index in 0..entry.members.len() {
+            let Some(order) = entry.order(index) else {
+                continue;
+            };
+            let task = entry.key(index);
+            let member = &mut entry.members[index];
+            member.may_have_started = true;
+            member.enter(MemberState::StartAsked, now);
+            member.lapse_by = now + lease + LAPSE_MARGIN;
+            actions.push(PlannerAction::Start {
+                worker: member.worker.clone(),
+                task,
+                order,
+                lease,
+            });
+        }
+    }
+
+    pub(super) fn take_start(
+        &mut self,
+        now: MonotonicTime,
+        task: &TaskKey,
+        result: Result<(), TargetFault>,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let lease = self.lease();
+        let Some((entry, index)) = find_member(&mut self.jobs, task) else {
+            return;
+        };
+        let is_stopping = matches!(entry.stage, JobStage::Stopping(_));
+        let member = &mut entry.members[index];
+        if member.state != MemberState::StartAsked {
+            return;
+        }
+        let worker = member.worker.clone();
+        match result {
+            Ok(()) => {
+                member.valid_until = member.valid_until.max(member.since + lease);
+                member.enter(MemberState::Running, now);
+            }
+            Err(TargetFault::OutcomeUnknown) => {
+                member.enter(MemberState::StartUnknown, now);
+                self.ask_list(now, &worker, actions);
+            }
+            Err(fault) => {
+                member.may_have_started = false;
+                let released = fault == TargetFault::UnknownLease;
+                let state = if released {
+                    MemberState::Gone
+                } else {
+                    MemberState::Held
+                };
+                member.enter(state, now);
+                if released {
+                    self.ledger.release(task);
+                }
+                self.note_fault(now, &worker, fault, actions);
+                let reason = format!("{worker} refused to start the task: {fault:?}");
+                self.begin_stop(now, &task.job, StopPurpose::Fail(reason), actions);
+                return;
+            }
+        }
+        if is_stopping {
+            self.stop_members(now, &task.job, actions);
+        } else {
+            self.run_if_started(now, &task.job, actions);
+        }
+    }
+
+    /// Moves a gang on to running or to its ending once every member has got there.
+    pub(super) fn run_if_started(
+        &mut self,
+        now: MonotonicTime,
+        id: &JobId,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let started =
+            |m: &GangMember| matches!(m.state, MemberState::Running | MemberState::Finished);
+        if entry.stage == JobStage::Starting && entry.members.iter().all(started) {
+            entry.enter(JobStage::Running, now);
+            entry.refusals = 0;
+        }
+        let is_started = matches!(entry.stage, JobStage::Starting | JobStage::Running);
+        let finished = |m: &GangMember| m.state == MemberState::Finished;
+        if is_started && entry.members.iter().all(finished) {
+            self.end_job(now, id, JobEnding::Finished, actions);
+        }
+    }
+
+    /// Stops or releases every member of a job, for a purpose. A cancel or a close
+    /// goes before any other purpose; a job that is ending is only ever closed.
+    pub(super) fn begin_stop(
+        &mut self,
+        now: MonotonicTime,
+        id: &JobId,
+        purpose: StopPurpose,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        match (&entry.stage, &purpose) {
+            (JobStage::Ending(_) | JobStage::Unsettled, StopPurpose::Close) => {
+                self.drop_job(id);
+                return;
+            }
+            (JobStage::Unsettled, StopPurpose::Cancel) => {
+                entry.cancelled = true;
+                return;
+            }
+            (JobStage::Ending(_) | JobStage::Unsettled, _) => return,
+            (JobStage::Stopping(before), after) if !outranks(after, before) => {
+                self.stop_members(now, id, actions);
+                return;
+            }
+            (JobStage::Queued, _) => self.dequeue(id),
+            _ => {}
+        }
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        entry.enter(JobStage::Stopping(purpose), now);
+        self.stop_members(now, id, actions);
+    }
+
+    /// Asks for the end of every member that holds or runs. Members with a request
+    /// on its way are left until it is answered.
+    pub(super) fn stop_members(
+        &mut self,
+        now: MonotonicTime,
+        id: &JobId,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let saves = entry.class.as_ref().is_some_and(|class| class.checkpoint)
+            && entry.stage == JobStage::Stopping(StopPurpose::Retry);
+        for index in 0..entry.members.len() {
+            let task = entry.key(index);
+            let member = &mut entry.members[index];
+            let worker = member.worker.clone();
+            let action = match member.state {
+                MemberState::Held => PlannerAction::Release { worker, task },
+                MemberState::StartUnknown | MemberState::Running if saves => {
+                    PlannerAction::Checkpoint { worker, task }
+                }
+                MemberState::StartUnknown | MemberState::Running => {
+                    PlannerAction::Stop { worker, task }
+                }
+                _ => continue,
+            };
+            member.enter(MemberState::StopAsked, now);
+            member.due_at = now + STOP_RETRY;
+            actions.push(action);
+        }
+        self.settle_stop(now, id, actions);
+    }
+
+    pub(super) fn take_stop(
+        &mut self,
+        now: MonotonicTime,
+        task: &TaskKey,
+        result: Result<(), TargetFault>,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let Some((entry, index)) = find_member(&mut self.jobs, task) else {
+            return;
+        };
+        let member = &mut entry.members[index];
+        let is_over = matches!(result, Ok(()) | Err(TargetFault::UnknownLease));
+        if member.state != MemberState::StopAsked || !is_over {
+            return;
+        }
+        member.enter(MemberState::Gone, now);
+        self.ledger.release(task);
+        self.settle_stop(now, &task.job, actions);
+    }
+
+    pub(super) fn take_checkpoint(
+        &mut self,
+        now: MonotonicTime,
+        task: &TaskKey,
+        result: Result<String, TargetFault>,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let Some((entry, index)) = find_member(&mut self.jobs, task) else {
+            return;
+        };
+        let member = &mut entry.members[index];
+        if member.state != MemberState::StopAsked {
+            return;
+        }
+        match result {
+            Ok(name) => {
+                member.enter(MemberState::Gone, now);
+                entry.saved.insert(task.member, name);
+                self.ledger.release(task);
+                self.settle_stop(now, &task.job, actions);
+            }
+            Err(_) => actions.push(PlannerAction::Stop {
+                worker: member.worker.clone(),
+                task: task.clone(),
+            }),
+        }
+    }
+
+    /// Decides what becomes of a job once no member holds anything any more.
+    pub(super) fn settle_stop(
+        &mut self,
+        now: MonotonicTime,
+        id: &JobId,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let JobStage::Stopping(purpose) = &entry.stage else {
+            return;
+        };
+        if !entry.members.iter().all(GangMember::is_over) {
+            return;
+        }
+        let next = next_step(entry, purpose);
+        match next {
+            NextStep::Drop => self.drop_job(id),
+            NextStep::End(ending) => self.end_job(now, id, ending, actions),
+            NextStep::TryAgain { counted } => self.try_again(now, id, counted),
+        }
+    }
+
+    fn try_again(&mut self, now: MonotonicTime, id: &JobId, counted: bool) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if !counted {
+            entry.starts = entry.starts.saturating_sub(1);
+        }
+        if entry.saved.len() == entry.members.len() {
+            entry.checkpoints = std::mem::take(&mut entry.saved);
+        }
+        entry.saved.clear();
+        entry.members.clear();
+        entry.refusals += 1;
+        let doubled = BACKOFF_BASE * (1 << entry.refusals.min(8));
+        let longest = doubled.min(BACKOFF_MAX);
+        let spread = self.random.random_range(0.5..1.5);
+        self.enqueue_later(now, id, now + longest.mul_f64(spread));
+    }
+
+    /// Asks for the record of a job's only ending.
+    pub(super) fn end_job(
+        &mut self,
+        now: MonotonicTime,
+        id: &JobId,
+        ending: JobEnding,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if matches!(entry.stage, JobStage::Ending(_)) {
+            return;
+        }
+        entry.members.clear();
+        entry.enter(JobStage::Ending(ending.clone()), now);
+        actions.push(PlannerAction::RecordEnd {
+            job: id.clone(),
+            ending,
+        });
+    }
+}
+
+impl GangMember {
+    fn asked(worker: WorkerName, now: MonotonicTime, lease: Duration) -> Self {
+        Self {
+            worker,
+            state: MemberState::ReserveAsked,
+            since: now,
+            valid_until: now,
+            lapse_by: now + lease + LAPSE_MARGIN,
+            due_at: now + lease / 3,
+            may_have_started: false,
+        }
+    }
+}
+
+/// The member that a task names, if it is of its job's current attempt.
+pub(super) fn find_member<'a>(
+    jobs: &'a mut BTreeMap<JobId, JobEntry>,
+    task: &TaskKey,
+) -> Option<(&'a mut JobEntry, usize)> {
+    let entry = jobs.get_mut(&task.job)?;
+    let index = entry.member_of(task)?;
+    Some((entry, index))
+}
+
+/// Whether a purpose replaces the one for which members are being stopped.
+const fn outranks(after: &StopPurpose, before: &StopPurpose) -> bool {
+    match after {
+        StopPurpose::Close => true,
+        StopPurpose::Cancel => !matches!(before, StopPurpose::Close),
+        StopPurpose::Retry | StopPurpose::Fail(_) => false,
+    }
+}
+
+/// What becomes of a stopped job.
+enum NextStep {
+    Drop,
+    End(JobEnding),
+    TryAgain { counted: bool },
+}
+
+fn next_step(entry: &JobEntry, purpose: &StopPurpose) -> NextStep {
+    let ran = entry.members.iter().any(|m| m.may_have_started);
+    let all_finished = ran
+        && entry
+            .members
+            .iter()
+            .all(|m| m.state == MemberState::Finished);
+    let all_saved = entry.saved.len() == entry.members.len();
+    let may_run_again = entry.is_idempotent() || all_saved;
+    match purpose {
+        StopPurpose::Close => NextStep::Drop,
+        _ if all_finished => NextStep::End(JobEnding::Finished),
+        StopPurpose::Cancel => NextStep::End(JobEnding::Cancelled),
+        StopPurpose::Retry if !ran => NextStep::TryAgain { counted: true },
+        StopPurpose::Retry if may_run_again => NextStep::TryAgain { counted: false },
+        StopPurpose::Retry => {
+            let reason = "stopped to give capacity back, and it may not run twice";
+            NextStep::End(JobEnding::Failed(reason.into()))
+        }
+        StopPurpose::Fail(_) if entry.may_start_again() => NextStep::TryAgain { counted: true },
+        StopPurpose::Fail(reason) if !ran => NextStep::End(JobEnding::Refused(reason.clone())),
+        StopPurpose::Fail(reason) => NextStep::End(JobEnding::Failed(reason.clone())),
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/planner/lease.rs
@@ -0,0 +1,234 @@
+//! What the passing of time brings about: polling of task lists, renewal of
+//! leases at a third of their length, leases that lapse, and stops asked again.
+
+use crate::prelude::*;
+use crate::process::planner::action::PlannerAction;
+use crate::process::planner::event::{TargetFault, TaskKey};
+use crate::process::planner::gang::{LAPSE_MARGIN, STOP_RETRY, find_member};
+use crate::process::planner::job_entry::{GangMember, JobStage, MemberState, StopPurpose};
+use crate::process::planner::state::PlannerState;
+use crate::process::planner::worker_entry::RenewRequest;
+
+/// Time between two lists of a worker that holds tasks, or did not answer.
+const BUSY_POLL: Duration = Duration::from_secs(1);
+/// Time between two lists of a worker that holds nothing.
+const IDLE_POLL: Duration = Duration::from_secs(30);
+/// Time after which a list without an answer is asked for again.
+const LIST_TIMEOUT: Duration = Duration::from_secs(5);
+
+impl PlannerState {
+    pub(super) fn pass_time(&mut self, now: MonotonicTime, actions: &mut Vec<PlannerAction>) {
+        if self.seat.is_none() {
+            return;
+        }
+        self.poll_lists(now, actions);
+        self.lapse_members(now, actions);
+        self.stop_again(now, actions);
+        self.renew_leases(now, actions);
+    }
+
+    fn poll_lists(&mut self, now: MonotonicTime, actions: &mut Vec<PlannerAction>) {
+        let due: Vec<WorkerName> = self
+            .workers
+            .iter()
+            .filter(|(_, entry)| entry.next_list <= now)
+            .filter(|(_, entry)| {
+                entry
+                    .list_asked
+                    .is_none_or(|at| now.since(at) >= LIST_TIMEOUT)
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        for worker in due {
+            if let Some(entry) = self.workers.get_mut(&worker) {
+                entry.list_asked = None;
+            }
+            self.ask_list(now, &worker, actions);
+        }
+    }
+
+    /// Asks a worker for its tasks unless that is on its way.
+    pub(super) fn ask_list(
+        &mut self,
+        now: MonotonicTime,
+        worker: &WorkerName,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        if self.seat.is_none() {
+            return;
+        }
+        let is_busy = self
+            .ledger
+            .worker(worker)
+            .is_some_and(|w| !w.holdings.is_empty());
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if entry.list_asked.is_some() {
+            return;
+        }
+        entry.list_asked = Some(now);
+        let poll = if is_busy { BUSY_POLL } else { IDLE_POLL };
+        entry.next_list = now + poll;
+        actions.push(PlannerAction::ListTasks {
+            worker: worker.clone(),
+        });
+    }
+
+    /// Makes the list of a worker due soon, since it now holds something.
+    pub(super) fn poll_soon(&mut self, now: MonotonicTime, worker: &WorkerName) {
+        if let Some(entry) = self.workers.get_mut(worker) {
+            entry.next_list = entry.next_list.min(now + BUSY_POLL);
+        }
+    }
+
+    /// Gives up members whose lease is over.
+    fn lapse_members(&mut self, now: MonotonicTime, actions: &mut Vec<PlannerAction>) {
+        let ids: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, entry)| !entry.members.is_empty())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            self.lapse_job(now, &id, actions);
+        }
+    }
+
+    fn lapse_job(&mut self, now: MonotonicTime, id: &JobId, actions: &mut Vec<PlannerAction>) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let mut lost = None;
+        let mut is_changed = false;
+        for index in 0..entry.members.len() {
+            let key = entry.key(index);
+            let member = &mut entry.members[index];
+            if member.is_over() {
+                continue;
+            }
+            if member.is_renewed() && member.valid_until <= now {
+                lost = Some(member.worker.clone());
+            }
+            if member.lapse_by <= now {
+                lost = Some(member.worker.clone());
+                member.enter(MemberState::Gone, now);
+                self.ledger.release(&key);
+                is_changed = true;
+            }
+        }
+        let was_started = matches!(entry.stage, JobStage::Starting | JobStage::Running);
+        if let Some(worker) = lost {
+            let purpose = if was_started {
+                StopPurpose::Fail(format!("the lease of the task on {worker} lapsed"))
+            } else {
+                StopPurpose::Retry
+            };
+            self.begin_stop(now, id, purpose, actions);
+        }
+        if is_changed {
+            self.settle_stop(now, id, actions);
+        }
+    }
+
+    /// Asks again for stops that were not answered.
+    fn stop_again(&mut self, now: MonotonicTime, actions: &mut Vec<PlannerAction>) {
+        let stopping = self
+            .jobs
+            .values_mut()
+            .filter(|entry| matches!(entry.stage, JobStage::Stopping(_)));
+        for entry in stopping {
+            for index in 0..entry.members.len() {
+                let task = entry.key(index);
+                let member = &mut entry.members[index];
+                if member.state != MemberState::StopAsked || member.due_at > now {
+                    continue;
+                }
+                member.due_at = now + STOP_RETRY;
+                actions.push(PlannerAction::Stop {
+                    worker: member.worker.clone(),
+                    task,
+                });
+            }
+        }
+    }
+
+    /// Renews the leases that are due, one request for each worker.
+    fn renew_leases(&mut self, now: MonotonicTime, actions: &mut Vec<PlannerAction>) {
+        let lease = self.lease();
+        let mut due: BTreeMap<WorkerName, Vec<TaskKey>> = BTreeMap::new();
+        for entry in self.jobs.values_mut() {
+            for index in 0..entry.members.len() {
+                let key = entry.key(index);
+                let member = &mut entry.members[index];
+                if !member.is_renewed() || member.due_at > now {
+                    continue;
+                }
+                member.due_at = now + lease / 3;
+                member.lapse_by = now + lease + LAPSE_MARGIN;
+                due.entry(member.worker.clone()).or_default().push(key);
+            }
+        }
+        for (worker, tasks) in due {
+            let Some(entry) = self.workers.get_mut(&worker) else {
+                continue;
+            };
+            let credit_from = entry.renewal.as_ref().map_or(now, |r| r.credit_from);
+            entry.renewal = Some(RenewRequest {
+                credit_from,
+                sent_at: now,
+                tasks: tasks.clone(),
+            });
+            actions.push(PlannerAction::Renew {
+                worker,
+                tasks,
+                lease,
+            });
+        }
+    }
+
+    pub(super) fn take_renewal(
+        &mut self,
+        now: MonotonicTime,
+        worker: &WorkerName,
+        result: Result<Vec<TaskKey>, TargetFault>,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let lease = self.lease();
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let Some(request) = entry.renewal.take() else {
+            return;
+        };
+        let Ok(unknown) = result else {
+            self.retry_renewal(now, &request);
+            return;
+        };
+        for task in &request.tasks {
+            if unknown.contains(task) {
+                continue;
+            }
+            if let Some((job, index)) = find_member(&mut self.jobs, task) {
+                extend(&mut job.members[index], request.credit_from + lease);
+            }
+        }
+        if !unknown.is_empty() {
+            self.ask_list(now, worker, actions);
+        }
+    }
+
+    fn retry_renewal(&mut self, now: MonotonicTime, request: &RenewRequest) {
+        for task in &request.tasks {
+            if let Some((job, index)) = find_member(&mut self.jobs, task) {
+                job.members[index].due_at = now;
+            }
+        }
+    }
+}
+
+fn extend(member: &mut GangMember, until: MonotonicTime) {
+    if member.is_renewed() {
+        member.valid_until = member.valid_until.max(until);
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/planner/ledger.rs
@@ -0,0 +1,368 @@
+//! What the planner believes each worker of its zone has and holds. The worker
+//! itself decides; the ledger follows its answers and lists, and counts a request
+//! without an answer as held.
+
+use std::fmt::{self, Display, Formatter};
+
+use crate::prelude::*;
+use crate::process::planner::action::TaskDemand;
+use crate::process::planner::event::{TaskKey, WorkerRecord};
+
+/// Most accelerators of one worker that the ledger can number.
+pub const MAX_ACCELERATORS: u32 = 64;
+
+/// Accelerators of one worker, by number.
+#[must_use]
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct AcceleratorSet(u64);
+
+impl AcceleratorSet {
+    /// The accelerators numbered from `first`, `count` of them.
+    pub fn block(first: u32, count: u32) -> Self {
+        debug_assert!(
+            first + count <= MAX_ACCELERATORS,
+            "block outside the worker"
+        );
+        if count == 0 {
+            return Self(0);
+        }
+        Self((u64::MAX >> (MAX_ACCELERATORS - count)) << first)
+    }
+
+    /// The accelerators with these numbers; numbers out of range are left out.
+    pub fn from_numbers(numbers: &[u32]) -> Self {
+        let bits = numbers
+            .iter()
+            .filter(|number| **number < MAX_ACCELERATORS)
+            .fold(0, |bits, number| bits | (1 << number));
+        Self(bits)
+    }
+
+    /// How many accelerators are in the set.
+    pub const fn count(self) -> u32 {
+        self.0.count_ones()
+    }
+
+    /// Accelerators in either set.
+    pub const fn union(self, other: Self) -> Self {
+        Self(self.0 | other.0)
+    }
+
+    /// Accelerators in both sets.
+    pub const fn intersection(self, other: Self) -> Self {
+        Self(self.0 & other.0)
+    }
+
+    /// Accelerators of this set that are not in the other.
+    pub const fn difference(self, other: Self) -> Self {
+        Self(self.0 & !other.0)
+    }
+
+    /// Whether the set has no accelerator.
+    pub const fn is_empty(self) -> bool {
+        self.0 == 0
+    }
+
+    /// The runs of adjacent accelerators in the set, lowest first.
+    pub fn runs(self) -> Vec<AcceleratorRun> {
+        let mut runs = Vec::new();
+        let mut bits = self.0;
+        while bits != 0 {
+            let first = bits.trailing_zeros();
+            let length = (bits >> first).trailing_ones();
+            runs.push(AcceleratorRun { first, length });
+            bits &= !Self::block(first, length).0;
+        }
+        runs
+    }
+
+    /// The smallest run that holds `count` adjacent accelerators, cut to size.
+    pub fn best_block(self, count: u32) -> Option<Self> {
+        if count == 0 {
+            return Some(Self(0));
+        }
+        self.runs()
+            .into_iter()
+            .filter(|run| run.length >= count)
+            .min_by_key(|run| (run.length, run.first))
+            .map(|run| Self::block(run.first, count))
+    }
+
+    /// Length of the longest run of adjacent accelerators.
+    pub fn longest_run(self) -> u32 {
+        self.runs().iter().map(|run| run.length).max().unwrap_or(0)
+    }
+}
+
+impl Display for AcceleratorSet {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let numbers: Vec<String> = (0..MAX_ACCELERATORS)
+            .filter(|number| self.0 >> number & 1 == 1)
+            .map(|number| number.to_string())
+            .collect();
+        write!(f, "[{}]", numbers.join(","))
+    }
+}
+
+/// Adjacent accelerators of one worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AcceleratorRun {
+    /// Lowest number of the run.
+    pub first: u32,
+    /// How many accelerators it has; at least one.
+    pub length: u32,
+}
+
+/// What one task holds on its worker, or may hold.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TaskHolding {
+    /// Resources held.
+    pub demand: TaskDemand,
+    /// Accelerators held: predicted until the worker answers, then as it says.
+    pub accelerators: AcceleratorSet,
+    /// Order in which the ledger took the holding on; never used twice.
+    pub generation: u64,
+}
+
+/// Capacity and holdings of one worker.
+#[derive(Clone, Debug)]
+pub struct WorkerCapacity {
+    /// The worker as listed.
+    pub record: WorkerRecord,
+    /// Holdings by task.
+    pub holdings: BTreeMap<TaskKey, TaskHolding>,
+    /// Accelerators that no holding has; always equal to a recount.
+    pub free: AcceleratorSet,
+    /// Slots, cores and memory that no holding has, zero where more is held than
+    /// there is; `free.accelerators` counts the set above. Always equal to a recount.
+    pub spare: TaskDemand,
+}
+
+impl WorkerCapacity {
+    /// An empty worker.
+    pub fn new(record: WorkerRecord) -> Self {
+        let mut capacity = Self {
+            record,
+            holdings: BTreeMap::new(),
+            free: AcceleratorSet::default(),
+            spare: TaskDemand::default(),
+        };
+        capacity.recount();
+        capacity
+    }
+
+    /// Everything the worker has.
+    pub fn total(&self) -> TaskDemand {
+        TaskDemand {
+            slots: self.record.slots,
+            accelerators: self.record.accelerators.min(MAX_ACCELERATORS),
+            cores: self.record.cores,
+            memory_mb: self.record.memory_mb,
+        }
+    }
+
+    /// The free accelerators as a recount of the holdings gives them.
+    pub fn recounted_free(&self) -> AcceleratorSet {
+        let all = AcceleratorSet::block(0, self.total().accelerators);
+        self.holdings
+            .values()
+            .fold(all, |free, holding| free.difference(holding.accelerators))
+    }
+
+    /// The spare resources as a recount of the holdings gives them.
+    pub fn recounted_spare(&self) -> TaskDemand {
+        let mut spare = self.total();
+        for holding in self.holdings.values() {
+            spare = subtract(spare, holding.demand);
+        }
+        spare.accelerators = self.recounted_free().count();
+        spare
+    }
+
+    fn recount(&mut self) {
+        self.free = self.recounted_free();
+        self.spare = self.recounted_spare();
+    }
+
+    /// Whether a task with this demand fits into what is free now.
+    pub fn fits(&self, demand: &TaskDemand) -> bool {
+        covers(&self.spare, demand) && self.free.best_block(demand.accelerators).is_some()
+    }
+}
+
+/// Whether `capacity` has at least `demand` of everything.
+pub fn covers(capacity: &TaskDemand, demand: &TaskDemand) -> bool {
+    capacity.slots >= demand.slots
+        && capacity.accelerators >= demand.accelerators
+        && capacity.cores >= demand.cores
+        && capacity.memory_mb >= demand.memory_mb
+}
+
+/// What is left of `capacity` without `demand`; zero where it is less.
+pub fn subtract(capacity: TaskDemand, demand: TaskDemand) -> TaskDemand {
+    TaskDemand {
+        slots: capacity.slots.saturating_sub(demand.slots),
+        accelerators: capacity.accelerators.saturating_sub(demand.accelerators),
+        cores: capacity.cores.saturating_sub(demand.cores),
+        memory_mb: capacity.memory_mb.saturating_sub(demand.memory_mb),
+    }
+}
+
+/// Capacity of the workers of one zone.
+#[derive(Clone, Debug, Default)]
+pub struct CapacityLedger {
+    /// Workers by name.
+    workers: BTreeMap<WorkerName, WorkerCapacity>,
+    /// Worker of each holding; exactly the holdings of all workers.
+    holders: BTreeMap<TaskKey, WorkerName>,
+    /// Generation of the newest holding.
+    generation: u64,
+}
+
+impl CapacityLedger {
+    /// Workers by name.
+    pub const fn workers(&self) -> &BTreeMap<WorkerName, WorkerCapacity> {
+        &self.workers
+    }
+
+    /// Worker of each holding.
+    pub const fn holders(&self) -> &BTreeMap<TaskKey, WorkerName> {
+        &self.holders
+    }
+
+    /// One worker.
+    pub fn worker(&self, name: &WorkerName) -> Option<&WorkerCapacity> {
+        self.workers.get(name)
+    }
+
+    /// The holding of a task.
+    pub fn holding(&self, key: &TaskKey) -> Option<&TaskHolding> {
+        let worker = self.holders.get(key)?;
+        self.workers.get(worker)?.holdings.get(key)
+    }
+
+    /// Adds a worker or takes over its changed resources; holdings stay.
+    pub fn see_worker(&mut self, record: WorkerRecord) {
+        if let Some(capacity) = self.workers.get_mut(&record.name) {
+            capacity.record = record;
+            capacity.recount();
+        } else {
+            let name = record.name.clone();
+            self.workers.insert(name, WorkerCapacity::new(record));
+        }
+    }
+
+    /// Removes a worker with all its holdings.
+    pub fn remove_worker(&mut self, name: &WorkerName) {
+        let Some(capacity) = self.workers.remove(name) else {
+            return;
+        };
+        for key in capacity.holdings.keys() {
+            self.holders.remove(key);
+        }
+    }
+
+    /// Drops every holding, as after the loss of the seat.
+    pub fn clear_holdings(&mut self) {
+        self.holders.clear();
+        for capacity in self.workers.values_mut() {
+            capacity.holdings.clear();
+            capacity.recount();
+        }
+    }
+
+    /// Holds `demand` for a task, on the smallest block that has room. Nothing is
+    /// held and the answer is false if it does not fit or the task already holds.
+    pub fn hold(&mut self, worker: &WorkerName, key: &TaskKey, demand: TaskDemand) -> bool {
+        let Some(capacity) = self.workers.get(worker) else {
+            return false;
+        };
+        if self.holders.contains_key(key) || !covers(&capacity.spare, &demand) {
+            return false;
+        }
+        let Some(accelerators) = capacity.free.best_block(demand.accelerators) else {
+            return false;
+        };
+        self.insert(worker, key, demand, accelerators);
+        true
+    }
+
+    /// Takes over what the worker says a task holds, also beyond what it has.
+    pub fn observe(
+        &mut self,
+        worker: &WorkerName,
+        key: &TaskKey,
+        demand: TaskDemand,
+        accelerators: AcceleratorSet,
+    ) {
+        self.release(key);
+        self.insert(worker, key, demand, accelerators);
+    }
+
+    /// Takes over the accelerators that the worker granted to a held task.
+    pub fn grant(&mut self, key: &TaskKey, accelerators: AcceleratorSet) {
+        let Some(worker) = self.holders.get(key) else {
+            return;
+        };
+        let Some(capacity) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if let Some(holding) = capacity.holdings.get_mut(key) {
+            holding.accelerators = accelerators;
+        }
+        capacity.recount();
+    }
+
+    /// Drops the holding of a task, if any.
+    pub fn release(&mut self, key: &TaskKey) {
+        let Some(worker) = self.holders.remove(key) else {
+            return;
+        };
+        if let Some(capacity) = self.workers.get_mut(&worker) {
+            capacity.holdings.remove(key);
+            capacity.recount();
+        }
+    }
+
+    fn insert(
+        &mut self,
+        worker: &WorkerName,
+        key: &TaskKey,
+        demand: TaskDemand,
+        accelerators: AcceleratorSet,
+    ) {
+        let Some(capacity) = self.workers.get_mut(worker) else {
+            return;
+        };
+        self.generation += 1;
+        let holding = TaskHolding {
+            demand,
+            accelerators,
+            generation: self.generation,
+        };
+        capacity.holdings.insert(key.clone(), holding);
+        capacity.recount();
+        self.holders.insert(key.clone(), worker.clone());
+    }
+}
+
+impl Display for CapacityLedger {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        for (name, capacity) in &self.workers {
+            let spare = capacity.spare;
+            writeln!(
+                f,
+                "worker {name} rack {} free {} slots {} cores {} memory {}",
+                capacity.record.rack, capacity.free, spare.slots, spare.cores, spare.memory_mb
+            )?;
+            for (key, holding) in &capacity.holdings {
+                writeln!(
+                    f,
+                    "  {key} {} g{}",
+                    holding.accelerators, holding.generation
+                )?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/planner/listing.rs
@@ -0,0 +1,251 @@
+//! What a worker's own list of tasks changes. The list is the authority on what
+//! the worker holds; only requests sent after the list was asked for outrank it.
+
+use crate::prelude::*;
+use crate::process::planner::action::{PlannerAction, TaskDemand};
+use crate::process::planner::event::{ListedState, ListedTask, TaskKey};
+use crate::process::planner::gang::find_member;
+use crate::process::planner::job_entry::{JobStage, MemberState, StopPurpose};
+use crate::process::planner::ledger::AcceleratorSet;
+use crate::process::planner::state::PlannerState;
+
+/// Time after which a list that failed is asked for again.
+const LIST_RETRY: Duration = Duration::from_secs(1);
+
+impl PlannerState {
+    pub(super) fn fail_list(&mut self, now: MonotonicTime, worker: &WorkerName) {
+        if let Some(entry) = self.workers.get_mut(worker) {
+            entry.listed = false;
+            entry.list_failed = true;
+            entry.list_asked = None;
+            entry.next_list = now + LIST_RETRY;
+        }
+    }
+
+    pub(super) fn take_list(
+        &mut self,
+        now: MonotonicTime,
+        worker: &WorkerName,
+        incarnation: u64,
+        tasks: &[ListedTask],
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let Some(seat) = self.seat else {
+            return;
+        };
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let Some(asked_at) = entry.list_asked else {
+            return;
+        };
+        if incarnation < entry.incarnation {
+            return;
+        }
+        if incarnation > entry.incarnation {
+            entry.incarnation = incarnation;
+            entry.leaving = false;
+        }
+        entry.list_asked = None;
+        entry.listed = true;
+        entry.found = tasks.to_vec();
+        if !seat.rebuilt {
+            return;
+        }
+        self.compare_list(now, worker, asked_at, tasks, actions);
+        self.forget_worker(worker);
+    }
+
+    /// Brings members, holdings and strays in line with a list.
+    pub(super) fn compare_list(
+        &mut self,
+        now: MonotonicTime,
+        worker: &WorkerName,
+        asked_at: MonotonicTime,
+        tasks: &[ListedTask],
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        for task in tasks {
+            if self.is_member_on(&task.key, worker) {
+                self.update_member(now, task, actions);
+            } else {
+                self.handle_stray(worker, task, actions);
+            }
+        }
+        self.drop_absent(now, worker, asked_at, tasks, actions);
+    }
+
+    fn is_member_on(&self, key: &TaskKey, worker: &WorkerName) -> bool {
+        let Some(entry) = self.jobs.get(&key.job) else {
+            return false;
+        };
+        entry.member_of(key).is_some_and(|index| {
+            let member = &entry.members[index];
+            member.worker == *worker && !member.is_over()
+        })
+    }
+
+    fn update_member(
+        &mut self,
+        now: MonotonicTime,
+        task: &ListedTask,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let Some((entry, index)) = find_member(&mut self.jobs, &task.key) else {
+            return;
+        };
+        let member = &mut entry.members[index];
+        let id = task.key.job.clone();
+        let worker = member.worker.clone();
+        match &task.state {
+            ListedState::Reserved => {
+                if member.state == MemberState::StartUnknown {
+                    let reason = format!("{worker} did not answer the start of the task");
+                    self.begin_stop(now, &id, StopPurpose::Fail(reason), actions);
+                }
+                return;
+            }
+            ListedState::Running => {
+                let is_start = matches!(
+                    member.state,
+                    MemberState::StartAsked | MemberState::StartUnknown
+                );
+                if is_start && !matches!(entry.stage, JobStage::Stopping(_)) {
+                    member.enter(MemberState::Running, now);
+                    self.run_if_started(now, &id, actions);
+                }
+                return;
+            }
+            ListedState::Finished => member.enter(MemberState::Finished, now),
+            ListedState::Checkpointed(name) => {
+                entry.saved.insert(task.key.member, name.clone());
+                entry.members[index].enter(MemberState::Gone, now);
+            }
+            ListedState::Failed(_) | ListedState::Stopped | ListedState::Lapsed => {
+                member.enter(MemberState::Gone, now);
+            }
+        }
+        self.ledger.release(&task.key);
+        if let Some(reason) = failure(&task.state, &worker) {
+            self.begin_stop(now, &id, StopPurpose::Fail(reason), actions);
+        }
+        self.run_if_started(now, &id, actions);
+        self.settle_stop(now, &id, actions);
+    }
+
+    /// Ends what no open job knows of. It counts as held until it is gone.
+    pub(super) fn handle_stray(
+        &mut self,
+        worker: &WorkerName,
+        task: &ListedTask,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let action = match task.state {
+            ListedState::Reserved => PlannerAction::Release {
+                worker: worker.clone(),
+                task: task.key.clone(),
+            },
+            ListedState::Running => PlannerAction::Stop {
+                worker: worker.clone(),
+                task: task.key.clone(),
+            },
+            _ => {
+                if self.ledger.holders().get(&task.key) == Some(worker) {
+                    self.ledger.release(&task.key);
+                }
+                return;
+            }
+        };
+        let demand = listed_demand(task);
+        let accelerators = AcceleratorSet::from_numbers(&task.accelerators);
+        self.ledger.observe(worker, &task.key, demand, accelerators);
+        if let Some(entry) = self.jobs.get_mut(&task.key.job) {
+            if entry.stage == JobStage::Unsettled {
+                return;
+            }
+            entry.listed_attempt = entry.listed_attempt.max(task.key.attempt);
+        }
+        actions.push(action);
+    }
+
+    /// Gives up members and holdings that a list no longer has.
+    fn drop_absent(
+        &mut self,
+        now: MonotonicTime,
+        worker: &WorkerName,
+        asked_at: MonotonicTime,
+        tasks: &[ListedTask],
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let listed: BTreeSet<&TaskKey> = tasks.iter().map(|task| &task.key).collect();
+        let Some(capacity) = self.ledger.worker(worker) else {
+            return;
+        };
+        let absent: Vec<TaskKey> = capacity
+            .holdings
+            .keys()
+            .filter(|key| !listed.contains(key))
+            .cloned()
+            .collect();
+        for key in absent {
+            self.drop_task(now, worker, asked_at, &key, actions);
+        }
+    }
+
+    fn drop_task(
+        &mut self,
+        now: MonotonicTime,
+        worker: &WorkerName,
+        asked_at: MonotonicTime,
+        key: &TaskKey,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        if !self.is_member_on(key, worker) {
+            self.ledger.release(key);
+            return;
+        }
+        let Some((entry, index)) = find_member(&mut self.jobs, key) else {
+            return;
+        };
+        let member = &mut entry.members[index];
+        let is_unanswered = matches!(
+            member.state,
+            MemberState::ReserveAsked | MemberState::StartAsked
+        );
+        if is_unanswered || member.since > asked_at {
+            return;
+        }
+        let was_started = member.may_have_started;
+        member.enter(MemberState::Gone, now);
+        self.ledger.release(key);
+        let purpose = if was_started {
+            StopPurpose::Fail(format!("{worker} lost the task"))
+        } else {
+            StopPurpose::Retry
+        };
+        self.begin_stop(now, &key.job, purpose, actions);
+        self.settle_stop(now, &key.job, actions);
+    }
+}
+
+/// Why a listed state means that the attempt failed, if it does.
+fn failure(state: &ListedState, worker: &WorkerName) -> Option<String> {
+    match state {
+        ListedState::Failed(reason) => Some(reason.clone()),
+        ListedState::Checkpointed(_) | ListedState::Stopped => {
+            Some(format!("{worker} ended the task on its own"))
+        }
+        ListedState::Lapsed => Some(format!("the lease of the task on {worker} lapsed")),
+        ListedState::Reserved | ListedState::Running | ListedState::Finished => None,
+    }
+}
+
+/// Resources that a listed task holds.
+pub fn listed_demand(task: &ListedTask) -> TaskDemand {
+    TaskDemand {
+        slots: 1,
+        accelerators: task.accelerators.len() as u32,
+        cores: task.cores,
+        memory_mb: task.memory_mb,
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/planner/rebuild.rs
@@ -0,0 +1,313 @@
+//! Gaining and losing the seat. A planner that gains it knows only the records;
+//! what runs it learns from the workers' own lists, before it starts anything.
+
+use crate::prelude::*;
+use crate::process::planner::action::{JobEnding, PlannerAction};
+use crate::process::planner::event::{ListedState, ListedTask, SeatTerm, TaskKey};
+use crate::process::planner::gang::LAPSE_MARGIN;
+use crate::process::planner::job_entry::{
+    GangMember, JobEntry, JobStage, MemberState, StopPurpose,
+};
+use crate::process::planner::ledger::AcceleratorSet;
+use crate::process::planner::listing::listed_demand;
+use crate::process::planner::state::{PlannerState, SeatHold};
+
+/// A task and the worker that listed it.
+#[derive(Clone, Debug)]
+struct FoundTask {
+    worker: WorkerName,
+    task: ListedTask,
+}
+
+impl PlannerState {
+    pub(super) fn gain_seat(
+        &mut self,
+        now: MonotonicTime,
+        term: SeatTerm,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        if self.seat.is_some_and(|seat| seat.term >= term) {
+            return;
+        }
+        self.lose_seat();
+        self.seat = Some(SeatHold {
+            term,
+            gained_at: now,
+            rebuilt: false,
+        });
+        let workers: Vec<WorkerName> = self.workers.keys().cloned().collect();
+        for worker in workers {
+            self.ask_list(now, &worker, actions);
+        }
+    }
+
+    pub(super) fn lose_seat(&mut self) {
+        self.seat = None;
+        self.queue.clear();
+        self.ledger.clear_holdings();
+        for entry in self.workers.values_mut() {
+            entry.forget_seat();
+        }
+        for entry in self.jobs.values_mut() {
+            unsettle(entry);
+        }
+    }
+
+    /// Takes over what runs, once every worker has answered or failed to; again
+    /// for jobs in doubt, once every worker has answered or all leases not renewed
+    /// by this planner have lapsed.
+    pub(super) fn rebuild(&mut self, now: MonotonicTime, actions: &mut Vec<PlannerAction>) {
+        let Some(seat) = self.seat else {
+            return;
+        };
+        let mut workers = self.workers.values().filter(|entry| !entry.gone);
+        let has_lapsed = now >= seat.gained_at + self.lease() + LAPSE_MARGIN;
+        let all_listed = workers.clone().all(|entry| entry.listed);
+        let all_tried = workers.all(|entry| entry.listed || entry.list_failed);
+        if !seat.rebuilt && !all_tried && !has_lapsed {
+            return;
+        }
+        let is_certain = all_listed || has_lapsed;
+        let has_doubt = self
+            .jobs
+            .values()
+            .any(|entry| entry.stage == JobStage::Unsettled);
+        if seat.rebuilt && !(has_doubt && is_certain) {
+            return;
+        }
+        self.adopt_jobs(now, is_certain, actions);
+        if !seat.rebuilt {
+            self.seat = Some(SeatHold {
+                rebuilt: true,
+                ..seat
+            });
+            self.record_again(actions);
+        }
+        self.stop_strays(now, actions);
+    }
+
+    fn adopt_jobs(
+        &mut self,
+        now: MonotonicTime,
+        is_certain: bool,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let mut found = self.found_tasks();
+        let ids: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, entry)| entry.stage == JobStage::Unsettled)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            let tasks = found.remove(&id).unwrap_or_default();
+            self.adopt_job(now, &id, tasks, is_certain, actions);
+        }
+    }
+
+    /// Listed tasks by job.
+    fn found_tasks(&self) -> BTreeMap<JobId, Vec<FoundTask>> {
+        let mut found: BTreeMap<JobId, Vec<FoundTask>> = BTreeMap::new();
+        for (worker, entry) in &self.workers {
+            for task in &entry.found {
+                let tasks = found.entry(task.key.job.clone()).or_default();
+                tasks.push(FoundTask {
+                    worker: worker.clone(),
+                    task: task.clone(),
+                });
+            }
+        }
+        found
+    }
+
+    fn adopt_job(
+        &mut self,
+        now: MonotonicTime,
+        id: &JobId,
+        tasks: Vec<FoundTask>,
+        is_certain: bool,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let lease = self.lease();
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let highest = tasks.iter().map(|found| found.task.key.attempt).max();
+        let attempt = highest.unwrap_or(0).max(entry.attempt);
+        let size = entry.class.as_ref().map_or(0, |class| class.tasks) as usize;
+        let mut current: Vec<Option<FoundTask>> = vec![None; size];
+        for found in tasks {
+            let member = found.task.key.member as usize;
+            if Some(found.task.key.attempt) == highest && member < size {
+                current[member] = Some(found);
+            }
+        }
+        let is_complete = size > 0 && current.iter().all(Option::is_some);
+        if !is_complete && entry.starts > 0 && !is_certain {
+            return;
+        }
+        entry.attempt = attempt;
+        if current.iter().all(Option::is_none) {
+            self.settle_unfound(now, id, actions);
+            return;
+        }
+        entry.starts = entry.starts.max(1);
+        entry.members = current
+            .iter()
+            .map(|found| found_member(found.as_ref(), now, lease))
+            .collect();
+        for found in current.iter().flatten() {
+            self.take_found(found);
+        }
+        self.resume_job(now, id, &current, actions);
+    }
+
+    fn take_found(&mut self, found: &FoundTask) {
+        let task = &found.task;
+        match &task.state {
+            ListedState::Reserved | ListedState::Running => {
+                let accelerators = AcceleratorSet::from_numbers(&task.accelerators);
+                let demand = listed_demand(task);
+                self.ledger
+                    .observe(&found.worker, &task.key, demand, accelerators);
+            }
+            ListedState::Checkpointed(name) => {
+                if let Some(entry) = self.jobs.get_mut(&task.key.job) {
+                    entry.saved.insert(task.key.member, name.clone());
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Decides on a job that no worker knows of.
+    fn settle_unfound(&mut self, now: MonotonicTime, id: &JobId, actions: &mut Vec<PlannerAction>) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if entry.cancelled {
+            self.end_job(now, id, JobEnding::Cancelled, actions);
+        } else if entry.may_start_again() {
+            self.enqueue(now, id);
+        } else {
+            let reason = "may have started before a change of planner; no worker knows it";
+            self.end_job(now, id, JobEnding::Failed(reason.into()), actions);
+        }
+    }
+
+    /// Goes on with a job whose members were found.
+    fn resume_job(
+        &mut self,
+        now: MonotonicTime,
+        id: &JobId,
+        current: &[Option<FoundTask>],
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        entry.enter(JobStage::Running, now);
+        if entry.cancelled {
+            self.begin_stop(now, id, StopPurpose::Cancel, actions);
+            return;
+        }
+        let is_reserved = |found: &Option<FoundTask>| {
+            found
+                .as_ref()
+                .is_some_and(|f| f.task.state == ListedState::Reserved)
+        };
+        let is_saved = entry.saved.len() == entry.members.len();
+        if current.iter().all(is_reserved) {
+            entry.starts = entry.starts.saturating_sub(1);
+            self.begin_stop(now, id, StopPurpose::Retry, actions);
+            return;
+        }
+        if is_saved {
+            self.begin_stop(now, id, StopPurpose::Retry, actions);
+            return;
+        }
+        let runs = |m: &GangMember| matches!(m.state, MemberState::Running | MemberState::Finished);
+        if !entry.members.iter().all(runs) {
+            let reason = current.iter().flatten().find_map(failed_reason);
+            let reason = reason.unwrap_or_else(|| "part of the gang was lost".into());
+            self.begin_stop(now, id, StopPurpose::Fail(reason), actions);
+            return;
+        }
+        self.run_if_started(now, id, actions);
+    }
+
+    /// Asks again for endings whose record may not have been written.
+    fn record_again(&self, actions: &mut Vec<PlannerAction>) {
+        for (id, entry) in &self.jobs {
+            if let JobStage::Ending(ending) = &entry.stage {
+                actions.push(PlannerAction::RecordEnd {
+                    job: id.clone(),
+                    ending: ending.clone(),
+                });
+            }
+        }
+    }
+
+    /// Ends listed tasks that belong to no open job.
+    fn stop_strays(&mut self, now: MonotonicTime, actions: &mut Vec<PlannerAction>) {
+        let names: Vec<WorkerName> = self.workers.keys().cloned().collect();
+        for name in names {
+            let Some(entry) = self.workers.get_mut(&name) else {
+                continue;
+            };
+            let found = entry.found.clone();
+            for task in &found {
+                if !self.is_adopted(&task.key, &name) {
+                    self.handle_stray(&name, task, actions);
+                }
+            }
+            self.poll_soon(now, &name);
+        }
+    }
+
+    fn is_adopted(&self, key: &TaskKey, worker: &WorkerName) -> bool {
+        self.jobs.get(&key.job).is_some_and(|entry| {
+            let member = entry.member_of(key).map(|index| &entry.members[index]);
+            member.is_some_and(|m| m.worker == *worker)
+        })
+    }
+}
+
+fn unsettle(entry: &mut JobEntry) {
+    match &entry.stage {
+        JobStage::Ending(_) => return,
+        JobStage::Stopping(StopPurpose::Cancel) => entry.cancelled = true,
+        JobStage::Recording => entry.starts += 1,
+        _ => {}
+    }
+    entry.stage = JobStage::Unsettled;
+    entry.members.clear();
+    entry.saved.clear();
+    entry.delayed_until = None;
+}
+
+fn failed_reason(found: &FoundTask) -> Option<String> {
+    match &found.task.state {
+        ListedState::Failed(reason) => Some(reason.clone()),
+        _ => None,
+    }
+}
+
+fn found_member(found: Option<&FoundTask>, now: MonotonicTime, lease: Duration) -> GangMember {
+    let state = match found.map(|found| &found.task.state) {
+        Some(ListedState::Reserved) => MemberState::Held,
+        Some(ListedState::Running) => MemberState::Running,
+        Some(ListedState::Finished) => MemberState::Finished,
+        _ => MemberState::Gone,
+    };
+    let lease_left = found.map_or(Duration::ZERO, |found| found.task.lease_left);
+    GangMember {
+        worker: found.map_or_else(|| WorkerName::from(""), |found| found.worker.clone()),
+        state,
+        since: now,
+        valid_until: now + lease_left,
+        lapse_by: now + lease_left.max(lease) + LAPSE_MARGIN,
+        due_at: now,
+        may_have_started: state != MemberState::Held,
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/planner/state.rs
@@ -0,0 +1,354 @@
+//! The state of one zone's planner, and the single entry point by which events
+//! change it. The passes over the state are in the modules beside this one.
+
+use std::fmt::{self, Display, Formatter};
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+use crate::prelude::*;
+use crate::process::planner::action::PlannerAction;
+use crate::process::planner::event::{AcceptedJob, PlannerEvent, SeatTerm, WorkerRecord};
+use crate::process::planner::job_entry::{JobEntry, JobPhase, JobStage, JobView, StopPurpose};
+use crate::process::planner::job_queue::{DelayedJob, JobKind, JobQueue, QueuedJob};
+use crate::process::planner::ledger::CapacityLedger;
+use crate::process::planner::worker_entry::WorkerEntry;
+use crate::version::settings::{ConfigVersion, SystemSettings};
+
+/// Most closed jobs that are remembered against repeated events.
+const CLOSED_JOBS: usize = 10_000;
+
+/// Rules by which waiting jobs are placed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PlannerPolicy {
+    /// In order of arrival, on the first workers that have room.
+    FirstFit,
+}
+
+/// The seat while it is held.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SeatHold {
+    /// Term of the seat.
+    pub term: SeatTerm,
+    /// When the planner learned that it holds the seat.
+    pub gained_at: MonotonicTime,
+    /// Whether every worker has been asked for its tasks and the jobs found
+    /// there were taken over. Nothing is started before.
+    pub rebuilt: bool,
+}
+
+/// The planner of one availability zone.
+#[derive(Debug)]
+pub struct PlannerState {
+    /// Its zone.
+    pub(super) zone: ZoneName,
+    /// Its placement rules.
+    pub(super) policy: PlannerPolicy,
+    /// Version of the settings; never goes back.
+    pub(super) version: ConfigVersion,
+    /// Settings in force.
+    pub(super) settings: Arc<SystemSettings>,
+    /// The seat, while held.
+    pub(super) seat: Option<SeatHold>,
+    /// Workers of the zone; the same ones as in the ledger.
+    pub(super) workers: BTreeMap<WorkerName, WorkerEntry>,
+    /// Capacity of the workers.
+    pub(super) ledger: CapacityLedger,
+    /// Open jobs.
+    pub(super) jobs: BTreeMap<JobId, JobEntry>,
+    /// Exactly the jobs in stage `Queued`, and none without a held seat.
+    pub(super) queue: JobQueue,
+    /// Jobs closed of late, which repeated events must not open again.
+    pub(super) closed: BTreeSet<JobId>,
+    /// The same jobs in the order of closing.
+    closed_order: std::collections::VecDeque<JobId>,
+    /// Source of randomness for backoff.
+    pub(super) random: ChaCha8Rng,
+}
+
+impl PlannerState {
+    /// A planner that knows nothing yet.
+    pub fn new(zone: ZoneName, seed: u64) -> Self {
+        Self::with_policy(zone, seed, PlannerPolicy::FirstFit)
+    }
+
+    /// A planner with chosen placement rules.
+    pub fn with_policy(zone: ZoneName, seed: u64, policy: PlannerPolicy) -> Self {
+        Self {
+            zone,
+            policy,
+            version: ConfigVersion::default(),
+            settings: Arc::new(SystemSettings::default()),
+            seat: None,
+            workers: BTreeMap::new(),
+            ledger: CapacityLedger::default(),
+            jobs: BTreeMap::new(),
+            queue: JobQueue::default(),
+            closed: BTreeSet::new(),
+            closed_order: std::collections::VecDeque::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes one event in and appends what is to be done about it.
+    pub fn handle(
+        &mut self,
+        now: MonotonicTime,
+        event: PlannerEvent,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        self.apply(now, event, actions);
+        self.rebuild(now, actions);
+        self.schedule(now, actions);
+    }
+
+    fn apply(&mut self, now: MonotonicTime, event: PlannerEvent, actions: &mut Vec<PlannerAction>) {
+        match event {
+            PlannerEvent::ConfigAdopted { version, settings } => {
+                self.adopt_config(version, settings);
+            }
+            PlannerEvent::SeatGained { term } => self.gain_seat(now, term, actions),
+            PlannerEvent::SeatLost => self.lose_seat(),
+            PlannerEvent::WorkerSeen { worker } => self.see_worker(now, worker, actions),
+            PlannerEvent::WorkerGone { worker } => self.lose_worker(&worker),
+            PlannerEvent::TasksListed {
+                worker,
+                incarnation,
+                tasks,
+            } => self.take_list(now, &worker, incarnation, &tasks, actions),
+            PlannerEvent::ListFailed { worker } => self.fail_list(now, &worker),
+            PlannerEvent::JobAccepted { job } => self.accept_job(now, job),
+            PlannerEvent::JobCancelled { job } => {
+                self.begin_stop(now, &job, StopPurpose::Cancel, actions);
+            }
+            PlannerEvent::JobClosed { job } | PlannerEvent::EndRecorded { job } => {
+                self.begin_stop(now, &job, StopPurpose::Close, actions);
+            }
+            PlannerEvent::ReserveAnswered { task, result } => {
+                self.take_reserve(now, &task, result, actions);
+            }
+            PlannerEvent::StartRecorded { job, attempt } => {
+                self.start_gang(now, &job, attempt, actions);
+            }
+            PlannerEvent::StartAnswered { task, result } => {
+                self.take_start(now, &task, result, actions);
+            }
+            PlannerEvent::RenewAnswered { worker, result } => {
+                self.take_renewal(now, &worker, result, actions);
+            }
+            PlannerEvent::CheckpointAnswered { task, result } => {
+                self.take_checkpoint(now, &task, result, actions);
+            }
+            PlannerEvent::StopAnswered { task, result } => {
+                self.take_stop(now, &task, result, actions);
+            }
+            PlannerEvent::UsageReported { .. } => {}
+            PlannerEvent::Tick => self.pass_time(now, actions),
+        }
+    }
+
+    /// Every open job, in the order of identifiers.
+    pub fn job_views(&self) -> Vec<JobView> {
+        self.jobs
+            .values()
+            .map(|entry| JobView {
+                id: entry.job.id.clone(),
+                customer: entry.job.customer.clone(),
+                class: entry.job.class.clone(),
+                phase: JobPhase::from(&entry.stage),
+                attempt: entry.attempt,
+                workers: entry.members.iter().map(|m| m.worker.clone()).collect(),
+            })
+            .collect()
+    }
+
+    /// Whether the seat is held and the state of the workers is known.
+    pub fn is_active(&self) -> bool {
+        self.seat.is_some_and(|seat| seat.rebuilt)
+    }
+
+    fn adopt_config(&mut self, version: ConfigVersion, settings: Arc<SystemSettings>) {
+        if version < self.version {
+            return;
+        }
+        self.version = version;
+        self.settings = settings;
+        for entry in self.jobs.values_mut() {
+            if entry.class.is_none() {
+                entry.class = self
+                    .settings
+                    .classes
+                    .get(&entry.job.class)
+                    .cloned()
+                    .map(Arc::new);
+            }
+        }
+    }
+
+    fn see_worker(
+        &mut self,
+        now: MonotonicTime,
+        record: WorkerRecord,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let entry = self.workers.entry(record.name.clone()).or_default();
+        if record.incarnation < entry.incarnation {
+            return;
+        }
+        let restarted = record.incarnation > entry.incarnation;
+        entry.leaving = record.leaving || (entry.leaving && !restarted);
+        entry.incarnation = record.incarnation;
+        entry.gone = false;
+        if restarted {
+            entry.listed = false;
+            entry.list_asked = None;
+        }
+        let name = record.name.clone();
+        self.ledger.see_worker(record);
+        if restarted {
+            self.ask_list(now, &name, actions);
+        }
+    }
+
+    fn lose_worker(&mut self, name: &WorkerName) {
+        if let Some(entry) = self.workers.get_mut(name) {
+            entry.gone = true;
+        }
+        self.forget_worker(name);
+    }
+
+    /// Drops a worker that is no longer listed and holds nothing.
+    pub(super) fn forget_worker(&mut self, name: &WorkerName) {
+        let is_gone = self.workers.get(name).is_some_and(|entry| entry.gone);
+        let is_empty = self
+            .ledger
+            .worker(name)
+            .is_none_or(|w| w.holdings.is_empty());
+        if is_gone && is_empty {
+            self.workers.remove(name);
+            self.ledger.remove_worker(name);
+        }
+    }
+
+    fn accept_job(&mut self, now: MonotonicTime, job: AcceptedJob) {
+        if self.closed.contains(&job.id) || job.zone != self.zone {
+            return;
+        }
+        if let Some(entry) = self.jobs.get_mut(&job.id) {
+            if entry.stage == JobStage::Unsettled {
+                entry.starts = entry.starts.max(job.attempts_started);
+                entry.attempt = entry.attempt.max(job.attempts_started);
+            }
+            return;
+        }
+        let class = self.settings.classes.get(&job.class).cloned().map(Arc::new);
+        let id = job.id.clone();
+        let is_new = job.attempts_started == 0;
+        self.jobs.insert(id.clone(), JobEntry::new(job, class, now));
+        if is_new && self.is_active() {
+            self.enqueue(now, &id);
+        }
+    }
+
+    /// Puts a job among those that may be tried now.
+    pub(super) fn enqueue(&mut self, now: MonotonicTime, id: &JobId) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        entry.enter(JobStage::Queued, now);
+        entry.delayed_until = None;
+        let (kind, job) = queue_place(entry);
+        self.queue.push(kind, job);
+    }
+
+    /// Puts a job among those that wait until a time.
+    pub(super) fn enqueue_later(&mut self, now: MonotonicTime, id: &JobId, until: MonotonicTime) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        entry.enter(JobStage::Queued, now);
+        entry.delayed_until = Some(until);
+        self.queue.delay(DelayedJob {
+            until,
+            id: id.clone(),
+        });
+    }
+
+    /// Takes a queued job out of the queue.
+    pub(super) fn dequeue(&mut self, id: &JobId) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if let Some(until) = entry.delayed_until.take() {
+            self.queue.remove_delayed(&DelayedJob {
+                until,
+                id: id.clone(),
+            });
+            return;
+        }
+        let (kind, job) = queue_place(entry);
+        self.queue.remove(&kind, &job);
+    }
+
+    /// Forgets a job, and remembers that it is closed.
+    pub(super) fn drop_job(&mut self, id: &JobId) {
+        self.jobs.remove(id);
+        if !self.closed.insert(id.clone()) {
+            return;
+        }
+        self.closed_order.push_back(id.clone());
+        if self.closed_order.len() > CLOSED_JOBS
+            && let Some(oldest) = self.closed_order.pop_front()
+        {
+            self.closed.remove(&oldest);
+        }
+    }
+}
+
+fn queue_place(entry: &JobEntry) -> (JobKind, QueuedJob) {
+    let kind = JobKind {
+        customer: entry.job.customer.clone(),
+        class: entry.job.class.clone(),
+    };
+    let job = QueuedJob {
+        offset: entry.job.offset,
+        id: entry.job.id.clone(),
+    };
+    (kind, job)
+}
+
+impl Display for PlannerState {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "planner {} {}", self.zone, self.version)?;
+        match self.seat {
+            Some(seat) => writeln!(f, " {} rebuilt {}", seat.term, seat.rebuilt)?,
+            None => writeln!(f, " no seat")?,
+        }
+        for (name, entry) in &self.workers {
+            writeln!(
+                f,
+                "answers {name} incarnation {} listed {} leaving {} gone {}",
+                entry.incarnation, entry.listed, entry.leaving, entry.gone
+            )?;
+        }
+        write!(f, "{}", self.ledger)?;
+        for (id, entry) in &self.jobs {
+            writeln!(
+                f,
+                "job {id} {} {} {:?} attempt {} starts {}",
+                entry.job.customer, entry.job.class, entry.stage, entry.attempt, entry.starts
+            )?;
+            for (index, member) in entry.members.iter().enumerate() {
+                writeln!(
+                    f,
+                    "  {} {} {:?} until {}",
+                    entry.key(index),
+                    member.worker,
+                    member.state,
+                    member.valid_until
+                )?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/core/tests/planner_gang.rs
@@ -0,0 +1,202 @@
+//! The two-step start of gangs and their end, in tables of faults.
+
+#[path = "support/planner_zone.rs"]
+#[allow(
+    dead_code,
+    reason = "each test file uses its own part of the fake zone"
+)]
+mod planner_zone;
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::planner::action::{JobEnding, PlannerAction};
+use flamingowalk_core::process::planner::event::{PlannerEvent, TargetFault};
+use flamingowalk_core::process::planner::job_entry::JobPhase;
+use flamingowalk_core::process::planner::state::PlannerPolicy;
+use planner_zone::{FakeZone, RequestFate};
+use rstest::rstest;
+
+fn open_zone() -> FakeZone {
+    let mut zone = FakeZone::new(1, 4, PlannerPolicy::FirstFit);
+    zone.open();
+    zone
+}
+
+#[test]
+fn start_all_members_hold_first() {
+    let mut zone = open_zone();
+    zone.submit("j1", "gang");
+    let reserves: Vec<PlannerAction> = zone.pending.drain(..).collect();
+    assert!(
+        reserves
+            .iter()
+            .all(|a| matches!(a, PlannerAction::Reserve { .. }))
+    );
+    assert_eq!(reserves.len(), 2);
+    let mut reserves = reserves.into_iter();
+    zone.carry_out(reserves.next().unwrap(), RequestFate::Answered);
+    assert!(
+        zone.pending.is_empty(),
+        "nothing may follow while one member is open"
+    );
+    zone.carry_out(reserves.next().unwrap(), RequestFate::Answered);
+    assert!(matches!(zone.pending[0], PlannerAction::RecordStart { .. }));
+    assert_eq!(zone.pending.len(), 1, "no start before its record");
+    zone.run();
+    assert_eq!(zone.phase("j1"), Some(JobPhase::Running));
+    zone.pass(70);
+    assert_eq!(zone.ending("j1"), Some(&JobEnding::Finished));
+    assert_eq!(zone.phase("j1"), None);
+}
+
+#[rstest]
+#[case::full(RequestFate::Refused(TargetFault::Full))]
+#[case::leaving(RequestFate::Refused(TargetFault::Leaving))]
+#[case::unreachable(RequestFate::Refused(TargetFault::Unreachable))]
+#[case::answer_lost(RequestFate::AnswerLost)]
+#[case::request_lost(RequestFate::RequestLost)]
+fn reserve_one_member_fails(#[case] fate: RequestFate) {
+    let mut zone = open_zone();
+    zone.submit("j1", "once");
+    let second = zone.pending.pop_back().unwrap();
+    zone.carry_out(second, fate);
+    zone.run();
+    assert_eq!(
+        zone.start_orders.len(),
+        0,
+        "a gang started without all members"
+    );
+    assert_eq!(zone.live_tasks(), 0, "a reservation was kept");
+    zone.pass(80);
+    assert_eq!(zone.ending("j1"), Some(&JobEnding::Finished));
+    assert_eq!(zone.start_orders.len(), 2);
+}
+
+#[rstest]
+#[case::idempotent_unknown("gang", RequestFate::RequestLost, "finished")]
+#[case::idempotent_refused("gang", RequestFate::Refused(TargetFault::UnknownLease), "finished")]
+#[case::once_unknown("once", RequestFate::RequestLost, "failed")]
+#[case::once_refused("once", RequestFate::Refused(TargetFault::UnknownLease), "failed")]
+#[case::once_answer_lost("once", RequestFate::AnswerLost, "finished")]
+fn start_second_member_fails(
+    #[case] class: &str,
+    #[case] fate: RequestFate,
+    #[case] expected: &str,
+) {
+    let mut zone = open_zone();
+    zone.submit("j1", class);
+    while !matches!(zone.pending[0], PlannerAction::Start { .. }) {
+        let action = zone.pending.pop_front().unwrap();
+        zone.carry_out(action, RequestFate::Answered);
+    }
+    let second = zone.pending.pop_back().unwrap();
+    zone.carry_out(second, fate);
+    zone.run();
+    zone.pass(100);
+    let ending = match zone.ending("j1") {
+        Some(JobEnding::Finished) => "finished",
+        Some(JobEnding::Failed(_)) => "failed",
+        _ => "other",
+    };
+    assert_eq!(ending, expected);
+    if class == "once" {
+        assert_eq!(zone.start_orders.len(), 2, "a second start was sent");
+    }
+}
+
+#[test]
+fn start_refused_by_all_did_not_run() {
+    let mut zone = open_zone();
+    zone.submit("j1", "once");
+    while !matches!(zone.pending[0], PlannerAction::Start { .. }) {
+        let action = zone.pending.pop_front().unwrap();
+        zone.carry_out(action, RequestFate::Answered);
+    }
+    let starts: Vec<PlannerAction> = zone.pending.drain(..).collect();
+    for start in starts {
+        zone.carry_out(start, RequestFate::Refused(TargetFault::Unreachable));
+    }
+    zone.run();
+    assert!(matches!(zone.ending("j1"), Some(JobEnding::Refused(_))));
+    assert!(zone.starts.is_empty());
+}
+
+#[rstest]
+#[case::idempotent("gang", 4)]
+#[case::non_idempotent("once", 2)]
+fn member_lost_stops_the_others(#[case] class: &str, #[case] starts: usize) {
+    let mut zone = open_zone();
+    zone.submit("j1", class);
+    zone.run();
+    assert_eq!(zone.phase("j1"), Some(JobPhase::Running));
+    zone.kill("w00");
+    zone.pass(130);
+    assert_eq!(zone.start_orders.len(), starts);
+    match class {
+        "gang" => assert_eq!(zone.ending("j1"), Some(&JobEnding::Finished)),
+        _ => assert!(matches!(zone.ending("j1"), Some(JobEnding::Failed(_)))),
+    }
+}
+
+#[test]
+fn record_delayed_keeps_reservations() {
+    let mut zone = open_zone();
+    zone.submit("j1", "once");
+    zone.log_is_up = false;
+    zone.run();
+    zone.pass(60);
+    assert_eq!(zone.phase("j1"), Some(JobPhase::Reserving));
+    assert_eq!(zone.live_tasks(), 2);
+    zone.log_is_up = true;
+    let job = JobId::from("j1");
+    zone.send(PlannerEvent::StartRecorded { job, attempt: 1 });
+    zone.run();
+    assert_eq!(zone.phase("j1"), Some(JobPhase::Running));
+}
+
+#[rstest]
+#[case::queued(0)]
+#[case::reserving(1)]
+#[case::recording(3)]
+#[case::starting(4)]
+#[case::running(5)]
+fn cancel_at_each_stage(#[case] actions: usize) {
+    let mut zone = open_zone();
+    for name in ["f1", "f2"] {
+        zone.submit(name, "gang");
+    }
+    zone.run();
+    if actions > 0 {
+        zone.pass(61);
+    }
+    zone.submit("j1", "once");
+    for _ in 0..actions {
+        let action = zone.pending.pop_front().unwrap();
+        zone.carry_out(action, RequestFate::Answered);
+    }
+    let job = JobId::from("j1");
+    zone.send(PlannerEvent::JobCancelled { job });
+    zone.run();
+    assert_eq!(zone.ending("j1"), Some(&JobEnding::Cancelled));
+    assert_eq!(zone.phase("j1"), None);
+}
+
+#[test]
+fn accept_repeated_after_end() {
+    let mut zone = open_zone();
+    let job = zone.accepted("j1", "small");
+    zone.send(PlannerEvent::JobAccepted { job: job.clone() });
+    zone.run();
+    zone.pass(70);
+    zone.send(PlannerEvent::JobAccepted { job });
+    zone.pass(70);
+    assert_eq!(zone.ending("j1"), Some(&JobEnding::Finished));
+    assert_eq!(zone.start_orders.len(), 1);
+}
+
+#[test]
+fn dump_running_gang() {
+    let mut zone = open_zone();
+    zone.submit("j1", "gang");
+    zone.run();
+    insta::assert_snapshot!(zone.state.to_string());
+}
--- /dev/null
+++ b/crates/core/tests/planner_rebuild.rs
@@ -0,0 +1,157 @@
+//! Gaining the seat: what runs is taken over, nothing starts before.
+
+#[path = "support/planner_zone.rs"]
+#[allow(
+    dead_code,
+    reason = "each test file uses its own part of the fake zone"
+)]
+mod planner_zone;
+
+use flamingowalk_core::process::planner::action::{JobEnding, PlannerAction};
+use flamingowalk_core::process::planner::event::PlannerEvent;
+use flamingowalk_core::process::planner::job_entry::JobPhase;
+use flamingowalk_core::process::planner::state::{PlannerPolicy, PlannerState};
+use planner_zone::{FakeZone, RequestFate};
+use rstest::rstest;
+
+fn open_zone() -> FakeZone {
+    let mut zone = FakeZone::new(1, 4, PlannerPolicy::FirstFit);
+    zone.open();
+    zone
+}
+
+/// Replaces the planner by a new one that knows only workers and records.
+fn change_planner(zone: &mut FakeZone, jobs: &[(&str, &str, u32)]) {
+    zone.state = PlannerState::with_policy("zone-a".into(), 8, PlannerPolicy::FirstFit);
+    zone.pending.clear();
+    let records: Vec<_> = zone.workers.values().map(|w| w.record.clone()).collect();
+    for worker in records {
+        zone.send(PlannerEvent::WorkerSeen { worker });
+    }
+    zone.adopt();
+    for (id, class, attempts_started) in jobs {
+        let mut job = zone.accepted(id, class);
+        job.attempts_started = *attempts_started;
+        zone.send(PlannerEvent::JobAccepted { job });
+    }
+    zone.gain_seat();
+}
+
+#[test]
+fn rebuild_running_gang_is_adopted() {
+    let mut zone = open_zone();
+    zone.submit("j1", "once");
+    zone.run();
+    change_planner(&mut zone, &[("j1", "once", 1), ("j2", "small", 0)]);
+    let only_lists = |a: &PlannerAction| matches!(a, PlannerAction::ListTasks { .. });
+    assert!(
+        zone.pending.iter().all(only_lists),
+        "acted before the workers answered"
+    );
+    zone.run();
+    assert_eq!(zone.phase("j1"), Some(JobPhase::Running));
+    assert_eq!(zone.phase("j2"), Some(JobPhase::Running));
+    zone.pass(70);
+    assert_eq!(zone.ending("j1"), Some(&JobEnding::Finished));
+    assert_eq!(zone.start_orders.len(), 3);
+}
+
+#[rstest]
+#[case::idempotent("gang", "finished", 4)]
+#[case::non_idempotent("once", "failed", 2)]
+fn rebuild_half_started_gang(#[case] class: &str, #[case] expected: &str, #[case] starts: usize) {
+    let mut zone = open_zone();
+    zone.submit("j1", class);
+    while zone.start_orders.is_empty() {
+        let action = zone.pending.pop_front().unwrap();
+        zone.carry_out(action, RequestFate::Answered);
+    }
+    zone.start_orders.push(zone.start_orders[0].clone());
+    change_planner(&mut zone, &[("j1", class, 1)]);
+    zone.run();
+    zone.pass(90);
+    let ending = match zone.ending("j1") {
+        Some(JobEnding::Finished) => "finished",
+        Some(JobEnding::Failed(_)) => "failed",
+        _ => "other",
+    };
+    assert_eq!(ending, expected);
+    assert_eq!(zone.start_orders.len(), starts);
+}
+
+#[test]
+fn rebuild_reserved_only_runs_once() {
+    let mut zone = open_zone();
+    zone.log_is_up = false;
+    zone.submit("j1", "once");
+    zone.run();
+    zone.log_is_up = true;
+    change_planner(&mut zone, &[("j1", "once", 1)]);
+    zone.run();
+    zone.pass(90);
+    assert_eq!(zone.ending("j1"), Some(&JobEnding::Finished));
+    assert_eq!(zone.start_orders.len(), 2);
+}
+
+#[test]
+fn rebuild_waits_for_leases_of_silent_worker() {
+    let mut zone = open_zone();
+    zone.submit("j1", "once");
+    zone.run();
+    zone.kill("w00");
+    change_planner(&mut zone, &[("j1", "once", 1), ("j2", "small", 0)]);
+    zone.run();
+    zone.pass(2);
+    assert_eq!(
+        zone.phase("j2"),
+        Some(JobPhase::Running),
+        "others need not wait"
+    );
+    assert_eq!(
+        zone.ending("j1"),
+        None,
+        "it may still run on the silent worker"
+    );
+    zone.pass(20);
+    assert!(matches!(zone.ending("j1"), Some(JobEnding::Failed(_))));
+}
+
+#[test]
+fn rebuild_unknown_task_is_stopped() {
+    let mut zone = open_zone();
+    zone.submit("j1", "gang");
+    zone.run();
+    change_planner(&mut zone, &[]);
+    zone.run();
+    assert_eq!(zone.live_tasks(), 0);
+}
+
+#[test]
+fn rebuild_ending_is_recorded_again() {
+    let mut zone = open_zone();
+    zone.submit("j1", "small");
+    zone.run();
+    zone.log_is_up = false;
+    zone.pass(70);
+    assert_eq!(zone.phase("j1"), Some(JobPhase::Ending));
+    zone.log_is_up = true;
+    zone.send(PlannerEvent::SeatLost);
+    zone.gain_seat();
+    zone.run();
+    assert_eq!(zone.ending("j1"), Some(&JobEnding::Finished));
+}
+
+#[test]
+fn seat_lost_starts_nothing() {
+    let mut zone = open_zone();
+    zone.submit("j1", "once");
+    while !matches!(zone.pending[0], PlannerAction::RecordStart { .. }) {
+        let action = zone.pending.pop_front().unwrap();
+        zone.carry_out(action, RequestFate::Answered);
+    }
+    zone.send(PlannerEvent::SeatLost);
+    zone.submit("j2", "small");
+    zone.run();
+    zone.pass(30);
+    assert!(zone.start_orders.is_empty());
+}
--- /dev/null
+++ b/crates/core/tests/support/planner_zone.rs
@@ -0,0 +1,561 @@
+//! A zone of fake workers around a planner, on a virtual clock. The workers keep
+//! their own truth: leases, tasks and how often each job was really started.
+
+use std::collections::VecDeque;
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::planner::action::{JobEnding, PlannerAction, TaskDemand};
+use flamingowalk_core::process::planner::event::{
+    AcceptedJob, ListedState, ListedTask, PlannerEvent, SeatTerm, TargetFault, TaskKey,
+    WorkerRecord,
+};
+use flamingowalk_core::process::planner::job_entry::{JobPhase, JobView};
+use flamingowalk_core::process::planner::state::{PlannerPolicy, PlannerState};
+use flamingowalk_core::version::settings::{
+    BlockAdjacency, ConfigVersion, JobClass, JobPriority, PolicySettings, SystemSettings,
+    ZoneSettings,
+};
+
+/// What becomes of one request to a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestFate {
+    /// It takes effect and is answered.
+    Answered,
+    /// It takes effect; the answer is lost.
+    AnswerLost,
+    /// It does not take effect and gets no answer.
+    RequestLost,
+    /// The worker refuses it.
+    Refused(TargetFault),
+    /// It takes effect and the answer comes twice.
+    AnsweredTwice,
+    /// It takes effect later, before any request that follows it is answered.
+    Delayed,
+}
+
+/// One task on a fake worker.
+#[derive(Clone, Debug)]
+pub struct FakeTask {
+    pub demand: TaskDemand,
+    pub state: ListedState,
+    pub accelerators: Vec<u32>,
+    pub started_at: MonotonicTime,
+    pub lease_until: MonotonicTime,
+}
+
+/// One fake worker.
+#[derive(Clone, Debug)]
+pub struct FakeWorker {
+    pub record: WorkerRecord,
+    pub tasks: BTreeMap<TaskKey, FakeTask>,
+    pub is_dead: bool,
+    pub fails_everything: bool,
+}
+
+/// A zone with its planner.
+pub struct FakeZone {
+    pub state: PlannerState,
+    pub now: MonotonicTime,
+    pub workers: BTreeMap<WorkerName, FakeWorker>,
+    pub pending: VecDeque<PlannerAction>,
+    pub delayed: VecDeque<PlannerAction>,
+    pub settings: SystemSettings,
+    /// Real starts of each task; a repeat would be a second run.
+    pub starts: BTreeMap<TaskKey, u32>,
+    /// `Start` actions of the planner.
+    pub start_orders: Vec<TaskKey>,
+    pub recorded_starts: BTreeMap<JobId, u32>,
+    pub endings: BTreeMap<JobId, Vec<JobEnding>>,
+    pub run_time: Duration,
+    pub next_offset: u64,
+    pub term: u64,
+    pub log_is_up: bool,
+}
+
+impl FakeZone {
+    pub fn new(racks: u32, workers_per_rack: u32, policy: PlannerPolicy) -> Self {
+        let mut zone = Self {
+            state: PlannerState::with_policy("zone-a".into(), 7, policy),
+            now: MonotonicTime::from_secs(100),
+            workers: BTreeMap::new(),
+            pending: VecDeque::new(),
+            delayed: VecDeque::new(),
+            settings: settings(racks, workers_per_rack),
+            starts: BTreeMap::new(),
+            start_orders: Vec::new(),
+            recorded_starts: BTreeMap::new(),
+            endings: BTreeMap::new(),
+            run_time: Duration::from_mins(1),
+            next_offset: 1,
+            term: 0,
+            log_is_up: true,
+        };
+        for index in 0..racks * workers_per_rack {
+            let record = worker_record(index, index / workers_per_rack);
+            let worker = FakeWorker {
+                record: record.clone(),
+                tasks: BTreeMap::new(),
+                is_dead: false,
+                fails_everything: false,
+            };
+            zone.workers.insert(record.name.clone(), worker);
+            zone.send(PlannerEvent::WorkerSeen { worker: record });
+        }
+        zone
+    }
+
+    /// Adopts the settings, gains the seat and lets the workers list their tasks.
+    pub fn open(&mut self) {
+        self.adopt();
+        self.gain_seat();
+        self.run();
+    }
+
+    pub fn adopt(&mut self) {
+        let event = PlannerEvent::ConfigAdopted {
+            version: ConfigVersion(1),
+            settings: Arc::new(self.settings.clone()),
+        };
+        self.send(event);
+    }
+
+    pub fn gain_seat(&mut self) {
+        self.term += 1;
+        let term = SeatTerm(self.term);
+        self.send(PlannerEvent::SeatGained { term });
+    }
+
+    pub fn send(&mut self, event: PlannerEvent) {
+        let mut actions = Vec::new();
+        self.state.handle(self.now, event, &mut actions);
+        self.pending.extend(actions);
+    }
+
+    pub fn submit(&mut self, id: &str, class: &str) {
+        let job = self.accepted(id, class);
+        self.send(PlannerEvent::JobAccepted { job });
+    }
+
+    pub fn accepted(&mut self, id: &str, class: &str) -> AcceptedJob {
+        let offset = self.next_offset;
+        self.next_offset += 1;
+        AcceptedJob {
+            id: id.into(),
+            customer: "north".into(),
+            class: class.into(),
+            zone: "zone-a".into(),
+            offset,
+            accepted_at: WallTime(0),
+            start_within: None,
+            attempts_started: 0,
+        }
+    }
+
+    /// Carries out every pending action with the usual fate.
+    pub fn run(&mut self) {
+        while let Some(action) = self.pending.pop_front() {
+            self.carry_out(action, RequestFate::Answered);
+        }
+    }
+
+    /// Lets time pass in seconds, with a tick and all actions in each.
+    pub fn pass(&mut self, seconds: u64) {
+        for _ in 0..seconds {
+            self.advance(Duration::from_secs(1));
+            self.send(PlannerEvent::Tick);
+            self.run();
+        }
+    }
+
+    /// Moves the clock; the workers end what has lapsed or run its time.
+    pub fn advance(&mut self, step: Duration) {
+        self.now = self.now + step;
+        let now = self.now;
+        let run_time = self.run_time;
+        for worker in self.workers.values_mut() {
+            let fails = worker.fails_everything;
+            for task in worker.tasks.values_mut() {
+                task.pass_time(now, run_time, fails);
+            }
+        }
+    }
+
+    pub fn view(&self, id: &str) -> Option<JobView> {
+        self.state
+            .job_views()
+            .into_iter()
+            .find(|view| view.id.as_str() == id)
+    }
+
+    pub fn phase(&self, id: &str) -> Option<JobPhase> {
+        self.view(id).map(|view| view.phase)
+    }
+
+    pub fn ending(&self, id: &str) -> Option<&JobEnding> {
+        let endings = self.endings.get(&JobId::from(id))?;
+        assert_eq!(endings.len(), 1, "{id} ended more than once: {endings:?}");
+        endings.first()
+    }
+
+    pub fn kill(&mut self, worker: &str) {
+        let name = WorkerName::from(worker);
+        self.workers.get_mut(&name).unwrap().is_dead = true;
+    }
+
+    pub fn live_tasks(&self) -> usize {
+        let tasks = self
+            .workers
+            .values()
+            .flat_map(|worker| worker.tasks.values());
+        tasks.filter(|task| task.is_live()).count()
+    }
+
+    /// Carries out one action with the given fate and tells the planner.
+    pub fn carry_out(&mut self, action: PlannerAction, fate: RequestFate) {
+        match action {
+            PlannerAction::RecordStart { job, attempt, .. } => {
+                if !self.log_is_up {
+                    return;
+                }
+                *self.recorded_starts.entry(job.clone()).or_default() += 1;
+                self.send(PlannerEvent::StartRecorded { job, attempt });
+            }
+            PlannerAction::RecordEnd { job, ending } => {
+                if !self.log_is_up {
+                    return;
+                }
+                self.endings.entry(job.clone()).or_default().push(ending);
+                self.send(PlannerEvent::EndRecorded { job });
+            }
+            request => self.ask_worker(request, fate),
+        }
+    }
+
+    fn ask_worker(&mut self, action: PlannerAction, fate: RequestFate) {
+        if let PlannerAction::Start { task, .. } = &action {
+            self.start_orders.push(task.clone());
+        }
+        let name = worker_of(&action).expect("action without a worker");
+        let is_dead = self.workers.get(&name).is_none_or(|worker| worker.is_dead);
+        let fate = if is_dead {
+            RequestFate::Refused(TargetFault::Unreachable)
+        } else {
+            fate
+        };
+        match fate {
+            RequestFate::Answered => {
+                let event = self.take_effect(&action);
+                self.send(event);
+            }
+            RequestFate::AnsweredTwice => {
+                let event = self.take_effect(&action);
+                self.send(event.clone());
+                self.send(event);
+            }
+            RequestFate::AnswerLost => {
+                self.take_effect(&action);
+                self.send(refusal(&action, TargetFault::OutcomeUnknown));
+            }
+            RequestFate::RequestLost => {
+                self.send(refusal(&action, TargetFault::OutcomeUnknown));
+            }
+            RequestFate::Refused(fault) => self.send(refusal(&action, fault)),
+            RequestFate::Delayed => self.delayed.push_back(action),
+        }
+    }
+
+    /// Lets one delayed request take effect and be answered.
+    pub fn deliver_delayed(&mut self) {
+        if let Some(action) = self.delayed.pop_front() {
+            let name = worker_of(&action).unwrap();
+            if self.workers[&name].is_dead {
+                self.send(refusal(&action, TargetFault::Unreachable));
+                return;
+            }
+            let event = self.take_effect(&action);
+            self.send(event);
+        }
+    }
+
+    fn take_effect(&mut self, action: &PlannerAction) -> PlannerEvent {
+        let now = self.now;
+        let name = worker_of(action).unwrap();
+        let worker = self.workers.get_mut(&name).unwrap();
+        match action {
+            PlannerAction::ListTasks { .. } => PlannerEvent::TasksListed {
+                worker: name,
+                incarnation: worker.record.incarnation,
+                tasks: worker.list(now),
+            },
+            PlannerAction::Reserve {
+                task,
+                demand,
+                lease,
+                ..
+            } => PlannerEvent::ReserveAnswered {
+                task: task.clone(),
+                result: worker.reserve(task, *demand, now + *lease),
+            },
+            PlannerAction::Start { task, lease, .. } => {
+                let result = worker.start(task, now, *lease);
+                if result.is_ok() {
+                    *self.starts.entry(task.clone()).or_default() += 1;
+                }
+                PlannerEvent::StartAnswered {
+                    task: task.clone(),
+                    result,
+                }
+            }
+            PlannerAction::Renew { tasks, lease, .. } => PlannerEvent::RenewAnswered {
+                worker: name,
+                result: Ok(worker.renew(tasks, now + *lease)),
+            },
+            PlannerAction::Checkpoint { task, .. } => PlannerEvent::CheckpointAnswered {
+                task: task.clone(),
+                result: worker.save(task),
+            },
+            PlannerAction::Release { task, .. } | PlannerAction::Stop { task, .. } => {
+                PlannerEvent::StopAnswered {
+                    task: task.clone(),
+                    result: worker.stop(task),
+                }
+            }
+            PlannerAction::Throttle { .. }
+            | PlannerAction::RecordStart { .. }
+            | PlannerAction::RecordEnd { .. } => PlannerEvent::Tick,
+        }
+    }
+}
+
+impl FakeTask {
+    pub fn is_live(&self) -> bool {
+        matches!(self.state, ListedState::Reserved | ListedState::Running)
+    }
+
+    fn pass_time(&mut self, now: MonotonicTime, run_time: Duration, fails: bool) {
+        if !self.is_live() {
+            return;
+        }
+        if self.state == ListedState::Running && fails {
+            self.state = ListedState::Failed("broken worker".into());
+        } else if self.state == ListedState::Running && now.since(self.started_at) >= run_time {
+            self.state = ListedState::Finished;
+        } else if now >= self.lease_until {
+            self.state = ListedState::Lapsed;
+        }
+    }
+}
+
+impl FakeWorker {
+    fn used(&self) -> (BTreeSet<u32>, TaskDemand) {
+        let mut taken = BTreeSet::new();
+        let mut used = TaskDemand::default();
+        for task in self.tasks.values().filter(|task| task.is_live()) {
+            taken.extend(task.accelerators.iter().copied());
+            used.slots += task.demand.slots;
+            used.cores += task.demand.cores;
+            used.memory_mb += task.demand.memory_mb;
+        }
+        (taken, used)
+    }
+
+    fn reserve(
+        &mut self,
+        key: &TaskKey,
+        demand: TaskDemand,
+        lease_until: MonotonicTime,
+    ) -> Result<Vec<u32>, TargetFault> {
+        if self.record.leaving {
+            return Err(TargetFault::Leaving);
+        }
+        if let Some(task) = self.tasks.get(key) {
+            return Ok(task.accelerators.clone());
+        }
+        let (taken, used) = self.used();
+        let record = &self.record;
+        let fits = used.slots + demand.slots <= record.slots
+            && used.cores + demand.cores <= record.cores
+            && used.memory_mb + demand.memory_mb <= record.memory_mb;
+        let starts = 0..(record.accelerators + 1).saturating_sub(demand.accelerators);
+        let block = starts
+            .map(|first| (first..first + demand.accelerators).collect::<Vec<u32>>())
+            .find(|block| block.iter().all(|number| !taken.contains(number)));
+        let Some(accelerators) = block.filter(|_| fits) else {
+            return Err(TargetFault::Full);
+        };
+        let task = FakeTask {
+            demand,
+            state: ListedState::Reserved,
+            accelerators: accelerators.clone(),
+            started_at: MonotonicTime::default(),
+            lease_until,
+        };
+        self.tasks.insert(key.clone(), task);
+        Ok(accelerators)
+    }
+
+    fn start(
+        &mut self,
+        key: &TaskKey,
+        now: MonotonicTime,
+        lease: Duration,
+    ) -> Result<(), TargetFault> {
+        let task = self.tasks.get_mut(key).ok_or(TargetFault::UnknownLease)?;
+        if task.state != ListedState::Reserved {
+            return Err(TargetFault::UnknownLease);
+        }
+        task.state = ListedState::Running;
+        task.started_at = now;
+        task.lease_until = now + lease;
+        Ok(())
+    }
+
+    fn renew(&mut self, keys: &[TaskKey], until: MonotonicTime) -> Vec<TaskKey> {
+        let mut unknown = Vec::new();
+        for key in keys {
+            match self.tasks.get_mut(key).filter(|task| task.is_live()) {
+                Some(task) => task.lease_until = task.lease_until.max(until),
+                None => unknown.push(key.clone()),
+            }
+        }
+        unknown
+    }
+
+    fn save(&mut self, key: &TaskKey) -> Result<String, TargetFault> {
+        let task = self.tasks.get_mut(key).ok_or(TargetFault::UnknownLease)?;
+        if task.state != ListedState::Running {
+            return Err(TargetFault::UnknownLease);
+        }
+        task.state = ListedState::Checkpointed(format!("save-{key}"));
+        Ok(format!("save-{key}"))
+    }
+
+    fn stop(&mut self, key: &TaskKey) -> Result<(), TargetFault> {
+        let task = self.tasks.get_mut(key).ok_or(TargetFault::UnknownLease)?;
+        if task.is_live() {
+            task.state = ListedState::Stopped;
+        }
+        Ok(())
+    }
+
+    fn list(&self, now: MonotonicTime) -> Vec<ListedTask> {
+        let listed = |(key, task): (&TaskKey, &FakeTask)| ListedTask {
+            key: key.clone(),
+            state: task.state.clone(),
+            accelerators: if task.is_live() {
+                task.accelerators.clone()
+            } else {
+                Vec::new()
+            },
+            cores: task.demand.cores,
+            memory_mb: task.demand.memory_mb,
+            run_time: now.since(task.started_at),
+            lease_left: task.lease_until.since(now),
+        };
+        self.tasks.iter().map(listed).collect()
+    }
+}
+
+fn worker_of(action: &PlannerAction) -> Option<WorkerName> {
+    match action {
+        PlannerAction::ListTasks { worker }
+        | PlannerAction::Reserve { worker, .. }
+        | PlannerAction::Release { worker, .. }
+        | PlannerAction::Start { worker, .. }
+        | PlannerAction::Renew { worker, .. }
+        | PlannerAction::Checkpoint { worker, .. }
+        | PlannerAction::Throttle { worker, .. }
+        | PlannerAction::Stop { worker, .. } => Some(worker.clone()),
+        PlannerAction::RecordStart { .. } | PlannerAction::RecordEnd { .. } => None,
+    }
+}
+
+fn refusal(action: &PlannerAction, fault: TargetFault) -> PlannerEvent {
+    match action.clone() {
+        PlannerAction::ListTasks { worker } => PlannerEvent::ListFailed { worker },
+        PlannerAction::Reserve { task, .. } => PlannerEvent::ReserveAnswered {
+            task,
+            result: Err(fault),
+        },
+        PlannerAction::Start { task, .. } => PlannerEvent::StartAnswered {
+            task,
+            result: Err(fault),
+        },
+        PlannerAction::Renew { worker, .. } => PlannerEvent::RenewAnswered {
+            worker,
+            result: Err(fault),
+        },
+        PlannerAction::Checkpoint { task, .. } => PlannerEvent::CheckpointAnswered {
+            task,
+            result: Err(fault),
+        },
+        PlannerAction::Release { task, .. } | PlannerAction::Stop { task, .. } => {
+            PlannerEvent::StopAnswered {
+                task,
+                result: Err(fault),
+            }
+        }
+        PlannerAction::Throttle { .. }
+        | PlannerAction::RecordStart { .. }
+        | PlannerAction::RecordEnd { .. } => PlannerEvent::Tick,
+    }
+}
+
+pub fn worker_record(index: u32, rack: u32) -> WorkerRecord {
+    WorkerRecord {
+        name: WorkerName::from(format!("w{index:02}")),
+        rack: RackName::from(format!("rack-{rack}")),
+        incarnation: 1,
+        leaving: false,
+        services: BTreeSet::from([ServiceName::from("plan")]),
+        slots: 8,
+        cores: 32,
+        memory_mb: 65_536,
+        accelerators: 8,
+    }
+}
+
+pub fn class(tasks: u32, accelerators: u32) -> JobClass {
+    JobClass {
+        customer: None,
+        service: "plan".into(),
+        tasks,
+        accelerators,
+        cores: 2,
+        memory_mb: 1_024,
+        adjacency: BlockAdjacency::Zone,
+        run_time: Duration::from_mins(1),
+        priority: JobPriority::Normal,
+        idempotent: true,
+        checkpoint: false,
+        attempts: 3,
+    }
+}
+
+fn settings(racks: u32, workers_per_rack: u32) -> SystemSettings {
+    let zone = ZoneSettings {
+        region: "region".into(),
+        racks,
+        workers_per_rack,
+        accelerators_per_worker: 8,
+        cores_per_worker: 32,
+        memory_mb_per_worker: 65_536,
+        slots_per_worker: 8,
+        connections_per_worker: 64,
+    };
+    let once = JobClass {
+        idempotent: false,
+        attempts: 1,
+        ..class(2, 8)
+    };
+    SystemSettings {
+        zones: BTreeMap::from([("zone-a".into(), zone)]),
+        classes: BTreeMap::from([
+            ("small".into(), class(1, 1)),
+            ("gang".into(), class(2, 8)),
+            ("once".into(), once),
+        ]),
+        policy: PolicySettings::default(),
+        ..SystemSettings::default()
+    }
+}
