--- a/crates/cli/src/caller_verbs.rs
+++ b/crates/cli/src/caller_verbs.rs
@@ -41,12 +41,21 @@
     let unknown = |detail: String| {
         CommandFault::Unknown(format!("{} gave no whole answer ({detail})", options.host))
     };
-    let response = client.request(request).await.map_err(|error| unknown(error.to_string()))?;
+    let response = client
+        .request(request)
+        .await
+        .map_err(|error| unknown(error.to_string()))?;
     let status = response.status();
     let whole = response.into_body().collect().await;
-    let body = whole.map_err(|error| unknown(error.to_string()))?.to_bytes();
+    let body = whole
+        .map_err(|error| unknown(error.to_string()))?
+        .to_bytes();
     let text = String::from_utf8_lossy(&body).into_owned();
-    if status.is_success() { Ok(text) } else { Err(status_fault(status.as_u16(), text)) }
+    if status.is_success() {
+        Ok(text)
+    } else {
+        Err(status_fault(status.as_u16(), text))
+    }
 }
 
 /// Submits one job.
@@ -63,7 +72,13 @@
     };
     let client = HttpClient::default();
     let status: JobStatus = client
-        .exchange_json(options.host, Method::POST, "/v1/jobs", Some(&submission), REQUEST_TIMEOUT)
+        .exchange_json(
+            options.host,
+            Method::POST,
+            "/v1/jobs",
+            Some(&submission),
+            REQUEST_TIMEOUT,
+        )
         .await?;
     Ok(render_jobs(&[status], options.output))
 }
@@ -78,19 +93,22 @@
     job: Option<String>,
 ) -> Result<String, CommandFault> {
     let client = HttpClient::default();
-    match job {
-        Some(job) => {
-            let path = format!("/v1/jobs/{job}");
-            let status = ask_job(&client, host, Method::GET, &path).await?;
-            Ok(render_jobs(&[status], output))
-        }
-        None => {
-            let status: HostStatus = client
-                .exchange_json(host, Method::GET, "/v1/status", None::<&()>, REQUEST_TIMEOUT)
-                .await?;
-            Ok(render_host(&status, output))
-        }
+    if let Some(job) = job {
+        let path = format!("/v1/jobs/{job}");
+        let status = ask_job(&client, host, Method::GET, &path).await?;
+        return Ok(render_jobs(&[status], output));
     }
+    let answer = client
+        .exchange_json(
+            host,
+            Method::GET,
+            "/v1/status",
+            None::<&()>,
+            REQUEST_TIMEOUT,
+        )
+        .await;
+    let status: HostStatus = answer?;
+    Ok(render_host(&status, output))
 }
 
 /// Asks for the end of a job.
@@ -114,7 +132,9 @@
     method: Method,
     path: &str,
 ) -> Result<JobStatus, CommandFault> {
-    let answer = client.exchange_json(host, method, path, None::<&()>, REQUEST_TIMEOUT).await;
+    let answer = client
+        .exchange_json(host, method, path, None::<&()>, REQUEST_TIMEOUT)
+        .await;
     Ok(answer?)
 }
 
@@ -123,8 +143,9 @@
     if output == OutputFormat::Json {
         return render_json(&jobs);
     }
-    let mut table =
-        TextTable::with_heads(&["JOB", "CUSTOMER", "CLASS", "ZONE", "PHASE", "WORKERS", "REASON"]);
+    let mut table = TextTable::with_heads(&[
+        "JOB", "CUSTOMER", "CLASS", "ZONE", "PHASE", "WORKERS", "REASON",
+    ]);
     for job in jobs {
         table.add(vec![
             job.id.clone(),
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -8,10 +8,13 @@
 use crate::output::OutputFormat;
 
 /// Operates flamingowalk, a scheduler for multi-accelerator jobs
-///
-/// Exit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 unreachable or unknown.
 #[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version, generate(command_options))]
+#[bpaf(
+    options,
+    version,
+    generate(command_options),
+    footer("Exit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 unreachable or unknown.")
+)]
 pub enum Command {
     /// Check an operator folder and report all its faults
     #[bpaf(command)]
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -7,6 +7,8 @@
 
 /// Exit code when the request was refused or failed.
 pub const EXIT_REFUSED: u8 = 1;
+/// Exit code when the command line itself is wrong.
+pub const EXIT_USAGE: u8 = 2;
 /// Exit code when nothing answered, or the outcome is not known.
 pub const EXIT_UNKNOWN: u8 = 3;
 
--- a/crates/cli/src/folder_verbs.rs
+++ b/crates/cli/src/folder_verbs.rs
@@ -17,16 +17,26 @@
 /// [`CommandFault::Refused`] when the folder or a file cannot be read.
 pub fn read_folder(folder: &Path) -> Result<Vec<FolderFile>, CommandFault> {
     let unreadable = |path: &Path, error: std::io::Error| {
-        let text = format!("{}: cannot be read ({error}); check the path", path.display());
+        let text = format!(
+            "{}: cannot be read ({error}); check the path",
+            path.display()
+        );
         CommandFault::Refused(text)
     };
     let entries = fs::read_dir(folder).map_err(|error| unreadable(folder, error))?;
     let mut files = Vec::new();
     for entry in entries {
         let path = entry.map_err(|error| unreadable(folder, error))?.path();
-        if path.extension().is_some_and(|ending| ending == FOLDER_ENDING) {
+        if path
+            .extension()
+            .is_some_and(|ending| ending == FOLDER_ENDING)
+        {
             let text = fs::read_to_string(&path).map_err(|error| unreadable(&path, error))?;
-            let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+            let name = path
+                .file_name()
+                .unwrap_or_default()
+                .to_string_lossy()
+                .into_owned();
             files.push(FolderFile { name, text });
         }
     }
@@ -57,7 +67,10 @@
 pub fn check(folder: &Path) -> Result<String, CommandFault> {
     let merged = checked_folder(folder)?;
     let count = merged.sections.len();
-    Ok(format!("{}: no faults in {count} sections", folder.display()))
+    Ok(format!(
+        "{}: no faults in {count} sections",
+        folder.display()
+    ))
 }
 
 /// Prints the merged folder; replaced keys follow as comments.
--- a/crates/cli/src/host_verbs.rs
+++ b/crates/cli/src/host_verbs.rs
@@ -35,8 +35,14 @@
 
 async fn ask_text(host: SocketAddr, method: Method, path: &str) -> Result<String, CommandFault> {
     let client = HttpClient::default();
-    let answer = client.exchange(host, method, path, Bytes::new(), REQUEST_TIMEOUT).await;
+    let answer = client
+        .exchange(host, method, path, Bytes::new(), REQUEST_TIMEOUT)
+        .await;
     let (status, body) = answer?;
     let text = String::from_utf8_lossy(&body).into_owned();
-    if status.is_success() { Ok(text) } else { Err(status_fault(status.as_u16(), text)) }
+    if status.is_success() {
+        Ok(text)
+    } else {
+        Err(status_fault(status.as_u16(), text))
+    }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -9,25 +9,36 @@
 pub mod host_verbs;
 pub mod output;
 pub mod publish;
+pub mod try_platform;
 pub mod try_report;
 pub mod try_run;
-pub mod try_platform;
 
 use std::process::ExitCode;
 
+use bpaf::ParseFailure;
 use tokio::task::LocalSet;
 
 use crate::command::{Command, command_options};
-use crate::exit::CommandFault;
+use crate::exit::{CommandFault, EXIT_USAGE};
+
+/// Width of help text in characters.
+const LINE_WIDTH: usize = 100;
 
 /// Reads the command line, runs the verb and returns the exit code.
 pub fn run() -> ExitCode {
-    let command = command_options().run();
+    let command = match command_options().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => return finish_usage(failure),
+    };
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
     let result = match runtime {
         Ok(runtime) => LocalSet::new().block_on(&runtime, run_command(command)),
-        Err(error) => Err(CommandFault::Refused(format!("cannot start the runtime ({error})"))),
+        Err(error) => Err(CommandFault::Refused(format!(
+            "cannot start the runtime ({error})"
+        ))),
     };
     match result {
         Ok(text) => {
@@ -41,6 +52,16 @@
     }
 }
 
+/// Prints help or what is wrong with the command line.
+fn finish_usage(failure: ParseFailure) -> ExitCode {
+    failure.print_message(LINE_WIDTH);
+    if matches!(failure, ParseFailure::Stderr(_)) {
+        ExitCode::from(EXIT_USAGE)
+    } else {
+        ExitCode::SUCCESS
+    }
+}
+
 /// Runs one verb and returns what it prints.
 ///
 /// # Errors
@@ -49,9 +70,11 @@
     match command {
         Command::Check { folder } => folder_verbs::check(&folder),
         Command::Merge { folder } => folder_verbs::merge(&folder),
-        Command::Publish { folder, log, publisher } => {
-            publish::publish(&folder, log, &publisher).await
-        }
+        Command::Publish {
+            folder,
+            log,
+            publisher,
+        } => publish::publish(&folder, log, &publisher).await,
         Command::Call(options) => caller_verbs::call(options).await,
         Command::Submit(options) => caller_verbs::submit(options).await,
         Command::Status { host, output, job } => caller_verbs::status(host, output, job).await,
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -35,7 +35,9 @@
 impl TextTable {
     /// A table with the given column heads.
     pub fn with_heads(heads: &[&str]) -> Self {
-        Self { rows: vec![heads.iter().map(|head| (*head).to_owned()).collect()] }
+        Self {
+            rows: vec![heads.iter().map(|head| (*head).to_owned()).collect()],
+        }
     }
 
     /// Adds a row; it has as many cells as there are heads.
@@ -51,7 +53,10 @@
         let widths: Vec<usize> = (0..columns).filter_map(width).collect();
         let mut text = String::new();
         for row in &self.rows {
-            let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+            let cells = row
+                .iter()
+                .zip(&widths)
+                .map(|(cell, width)| format!("{cell:<width$}"));
             let line = cells.collect::<Vec<_>>().join("  ");
             text.push_str(line.trim_end());
             text.push('\n');
--- a/crates/cli/src/publish.rs
+++ b/crates/cli/src/publish.rs
@@ -80,8 +80,15 @@
     let client = HttpClient::default();
     let base = read_force(&client, log).await?;
     let hash = content_hash(&settings);
-    if base.record.as_ref().is_some_and(|record| record.content_hash == hash) {
-        return Ok(format!("config{} already has this content; nothing to publish", base.version));
+    if base
+        .record
+        .as_ref()
+        .is_some_and(|record| record.content_hash == hash)
+    {
+        return Ok(format!(
+            "config{} already has this content; nothing to publish",
+            base.version
+        ));
     }
     let record = ConfigRecord {
         base_version: base.version,
@@ -92,9 +99,10 @@
     append_config(&client, log, &record).await?;
     let now = read_force(&client, log).await?;
     match now.record {
-        Some(won) if won.content_hash == hash && won.base_version == base.version => {
-            Ok(format!("published config{} over config{}", now.version, base.version))
-        }
+        Some(won) if won.content_hash == hash && won.base_version == base.version => Ok(format!(
+            "published config{} over config{}",
+            now.version, base.version
+        )),
         Some(won) => Err(CommandFault::Refused(format!(
             "config{} by {} came first; your folder is not in force. Take over what it changed, \
              then publish again",
@@ -114,7 +122,12 @@
     let body = serde_json::to_value(record)
         .map_err(|error| CommandFault::Refused(format!("the folder cannot be sent ({error})")))?;
     let id = format!("config/{}/{}", record.base_version, record.content_hash);
-    let new = NewRecord { id, kind: "config".to_owned(), schema: RECORD_SCHEMA, body };
+    let new = NewRecord {
+        id,
+        kind: "config".to_owned(),
+        schema: RECORD_SCHEMA,
+        body,
+    };
     append_records(client, log, CONFIG_STREAM, vec![new]).await?;
     Ok(())
 }
--- a/crates/cli/src/try_platform.rs
+++ b/crates/cli/src/try_platform.rs
@@ -19,16 +19,56 @@
 
 /// Files of the example folders, built in so that a trial needs no path.
 const EXAMPLE_FILES: [(&str, &str, &str); 10] = [
-    ("podlaga", "00-zones.ini", include_str!("../../../examples/podlaga/00-zones.ini")),
-    ("podlaga", "10-services.ini", include_str!("../../../examples/podlaga/10-services.ini")),
-    ("podlaga", "20-customers.ini", include_str!("../../../examples/podlaga/20-customers.ini")),
-    ("podlaga", "30-jobs.ini", include_str!("../../../examples/podlaga/30-jobs.ini")),
-    ("podlaga", "40-policy.ini", include_str!("../../../examples/podlaga/40-policy.ini")),
-    ("escolta", "00-zones.ini", include_str!("../../../examples/escolta/00-zones.ini")),
-    ("escolta", "10-services.ini", include_str!("../../../examples/escolta/10-services.ini")),
-    ("escolta", "20-customers.ini", include_str!("../../../examples/escolta/20-customers.ini")),
-    ("escolta", "30-jobs.ini", include_str!("../../../examples/escolta/30-jobs.ini")),
-    ("escolta", "40-policy.ini", include_str!("../../../examples/escolta/40-policy.ini")),
+    (
+        "podlaga",
+        "00-zones.ini",
+        include_str!("../../../examples/podlaga/00-zones.ini"),
+    ),
+    (
+        "podlaga",
+        "10-services.ini",
+        include_str!("../../../examples/podlaga/10-services.ini"),
+    ),
+    (
+        "podlaga",
+        "20-customers.ini",
+        include_str!("../../../examples/podlaga/20-customers.ini"),
+    ),
+    (
+        "podlaga",
+        "30-jobs.ini",
+        include_str!("../../../examples/podlaga/30-jobs.ini"),
+    ),
+    (
+        "podlaga",
+        "40-policy.ini",
+        include_str!("../../../examples/podlaga/40-policy.ini"),
+    ),
+    (
+        "escolta",
+        "00-zones.ini",
+        include_str!("../../../examples/escolta/00-zones.ini"),
+    ),
+    (
+        "escolta",
+        "10-services.ini",
+        include_str!("../../../examples/escolta/10-services.ini"),
+    ),
+    (
+        "escolta",
+        "20-customers.ini",
+        include_str!("../../../examples/escolta/20-customers.ini"),
+    ),
+    (
+        "escolta",
+        "30-jobs.ini",
+        include_str!("../../../examples/escolta/30-jobs.ini"),
+    ),
+    (
+        "escolta",
+        "40-policy.ini",
+        include_str!("../../../examples/escolta/40-policy.ini"),
+    ),
 ];
 
 /// An example folder after all checks.
@@ -47,7 +87,10 @@
 pub fn example_folder(name: &str) -> Result<ExampleFolder, CommandFault> {
     let chosen = EXAMPLE_FILES.iter().filter(|file| file.0 == name);
     let files: Vec<_> = chosen
-        .map(|file| FolderFile { name: file.1.to_owned(), text: file.2.to_owned() })
+        .map(|file| FolderFile {
+            name: file.1.to_owned(),
+            text: file.2.to_owned(),
+        })
         .collect();
     if files.is_empty() {
         let text = format!("there is no example {name:?}; use podlaga or escolta");
@@ -93,7 +136,12 @@
     pub async fn start(settings: &SystemSettings) -> Result<Self, CommandFault> {
         let log = LogStandin::start().await.map_err(refused)?;
         let hosts = HostsStandin::start().await.map_err(refused)?;
-        let mut platform = Self { log, hosts, workers: Vec::new(), entries: Vec::new() };
+        let mut platform = Self {
+            log,
+            hosts,
+            workers: Vec::new(),
+            entries: Vec::new(),
+        };
         for (zone, declared) in &settings.zones {
             platform.start_workers(zone, declared, settings).await?;
         }
@@ -116,7 +164,11 @@
                     zone: zone.to_string(),
                     region: declared.region.to_string(),
                     rack: format!("{zone}-r{rack}"),
-                    services: settings.services.keys().map(ServiceName::to_string).collect(),
+                    services: settings
+                        .services
+                        .keys()
+                        .map(ServiceName::to_string)
+                        .collect(),
                     slots: declared.slots_per_worker,
                     connections: declared.connections_per_worker,
                     cores: declared.cores_per_worker,
@@ -143,8 +195,13 @@
             let settings = HostSettings::parse(&name, &text)
                 .map_err(|faults| CommandFault::Refused(faults.to_string()))?;
             let handle = start_host(settings, None).await.map_err(refused)?;
-            self.hosts.add(entry_listing(&name, zone, &declared.region, &handle));
-            self.entries.push(TrialHost { name, zone: zone.clone(), handle });
+            self.hosts
+                .add(entry_listing(&name, zone, &declared.region, &handle));
+            self.entries.push(TrialHost {
+                name,
+                zone: zone.clone(),
+                handle,
+            });
         }
         Ok(())
     }
@@ -161,7 +218,10 @@
 
     /// Addresses of the entry hosts for callers.
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.entries.iter().map(|entry| entry.handle.address).collect()
+        self.entries
+            .iter()
+            .map(|entry| entry.handle.address)
+            .collect()
     }
 }
 
--- a/crates/cli/src/try_report.rs
+++ b/crates/cli/src/try_report.rs
@@ -48,7 +48,11 @@
         };
         let answered = self.calls.iter().all(|call| call.result.is_ok());
         let finished = self.jobs.iter().all(|job| job.phase == JobPhase::Finished);
-        if answered && finished { Ok(text) } else { Err(CommandFault::Refused(text)) }
+        if answered && finished {
+            Ok(text)
+        } else {
+            Err(CommandFault::Refused(text))
+        }
     }
 
     fn render(&self) -> String {
@@ -58,7 +62,12 @@
                 Ok(answer) => format!("answered: {answer}"),
                 Err(error) => format!("NOT ANSWERED: {error}"),
             };
-            calls.add(vec![call.id.clone(), call.customer.clone(), call.host.clone(), result]);
+            calls.add(vec![
+                call.id.clone(),
+                call.customer.clone(),
+                call.host.clone(),
+                result,
+            ]);
         }
         let mut jobs = TextTable::with_heads(&[
             "JOB", "CLASS", "ZONE", "PHASE", "ACCEPTED", "STARTED", "ENDED", "WORKERS",
@@ -67,7 +76,11 @@
             jobs.add(job_cells(job));
         }
         let answered = self.calls.iter().filter(|call| call.result.is_ok()).count();
-        let finished = self.jobs.iter().filter(|job| job.phase == JobPhase::Finished).count();
+        let finished = self
+            .jobs
+            .iter()
+            .filter(|job| job.phase == JobPhase::Finished)
+            .count();
         format!(
             "{}: {} entry hosts, {} workers, config{}\n\n{}\n{}\n\
              {answered} of {} calls answered, {finished} of {} jobs finished\n",
@@ -86,14 +99,18 @@
 fn job_cells(job: &JobStatus) -> Vec<String> {
     let accepted = job.accepted_at_ms.unwrap_or_default();
     let after = |time: Option<u64>| {
-        time.map_or_else(|| "-".to_owned(), |time| format!("+{}ms", time.saturating_sub(accepted)))
+        time.map_or_else(
+            || "-".to_owned(),
+            |time| format!("+{}ms", time.saturating_sub(accepted)),
+        )
     };
     vec![
         job.id.clone(),
         job.class.clone(),
         job.zone.clone().unwrap_or_default(),
         job.phase.to_string(),
-        job.accepted_offset.map_or_else(|| "-".to_owned(), |offset| format!("offset {offset}")),
+        job.accepted_offset
+            .map_or_else(|| "-".to_owned(), |offset| format!("offset {offset}")),
         after(job.started_at_ms),
         after(job.ended_at_ms),
         job.workers.join(" "),
--- a/crates/cli/src/try_run.rs
+++ b/crates/cli/src/try_run.rs
@@ -80,12 +80,15 @@
     Ok(version)
 }
 
-async fn host_status(
-    client: &HttpClient,
-    address: SocketAddr,
-) -> Result<HostStatus, CommandFault> {
+async fn host_status(client: &HttpClient, address: SocketAddr) -> Result<HostStatus, CommandFault> {
     let answer = client
-        .exchange_json(address, Method::GET, "/v1/status", None::<&()>, REQUEST_TIMEOUT)
+        .exchange_json(
+            address,
+            Method::GET,
+            "/v1/status",
+            None::<&()>,
+            REQUEST_TIMEOUT,
+        )
         .await;
     Ok(answer?)
 }
@@ -107,7 +110,9 @@
 
 async fn run_calls(platform: &TrialPlatform, settings: &SystemSettings) -> Vec<CallLine> {
     let customers: Vec<_> = settings.customers.keys().collect();
-    let Some(service) = settings.services.keys().next() else { return Vec::new() };
+    let Some(service) = settings.services.keys().next() else {
+        return Vec::new();
+    };
     let mut lines = Vec::new();
     for number in 0..CALL_COUNT {
         let entry = &platform.entries[number % platform.entries.len()];
@@ -123,7 +128,12 @@
             body: format!("check {number}"),
         };
         let result = call(options).await.map_err(|fault| fault.to_string());
-        lines.push(CallLine { id, host: entry.name.clone(), customer, result });
+        lines.push(CallLine {
+            id,
+            host: entry.name.clone(),
+            customer,
+            result,
+        });
     }
     lines
 }
@@ -138,8 +148,14 @@
     settings: &SystemSettings,
 ) -> Result<Vec<JobStatus>, CommandFault> {
     let client = HttpClient::default();
-    let gang = settings.classes.iter().max_by_key(|(_, class)| gang_size(class));
-    let quick = settings.classes.iter().min_by_key(|(_, class)| (class.run_time, class.tasks));
+    let gang = settings
+        .classes
+        .iter()
+        .max_by_key(|(_, class)| gang_size(class));
+    let quick = settings
+        .classes
+        .iter()
+        .min_by_key(|(_, class)| (class.run_time, class.tasks));
     let mut jobs = Vec::new();
     for (number, (name, class)) in gang.into_iter().chain(quick).enumerate() {
         let entry = &platform.entries[number * 2 % platform.entries.len()];
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -35,7 +35,10 @@
         println!("{}: no faults", options.settings.display());
         return ExitCode::SUCCESS;
     }
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
         Ok(runtime) => runtime,
         Err(error) => return refuse(&format!("cannot start the runtime ({error}); free memory")),
     };
@@ -63,7 +66,9 @@
     let mut terminate = watch_signal(SignalKind::terminate())?;
     let mut interrupt = watch_signal(SignalKind::interrupt())?;
     let name = settings.name.clone();
-    let handle = start_host(settings, recorder).await.map_err(|fault| fault.to_string())?;
+    let handle = start_host(settings, recorder)
+        .await
+        .map_err(|fault| fault.to_string())?;
     log::info!(host = name.as_str(), address = handle.address.to_string().as_str(); "started");
     wait_signal(&mut terminate, &mut interrupt).await;
     finish_host(handle, &mut terminate, &mut interrupt).await;
--- a/crates/node/src/border/caller.rs
+++ b/crates/node/src/border/caller.rs
@@ -76,11 +76,13 @@
 
 fn parse_deadline(value: &str) -> Result<Duration, HeaderFault> {
     let millis = value.parse::<u64>().ok().filter(|millis| *millis > 0);
-    millis.map(Duration::from_millis).ok_or_else(|| HeaderFault::Invalid {
-        name: DEADLINE_HEADER,
-        value: value.to_owned(),
-        expected: "a whole number of milliseconds above zero",
-    })
+    millis
+        .map(Duration::from_millis)
+        .ok_or_else(|| HeaderFault::Invalid {
+            name: DEADLINE_HEADER,
+            value: value.to_owned(),
+            expected: "a whole number of milliseconds above zero",
+        })
 }
 
 fn parse_flag(value: &str) -> Result<bool, HeaderFault> {
@@ -109,7 +111,9 @@
     #[error("outcome unknown: {0}")]
     OutcomeUnknown(String),
     /// No such job is known here.
-    #[error("job {0} is not known here; check the identifier, or ask again once the host has read the log")]
+    #[error(
+        "job {0} is not known here; check the identifier, or ask again once the host has read the log"
+    )]
     UnknownJob(JobId),
 }
 
@@ -118,9 +122,10 @@
     let (status, kind) = match fault {
         JobFault::Invalid(_) => (StatusCode::BAD_REQUEST, wire::JobErrorKind::Invalid),
         JobFault::NotRun { .. } => (StatusCode::SERVICE_UNAVAILABLE, wire::JobErrorKind::NotRun),
-        JobFault::OutcomeUnknown(_) => {
-            (StatusCode::GATEWAY_TIMEOUT, wire::JobErrorKind::OutcomeUnknown)
-        }
+        JobFault::OutcomeUnknown(_) => (
+            StatusCode::GATEWAY_TIMEOUT,
+            wire::JobErrorKind::OutcomeUnknown,
+        ),
         JobFault::UnknownJob(_) => (StatusCode::NOT_FOUND, wire::JobErrorKind::UnknownJob),
     };
     let retry_after_ms = match fault {
@@ -129,7 +134,11 @@
         }
         _ => None,
     };
-    let body =
-        wire::JobError { id: id.to_owned(), kind, message: fault.to_string(), retry_after_ms };
+    let body = wire::JobError {
+        id: id.to_owned(),
+        kind,
+        message: fault.to_string(),
+        retry_after_ms,
+    };
     json_response(status, &body)
 }
--- a/crates/node/src/border/hosts.rs
+++ b/crates/node/src/border/hosts.rs
@@ -65,7 +65,10 @@
     let list: wire::HostList = client
         .exchange_json(address, Method::GET, "/v1/hosts", None::<&()>, LIST_TIMEOUT)
         .await?;
-    let mut listing = HostListing { revision: list.revision, ..HostListing::default() };
+    let mut listing = HostListing {
+        revision: list.revision,
+        ..HostListing::default()
+    };
     for entry in &list.hosts {
         add_entry(&mut listing, entry);
     }
@@ -95,7 +98,11 @@
                 rack: capacity.rack.as_str().into(),
                 incarnation: entry.incarnation,
                 leaving,
-                services: capacity.services.iter().map(|name| name.as_str().into()).collect(),
+                services: capacity
+                    .services
+                    .iter()
+                    .map(|name| name.as_str().into())
+                    .collect(),
                 slots: capacity.slots,
                 cores: capacity.cores,
                 memory_mb: capacity.memory_mb,
--- a/crates/node/src/border/log.rs
+++ b/crates/node/src/border/log.rs
@@ -9,7 +9,7 @@
 use crate::connection::http_client::{ExchangeFault, HttpClient};
 
 /// Longest time that the log holds a read at the tail.
-pub const READ_WAIT: Duration = Duration::from_millis(1_000);
+pub const READ_WAIT: Duration = Duration::from_secs(1);
 /// Time the log has for an answer beyond the wait.
 const LOG_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -35,7 +35,9 @@
     let wait_ms = wait.as_millis();
     let path = format!("/v1/streams/{stream}?from={offset}&limit={limit}&wait-ms={wait_ms}");
     let timeout = wait + LOG_TIMEOUT;
-    client.exchange_json(address, Method::GET, &path, None::<&()>, timeout).await
+    client
+        .exchange_json(address, Method::GET, &path, None::<&()>, timeout)
+        .await
 }
 
 /// Appends records in order; returns the offset of the first.
@@ -50,7 +52,8 @@
 ) -> Result<u64, ExchangeFault> {
     let path = format!("/v1/streams/{stream}/append");
     let request = wire::AppendRequest { records };
-    let answer: wire::AppendResponse =
-        client.exchange_json(address, Method::POST, &path, Some(&request), LOG_TIMEOUT).await?;
+    let answer: wire::AppendResponse = client
+        .exchange_json(address, Method::POST, &path, Some(&request), LOG_TIMEOUT)
+        .await?;
     Ok(answer.first_offset)
 }
--- a/crates/node/src/border/seat.rs
+++ b/crates/node/src/border/seat.rs
@@ -23,7 +23,12 @@
         }
         "seat-active" => {
             let active: wire::SeatActive = serde_json::from_value(body).ok()?;
-            (active.zone, SeatRecord::Active { term: SeatTerm(active.term) })
+            (
+                active.zone,
+                SeatRecord::Active {
+                    term: SeatTerm(active.term),
+                },
+            )
         }
         "seat-roster" => {
             let change: wire::SeatRoster = serde_json::from_value(body).ok()?;
@@ -37,7 +42,13 @@
         "seat-yield" => {
             let end: wire::SeatYield = serde_json::from_value(body).ok()?;
             let successor = end.successor.map(Into::into);
-            (end.zone, SeatRecord::Yield { term: SeatTerm(end.term), successor })
+            (
+                end.zone,
+                SeatRecord::Yield {
+                    term: SeatTerm(end.term),
+                    successor,
+                },
+            )
         }
         _ => return None,
     };
--- a/crates/node/src/border/target.rs
+++ b/crates/node/src/border/target.rs
@@ -114,7 +114,11 @@
             lease_ms: whole_millis(lease),
         };
         let answer: wire::RenewResponse = self.post("renew", &request, TASK_TIMEOUT).await?;
-        Ok(answer.unknown.iter().filter_map(|id| TaskKey::parse(id)).collect())
+        Ok(answer
+            .unknown
+            .iter()
+            .filter_map(|id| TaskKey::parse(id))
+            .collect())
     }
 
     /// Gives a reservation back.
@@ -153,8 +157,9 @@
     /// A [`TargetFault`] when the worker did not answer or cannot save the state.
     pub async fn checkpoint(&self, task: &TaskKey) -> Result<String, TargetFault> {
         let request = self.task_request(task, None);
-        let status: wire::TaskStatus =
-            self.post("checkpoint", &request, CHECKPOINT_TIMEOUT).await?;
+        let status: wire::TaskStatus = self
+            .post("checkpoint", &request, CHECKPOINT_TIMEOUT)
+            .await?;
         status.checkpoint.ok_or(TargetFault::UnknownLease)
     }
 
@@ -165,7 +170,13 @@
     pub async fn list_tasks(&self) -> Result<ListedTasks, TargetFault> {
         let answer: Result<wire::TaskList, ExchangeFault> = self
             .client
-            .exchange_json(self.address, Method::GET, "/v1/tasks", None::<&()>, TASK_TIMEOUT)
+            .exchange_json(
+                self.address,
+                Method::GET,
+                "/v1/tasks",
+                None::<&()>,
+                TASK_TIMEOUT,
+            )
             .await;
         let list = answer.map_err(|fault| target_fault(&fault))?;
         Ok(ListedTasks {
@@ -232,9 +243,12 @@
             ListedState::Checkpointed(status.checkpoint.clone().unwrap_or_default())
         }
         wire::TaskState::Finished => ListedState::Finished,
-        wire::TaskState::Failed => {
-            ListedState::Failed(status.failure.clone().unwrap_or_else(|| "no reason given".into()))
-        }
+        wire::TaskState::Failed => ListedState::Failed(
+            status
+                .failure
+                .clone()
+                .unwrap_or_else(|| "no reason given".into()),
+        ),
         wire::TaskState::Stopped => ListedState::Stopped,
         wire::TaskState::Lapsed => ListedState::Lapsed,
     };
--- a/crates/node/src/connection/http_client.rs
+++ b/crates/node/src/connection/http_client.rs
@@ -96,7 +96,10 @@
             .uri(format!("http://{address}{path}"))
             .header("content-type", "application/json")
             .body(Full::new(body))
-            .map_err(|error| ExchangeFault::Malformed { address, detail: error.to_string() })?;
+            .map_err(|error| ExchangeFault::Malformed {
+                address,
+                detail: error.to_string(),
+            })?;
         let exchange = self.send_whole(address, request);
         let answer = tokio::time::timeout(timeout, exchange).await;
         answer.unwrap_or(Err(ExchangeFault::NoAnswer { address }))
@@ -118,14 +121,25 @@
             address,
             detail: error.to_string(),
         };
-        let text = body.map(serde_json::to_vec).transpose().map_err(malformed)?;
+        let text = body
+            .map(serde_json::to_vec)
+            .transpose()
+            .map_err(malformed)?;
         let bytes = Bytes::from(text.unwrap_or_default());
         let (status, answer) = self.exchange(address, method, path, bytes, timeout).await?;
         if !status.is_success() {
             let body = String::from_utf8_lossy(&answer).into_owned();
-            return Err(ExchangeFault::Status { address, status, body });
+            return Err(ExchangeFault::Status {
+                address,
+                status,
+                body,
+            });
         }
-        let text = if answer.is_empty() { Bytes::from_static(b"null") } else { answer };
+        let text = if answer.is_empty() {
+            Bytes::from_static(b"null")
+        } else {
+            answer
+        };
         serde_json::from_slice(&text).map_err(malformed)
     }
 
--- a/crates/node/src/connection/http_server.rs
+++ b/crates/node/src/connection/http_server.rs
@@ -97,9 +97,7 @@
     let (head, body) = request.into_parts();
     let whole = Limited::new(body, BODY_LIMIT).collect();
     match tokio::time::timeout(BODY_TIMEOUT, whole).await {
-        Ok(Ok(collected)) => {
-            handler(Request::from_parts(head, collected.to_bytes()), remote).await
-        }
+        Ok(Ok(collected)) => handler(Request::from_parts(head, collected.to_bytes()), remote).await,
         Ok(Err(error)) if error.is::<LengthLimitError>() => text_response(
             StatusCode::PAYLOAD_TOO_LARGE,
             format!("the body exceeds {BODY_LIMIT} bytes; send less. The request was not run"),
@@ -125,7 +123,9 @@
     let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
     let value = hyper::header::HeaderValue::from_static(content);
-    response.headers_mut().insert(hyper::header::CONTENT_TYPE, value);
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, value);
     response
 }
 
--- a/crates/node/src/process/call_desk.rs
+++ b/crates/node/src/process/call_desk.rs
@@ -38,7 +38,10 @@
 impl CallDesk {
     /// A desk without targets.
     pub fn new(zone: ZoneName) -> Self {
-        Self { zone, targets: BTreeMap::new() }
+        Self {
+            zone,
+            targets: BTreeMap::new(),
+        }
     }
 
     /// Takes over a reading of the host list.
@@ -71,20 +74,37 @@
         rng: &mut ChaCha8Rng,
     ) -> Result<CallTarget, CallFault> {
         let own = self.eligible(&request.service, true);
-        let names = if own.is_empty() { self.eligible(&request.service, false) } else { own };
+        let names = if own.is_empty() {
+            self.eligible(&request.service, false)
+        } else {
+            own
+        };
         if names.is_empty() {
-            let text = format!("no worker takes calls of {} now; try again", request.service);
+            let text = format!(
+                "no worker takes calls of {} now; try again",
+                request.service
+            );
             return Err(CallFault::NotRun(text));
         }
         let first = &names[rng.random_range(0..names.len())];
         let second = &names[rng.random_range(0..names.len())];
         let load = |name: &WorkerName| self.targets.get(name).map_or(u32::MAX, |t| t.in_flight);
-        let worker = if load(second) < load(first) { second.clone() } else { first.clone() };
+        let worker = if load(second) < load(first) {
+            second.clone()
+        } else {
+            first.clone()
+        };
         let Some(entry) = self.targets.get_mut(&worker) else {
-            return Err(CallFault::NotRun("the worker is gone; try again".to_owned()));
+            return Err(CallFault::NotRun(
+                "the worker is gone; try again".to_owned(),
+            ));
         };
         entry.in_flight += 1;
-        Ok(CallTarget { worker, address: entry.address, deadline })
+        Ok(CallTarget {
+            worker,
+            address: entry.address,
+            deadline,
+        })
     }
 
     /// Frees the slot of a call that left its target.
--- a/crates/node/src/process/counters.rs
+++ b/crates/node/src/process/counters.rs
@@ -33,11 +33,17 @@
     describe_counter!(JOB_REQUESTS, "Job requests that ended, by verb and outcome");
     describe_counter!(LOG_READS, "Log reads, by stream and outcome");
     describe_counter!(LOG_APPENDS, "Log appends, by stream and outcome");
-    describe_counter!(RECORDS_SKIPPED, "Records that could not be used, by stream and cause");
+    describe_counter!(
+        RECORDS_SKIPPED,
+        "Records that could not be used, by stream and cause"
+    );
     describe_counter!(LIST_READS, "Readings of the host list, by outcome");
     describe_counter!(TASK_REQUESTS, "Requests to workers, by verb and outcome");
     describe_gauge!(CONFIG_VERSION, "Configuration version in force");
-    describe_gauge!(SEAT_HELD, "One while this host holds its zone's planner seat");
+    describe_gauge!(
+        SEAT_HELD,
+        "One while this host holds its zone's planner seat"
+    );
     describe_gauge!(OPEN_JOBS, "Jobs that have not ended");
     Some(handle)
 }
--- a/crates/node/src/process/entry_host.rs
+++ b/crates/node/src/process/entry_host.rs
@@ -99,15 +99,30 @@
     let mut tasks = start_streams(&mut state, &client, &events);
     let interval = state.settings.list_interval;
     let list_address = state.settings.list_address;
-    tasks.push(spawn_local(poll_hosts(client.clone(), list_address, interval, events.clone())));
+    tasks.push(spawn_local(poll_hosts(
+        client.clone(),
+        list_address,
+        interval,
+        events.clone(),
+    )));
     tasks.push(spawn_local(send_ticks(events.clone())));
     let loop_events = events.clone();
     tasks.push(spawn_local(run_loop(state, client, loop_events, arrivals)));
     let handler_events = events.clone();
-    let server = spawn_local(serve_connections(listener, drained_watch, move |request, remote| {
-        route_request(request, remote, handler_events.clone(), recorder.clone())
-    }));
-    Ok(EntryHandle { address, incarnation, events, server, tasks })
+    let server = spawn_local(serve_connections(
+        listener,
+        drained_watch,
+        move |request, remote| {
+            route_request(request, remote, handler_events.clone(), recorder.clone())
+        },
+    ));
+    Ok(EntryHandle {
+        address,
+        incarnation,
+        events,
+        server,
+        tasks,
+    })
 }
 
 async fn bind_listener(address: SocketAddr) -> Result<TcpListener, StartFault> {
@@ -164,17 +179,32 @@
 ) -> Vec<JoinHandle<()>> {
     let address = state.settings.log_address;
     let clock = state.clock;
-    let streams =
-        [LogStream::Config, LogStream::Jobs, LogStream::Seat(state.settings.zone.clone())];
+    let streams = [
+        LogStream::Config,
+        LogStream::Jobs,
+        LogStream::Seat(state.settings.zone.clone()),
+    ];
     let mut tasks = Vec::new();
     for stream in streams {
         let (writer, records) = mpsc::unbounded_channel();
         state.writers.insert(stream.clone(), writer);
-        state.streams.insert(stream.clone(), StreamPosition::default());
-        let following =
-            follow_stream(client.clone(), address, stream.clone(), clock, events.clone());
+        state
+            .streams
+            .insert(stream.clone(), StreamPosition::default());
+        let following = follow_stream(
+            client.clone(),
+            address,
+            stream.clone(),
+            clock,
+            events.clone(),
+        );
         tasks.push(spawn_local(following));
-        tasks.push(spawn_local(write_stream(client.clone(), address, stream, records)));
+        tasks.push(spawn_local(write_stream(
+            client.clone(),
+            address,
+            stream,
+            records,
+        )));
     }
     tasks
 }
--- a/crates/node/src/process/event_loop.rs
+++ b/crates/node/src/process/event_loop.rs
@@ -51,7 +51,9 @@
 }
 
 fn is_drained(state: &HostState) -> bool {
-    let Some(since) = state.drain_since else { return false };
+    let Some(since) = state.drain_since else {
+        return false;
+    };
     let elapsed = state.clock.now().since(since);
     let waited = elapsed >= state.settings.drain_wait;
     (waited && state.call_count == 0) || elapsed >= state.settings.drain_limit
@@ -72,7 +74,11 @@
         }
         HostEvent::JobSubmitted { submission, reply } => accept_job(state, &submission, reply),
         HostEvent::JobAsked { job, reply } => {
-            let status = state.jobs.jobs.get(&job).map(super::job_desk::JobEntry::status);
+            let status = state
+                .jobs
+                .jobs
+                .get(&job)
+                .map(super::job_desk::JobEntry::status);
             let _ = reply.send(status.ok_or(JobFault::UnknownJob(job)));
         }
         HostEvent::CancelAsked { job, reply } => accept_cancel(state, job, reply),
@@ -86,12 +92,19 @@
             let _ = reply.send(state.is_ready());
         }
         HostEvent::DrainAsked => begin_drain(state),
-        HostEvent::LogRead { stream, sent_at, result } => {
-            take_page(state, stream, sent_at, result, actions);
+        HostEvent::LogRead {
+            stream,
+            sent_at,
+            result,
+        } => {
+            take_page(state, &stream, sent_at, result, actions);
         }
         HostEvent::HostsRead { result } => take_listing(state, result, actions),
         HostEvent::PlannerAnswered { term, event } => {
-            let current = state.planner.as_ref().is_some_and(|planner| planner.port.term == term);
+            let current = state
+                .planner
+                .as_ref()
+                .is_some_and(|planner| planner.port.term == term);
             if current {
                 plan(state, event, actions);
             }
@@ -120,11 +133,17 @@
         return Err(CallFault::Invalid(text));
     }
     let Some(service) = state.system.services.get(&request.service) else {
-        let text = format!("service {} is not declared; check its name", request.service);
+        let text = format!(
+            "service {} is not declared; check its name",
+            request.service
+        );
         return Err(CallFault::Invalid(text));
     };
     if request.body.len() as u64 > service.max_body_bytes {
-        let text = format!("the body exceeds {} bytes; send less", service.max_body_bytes);
+        let text = format!(
+            "the body exceeds {} bytes; send less",
+            service.max_body_bytes
+        );
         return Err(CallFault::Invalid(text));
     }
     let deadline = request.headers.deadline.unwrap_or(service.default_deadline);
@@ -158,23 +177,39 @@
 fn check_submission(state: &HostState, submission: &JobSubmission) -> Result<ZoneName, JobFault> {
     if !state.is_ready() {
         let message = "the host is starting or draining; use another host".to_owned();
-        return Err(JobFault::NotRun { message, retry_after: Some(RETRY_AFTER) });
+        return Err(JobFault::NotRun {
+            message,
+            retry_after: Some(RETRY_AFTER),
+        });
     }
     let invalid = |text: String| Err(JobFault::Invalid(text));
     let customer = CustomerName::from(submission.customer.as_str());
     if !state.system.customers.contains_key(&customer) {
-        return invalid(format!("customer {customer} is not declared; add it to the folder"));
+        return invalid(format!(
+            "customer {customer} is not declared; add it to the folder"
+        ));
     }
     let class = ClassName::from(submission.class.as_str());
     let Some(declared) = state.system.classes.get(&class) else {
-        return invalid(format!("job class {class} is not declared; add it to the folder"));
+        return invalid(format!(
+            "job class {class} is not declared; add it to the folder"
+        ));
     };
-    if declared.customer.as_ref().is_some_and(|owner| *owner != customer) {
+    if declared
+        .customer
+        .as_ref()
+        .is_some_and(|owner| *owner != customer)
+    {
         return invalid(format!("job class {class} is not for customer {customer}"));
     }
-    let zone = submission.zone.as_deref().map_or_else(|| state.settings.zone.clone(), Into::into);
+    let zone = submission
+        .zone
+        .as_deref()
+        .map_or_else(|| state.settings.zone.clone(), Into::into);
     if !state.system.zones.contains_key(&zone) {
-        return invalid(format!("availability zone {zone} is not declared; check its name"));
+        return invalid(format!(
+            "availability zone {zone} is not declared; check its name"
+        ));
     }
     Ok(zone)
 }
@@ -192,7 +227,10 @@
         let _ = reply.send(Ok(entry.status()));
         return;
     }
-    state.append(&LogStream::Jobs, cancellation_record(&job, HostClock::wall()));
+    state.append(
+        &LogStream::Jobs,
+        cancellation_record(&job, HostClock::wall()),
+    );
     let until = state.clock.now() + RECORD_WAIT;
     state.jobs.wait(job, until, true, reply);
 }
@@ -200,14 +238,16 @@
 fn begin_drain(state: &mut HostState) {
     if state.drain_since.is_none() {
         state.drain_since = Some(state.clock.now());
-        state.seat.handle(state.clock.now(), SeatEvent::YieldRequested);
+        state
+            .seat
+            .handle(state.clock.now(), SeatEvent::YieldRequested);
         log::info!(host = state.settings.name.as_str(); "drain began");
     }
 }
 
 fn take_page(
     state: &mut HostState,
-    stream: LogStream,
+    stream: &LogStream,
     sent_at: MonotonicTime,
     result: Result<LogPage, ExchangeFault>,
     actions: &mut Vec<PlannerAction>,
@@ -221,7 +261,7 @@
         return;
     };
     for stored in &page.records {
-        match &stream {
+        match stream {
             LogStream::Config => take_config(state, stored, actions),
             LogStream::Jobs => take_job_record(state, stored, actions),
             LogStream::Seat(_) => state.seat.apply(stored, state.clock.now()),
@@ -232,7 +272,9 @@
     if page.next_offset >= page.tail_offset {
         position.tail_read_at = Some(sent_at);
         if matches!(stream, LogStream::Seat(_)) {
-            state.seat.handle(state.clock.now(), SeatEvent::LogTailRead { sent_at });
+            state
+                .seat
+                .handle(state.clock.now(), SeatEvent::LogTailRead { sent_at });
         }
     }
     let now = state.clock.now();
@@ -256,13 +298,20 @@
         return skip("settings");
     };
     let version = ConfigVersion(stored.offset + 1);
-    debug_assert!(version > state.config_version, "configuration versions increase");
+    debug_assert!(
+        version > state.config_version,
+        "configuration versions increase"
+    );
     state.config_version = version;
     state.system = Arc::new(settings);
     gauge!(CONFIG_VERSION).set(version.0 as f64);
     log::info!(host = state.settings.name.as_str(), version = version.0; "configuration adopted");
     let settings = Arc::clone(&state.system);
-    plan(state, PlannerEvent::ConfigAdopted { version, settings }, actions);
+    plan(
+        state,
+        PlannerEvent::ConfigAdopted { version, settings },
+        actions,
+    );
 }
 
 fn take_job_record(state: &mut HostState, stored: &StoredRecord, actions: &mut Vec<PlannerAction>) {
@@ -272,7 +321,11 @@
     };
     let event = match change {
         JobChange::Accepted(job) => {
-            let accepted = state.jobs.jobs.get(&job).map(super::job_desk::JobEntry::accepted_job);
+            let accepted = state
+                .jobs
+                .jobs
+                .get(&job)
+                .map(super::job_desk::JobEntry::accepted_job);
             let own = accepted.filter(|job| job.zone == state.settings.zone);
             own.map(|job| PlannerEvent::JobAccepted { job })
         }
@@ -280,7 +333,12 @@
         JobChange::Started(job, attempt) => Some(PlannerEvent::StartRecorded { job, attempt }),
         JobChange::Ended(job) => Some(PlannerEvent::EndRecorded { job }),
     };
-    let open = state.jobs.jobs.values().filter(|entry| entry.ended.is_none()).count();
+    let open = state
+        .jobs
+        .jobs
+        .values()
+        .filter(|entry| entry.ended.is_none())
+        .count();
     gauge!(OPEN_JOBS).set(open as f64);
     if let Some(event) = event {
         plan(state, event, actions);
@@ -306,16 +364,30 @@
     let zone = state.settings.zone.clone();
     let own = |listing: &HostListing| -> BTreeMap<WorkerName, _> {
         let workers = listing.workers.iter().filter(|worker| worker.zone == zone);
-        workers.map(|worker| (worker.record.name.clone(), worker.record.clone())).collect()
+        workers
+            .map(|worker| (worker.record.name.clone(), worker.record.clone()))
+            .collect()
     };
     let (old, new) = (own(&before), own(&state.listing));
     for (name, worker) in &new {
         if old.get(name) != Some(worker) {
-            plan(state, PlannerEvent::WorkerSeen { worker: worker.clone() }, actions);
+            plan(
+                state,
+                PlannerEvent::WorkerSeen {
+                    worker: worker.clone(),
+                },
+                actions,
+            );
         }
     }
     for name in old.keys().filter(|name| !new.contains_key(*name)) {
-        plan(state, PlannerEvent::WorkerGone { worker: name.clone() }, actions);
+        plan(
+            state,
+            PlannerEvent::WorkerGone {
+                worker: name.clone(),
+            },
+            actions,
+        );
     }
 }
 
@@ -355,9 +427,16 @@
 ) {
     let term = state.seat.term();
     log::info!(host = state.settings.name.as_str(), term = term.0; "planner seat gained");
-    let port = PlannerPort { client: client.clone(), events: events.clone(), term };
+    let port = PlannerPort {
+        client: client.clone(),
+        events: events.clone(),
+        term,
+    };
     let planner = PlannerState::new(state.settings.zone.clone(), state.incarnation);
-    state.planner = Some(SeatedPlanner { state: planner, port });
+    state.planner = Some(SeatedPlanner {
+        state: planner,
+        port,
+    });
     for event in seat_events(state, term) {
         plan(state, event, actions);
     }
@@ -366,13 +445,24 @@
 /// What a new planner has to know, in the order in which it takes it.
 fn seat_events(state: &HostState, term: SeatTerm) -> Vec<PlannerEvent> {
     let settings = Arc::clone(&state.system);
-    let mut events = vec![PlannerEvent::ConfigAdopted { version: state.config_version, settings }];
-    let workers = state.listing.workers.iter().filter(|w| w.zone == state.settings.zone);
-    let seen = workers.map(|w| PlannerEvent::WorkerSeen { worker: w.record.clone() });
+    let mut events = vec![PlannerEvent::ConfigAdopted {
+        version: state.config_version,
+        settings,
+    }];
+    let workers = state
+        .listing
+        .workers
+        .iter()
+        .filter(|w| w.zone == state.settings.zone);
+    let seen = workers.map(|w| PlannerEvent::WorkerSeen {
+        worker: w.record.clone(),
+    });
     events.extend(seen);
     for job in state.jobs.open_jobs(&state.settings.zone) {
         let entry = state.jobs.jobs.get(&job.id);
-        let cancelled = entry.is_some_and(|entry| entry.cancelled).then(|| job.id.clone());
+        let cancelled = entry
+            .is_some_and(|entry| entry.cancelled)
+            .then(|| job.id.clone());
         events.push(PlannerEvent::JobAccepted { job });
         events.extend(cancelled.map(|job| PlannerEvent::JobCancelled { job }));
     }
@@ -396,7 +486,11 @@
     let zone = &state.settings.zone;
     for action in actions.drain(..) {
         match &action {
-            PlannerAction::RecordStart { job, attempt, workers } => {
+            PlannerAction::RecordStart {
+                job,
+                attempt,
+                workers,
+            } => {
                 let wall = HostClock::wall();
                 let record = start_record(job, *attempt, workers, zone, port.term, wall);
                 state.append(&LogStream::Jobs, record);
--- a/crates/node/src/process/host_clock.rs
+++ b/crates/node/src/process/host_clock.rs
@@ -16,7 +16,9 @@
 impl HostClock {
     /// A clock whose origin is now.
     pub fn start() -> Self {
-        Self { origin: Instant::now() }
+        Self {
+            origin: Instant::now(),
+        }
     }
 
     /// Monotonic time since the origin.
@@ -27,7 +29,9 @@
 
     /// Unix time; zero if the host's clock is before 1970.
     pub fn wall() -> WallTime {
-        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let elapsed = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         WallTime(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
     }
 }
--- a/crates/node/src/process/host_settings.rs
+++ b/crates/node/src/process/host_settings.rs
@@ -121,7 +121,9 @@
         if reader.faults.is_empty() {
             Ok(settings)
         } else {
-            Err(SettingsFaults { faults: reader.faults })
+            Err(SettingsFaults {
+                faults: reader.faults,
+            })
         }
     }
 }
@@ -176,7 +178,10 @@
             if let Some(header) = line.strip_prefix('[') {
                 current = header.trim_end_matches(']').trim();
             } else if current == section
-                && line.split('=').next().is_some_and(|name| name.trim() == key)
+                && line
+                    .split('=')
+                    .next()
+                    .is_some_and(|name| name.trim() == key)
             {
                 return index + 1;
             }
@@ -189,21 +194,35 @@
         for (section, properties) in &self.ini {
             let section = section.unwrap_or_default();
             for (key, _) in properties {
-                if !KNOWN_KEYS.iter().any(|known| known.0 == section && known.1 == key) {
+                if !KNOWN_KEYS
+                    .iter()
+                    .any(|known| known.0 == section && known.1 == key)
+                {
                     unknown.push((section.to_owned(), key.to_owned()));
                 }
             }
         }
         for (section, key) in unknown {
-            self.fault(&section, &key, "unknown key", "remove it or correct its spelling");
+            self.fault(
+                &section,
+                &key,
+                "unknown key",
+                "remove it or correct its spelling",
+            );
         }
     }
 
     fn text(&mut self, section: &str, key: &str) -> String {
-        let known = KNOWN_KEYS.iter().find(|known| known.0 == section && known.1 == key);
+        let known = KNOWN_KEYS
+            .iter()
+            .find(|known| known.0 == section && known.1 == key);
         debug_assert!(known.is_some(), "key {section}.{key} is not declared");
         let default = known.and_then(|known| known.2);
-        let value = self.ini.get_from(Some(section), key).or(default).unwrap_or_default();
+        let value = self
+            .ini
+            .get_from(Some(section), key)
+            .or(default)
+            .unwrap_or_default();
         let value = value.trim().to_owned();
         if value.is_empty() {
             self.fault(section, key, "no value", "add the key with a value");
@@ -219,7 +238,12 @@
         }
         value.parse().unwrap_or_else(|_error| {
             let problem = format!("{value:?} is not an address");
-            self.fault(section, key, &problem, "write an IP number and port, as 127.0.0.1:7000");
+            self.fault(
+                section,
+                key,
+                &problem,
+                "write an IP number and port, as 127.0.0.1:7000",
+            );
             fallback
         })
     }
@@ -237,7 +261,12 @@
     fn check_times(&mut self, settings: &HostSettings) {
         if settings.drain_limit < settings.drain_wait {
             let problem = "the limit is below drain.wait-ms";
-            self.fault("drain", "limit-ms", problem, "raise the limit or lower the wait");
+            self.fault(
+                "drain",
+                "limit-ms",
+                problem,
+                "raise the limit or lower the wait",
+            );
         }
         if settings.seat_outage <= settings.seat_time {
             let problem = "the outage time is not above seat.time-ms";
--- a/crates/node/src/process/host_state.rs
+++ b/crates/node/src/process/host_state.rs
@@ -82,7 +82,10 @@
     /// Whether the host takes requests: a configuration is in force, the host
     /// list and the jobs have been read, and no drain has begun.
     pub fn is_ready(&self) -> bool {
-        let caught_up = self.streams.values().all(|position| position.tail_read_at.is_some());
+        let caught_up = self
+            .streams
+            .values()
+            .all(|position| position.tail_read_at.is_some());
         self.config_version > ConfigVersion(0)
             && !self.listing.workers.is_empty()
             && caught_up
@@ -122,7 +125,12 @@
             config_version: self.config_version.0,
             seat_holder: self.seat.holder().map(|holder| holder.host.to_string()),
             seat_term: self.seat.term().0,
-            jobs: self.jobs.jobs.values().map(super::job_desk::JobEntry::status).collect(),
+            jobs: self
+                .jobs
+                .jobs
+                .values()
+                .map(super::job_desk::JobEntry::status)
+                .collect(),
         }
     }
 
@@ -140,7 +148,10 @@
             members: self.listing.hosts.iter().map(member_section).collect(),
             targets: self.target_sections(),
             jobs: self.job_sections(),
-            planner: self.planner.as_ref().map(|planner| planner.state.to_string()),
+            planner: self
+                .planner
+                .as_ref()
+                .map(|planner| planner.state.to_string()),
         }
     }
 
@@ -179,7 +190,11 @@
     }
 
     fn job_sections(&self) -> Vec<JobSection> {
-        let open = self.jobs.jobs.values().filter(|entry| entry.ended.is_none());
+        let open = self
+            .jobs
+            .jobs
+            .values()
+            .filter(|entry| entry.ended.is_none());
         let sections = open.map(|entry| JobSection {
             id: entry.accepted.job_id.clone(),
             customer: entry.accepted.customer.clone(),
--- a/crates/node/src/process/job_desk.rs
+++ b/crates/node/src/process/job_desk.rs
@@ -72,7 +72,10 @@
             "job-cancelled" => {
                 let cancelled: wire::JobCancelled = serde_json::from_value(body).ok()?;
                 let job = JobId::from(cancelled.job_id);
-                let entry = self.jobs.get_mut(&job).filter(|entry| entry.ended.is_none())?;
+                let entry = self
+                    .jobs
+                    .get_mut(&job)
+                    .filter(|entry| entry.ended.is_none())?;
                 let changed = !std::mem::replace(&mut entry.cancelled, true);
                 changed.then_some(JobChange::Cancelled(job))
             }
@@ -81,7 +84,10 @@
                 let job = JobId::from(started.job_id.as_str());
                 let attempt = started.attempt;
                 let entry = self.jobs.get_mut(&job)?;
-                let newer = entry.started.as_ref().is_none_or(|known| known.attempt < attempt);
+                let newer = entry
+                    .started
+                    .as_ref()
+                    .is_none_or(|known| known.attempt < attempt);
                 if newer {
                     entry.started = Some(started);
                 }
@@ -90,7 +96,10 @@
             "job-ended" => {
                 let ended: wire::JobEnded = serde_json::from_value(body).ok()?;
                 let job = JobId::from(ended.job_id.as_str());
-                let entry = self.jobs.get_mut(&job).filter(|entry| entry.ended.is_none())?;
+                let entry = self
+                    .jobs
+                    .get_mut(&job)
+                    .filter(|entry| entry.ended.is_none())?;
                 entry.ended = Some(ended);
                 Some(JobChange::Ended(job))
             }
@@ -103,7 +112,13 @@
         if self.jobs.contains_key(&job) {
             return None;
         }
-        let entry = JobEntry { accepted, offset, cancelled: false, started: None, ended: None };
+        let entry = JobEntry {
+            accepted,
+            offset,
+            cancelled: false,
+            started: None,
+            ended: None,
+        };
         self.jobs.insert(job.clone(), entry);
         Some(JobChange::Accepted(job))
     }
@@ -116,7 +131,12 @@
         cancel: bool,
         reply: oneshot::Sender<Result<JobStatus, JobFault>>,
     ) {
-        self.waiters.push(JobWaiter { job, until, reply, cancel });
+        self.waiters.push(JobWaiter {
+            job,
+            until,
+            reply,
+            cancel,
+        });
     }
 
     /// Answers callers whose record was read back, and those whose time is over.
@@ -129,7 +149,9 @@
                 let _ = waiter.reply.send(Ok(entry.status()));
             } else if now >= waiter.until {
                 let text = "the log has not confirmed the request; ask again with this id";
-                let _ = waiter.reply.send(Err(JobFault::OutcomeUnknown(text.to_owned())));
+                let _ = waiter
+                    .reply
+                    .send(Err(JobFault::OutcomeUnknown(text.to_owned())));
             } else {
                 self.waiters.push(waiter);
             }
@@ -174,8 +196,14 @@
             class: accepted.class.clone(),
             zone: Some(accepted.zone.clone()),
             phase: self.phase(),
-            reason: ended.map(|e| e.reason.clone()).filter(|reason| !reason.is_empty()),
-            workers: self.started.as_ref().map(|s| s.workers.clone()).unwrap_or_default(),
+            reason: ended
+                .map(|e| e.reason.clone())
+                .filter(|reason| !reason.is_empty()),
+            workers: self
+                .started
+                .as_ref()
+                .map(|s| s.workers.clone())
+                .unwrap_or_default(),
             accepted_offset: Some(self.offset),
             accepted_at_ms: Some(accepted.accepted_at_ms),
             started_at_ms: self.started.as_ref().map(|started| started.started_at_ms),
@@ -211,14 +239,19 @@
         zone: zone.to_string(),
         config_version,
         accepted_at_ms: wall.0,
-        start_before_ms: submission.start_within_ms.map(|within| wall.0.saturating_add(within)),
+        start_before_ms: submission
+            .start_within_ms
+            .map(|within| wall.0.saturating_add(within)),
     };
     new_record(format!("accept/{}", submission.id), "job-accepted", &body)
 }
 
 /// The record that asks for a job's end.
 pub fn cancellation_record(job: &JobId, wall: WallTime) -> NewRecord {
-    let body = wire::JobCancelled { job_id: job.to_string(), requested_at_ms: wall.0 };
+    let body = wire::JobCancelled {
+        job_id: job.to_string(),
+        requested_at_ms: wall.0,
+    };
     new_record(format!("cancel/{job}"), "job-cancelled", &body)
 }
 
@@ -263,5 +296,10 @@
 /// A record of this process's schema version.
 pub fn new_record<T: serde::Serialize>(id: String, kind: &str, body: &T) -> NewRecord {
     let body = serde_json::to_value(body).unwrap_or_default();
-    NewRecord { id, kind: kind.to_owned(), schema: RECORD_SCHEMA, body }
+    NewRecord {
+        id,
+        kind: kind.to_owned(),
+        schema: RECORD_SCHEMA,
+        body,
+    }
 }
--- a/crates/node/src/process/log_reader.rs
+++ b/crates/node/src/process/log_reader.rs
@@ -31,7 +31,11 @@
         if let Ok(page) = &result {
             next = page.next_offset;
         }
-        let event = HostEvent::LogRead { stream: stream.clone(), sent_at, result };
+        let event = HostEvent::LogRead {
+            stream: stream.clone(),
+            sent_at,
+            result,
+        };
         if events.send(event).is_err() {
             return;
         }
--- a/crates/node/src/process/log_writer.rs
+++ b/crates/node/src/process/log_writer.rs
@@ -30,9 +30,7 @@
     let name = stream.name();
     let mut batch = Vec::new();
     while records.recv_many(&mut batch, BATCH_LIMIT).await > 0 {
-        while let Err(fault) =
-            append_records(&client, address, &name, batch.clone()).await
-        {
+        while let Err(fault) = append_records(&client, address, &name, batch.clone()).await {
             counter!(LOG_APPENDS, "stream" => name.clone(), "outcome" => "failed").increment(1);
             log::debug!(stream = name.as_str(); "append failed: {fault}");
             tokio::time::sleep(RETRY_PAUSE).await;
--- a/crates/node/src/process/planner_port.rs
+++ b/crates/node/src/process/planner_port.rs
@@ -31,7 +31,17 @@
         let client = self.client.clone();
         tokio::task::spawn_local(async move {
             let event = match address {
-                Some(address) => perform(TargetClient { client, address, term }, action).await,
+                Some(address) => {
+                    perform(
+                        TargetClient {
+                            client,
+                            address,
+                            term,
+                        },
+                        action,
+                    )
+                    .await
+                }
                 None => unreachable_answer(action),
             };
             if let Some(event) = event {
@@ -46,19 +56,34 @@
         PlannerAction::ListTasks { worker } => match target.list_tasks().await {
             Ok(list) => {
                 let incarnation = list.incarnation;
-                PlannerEvent::TasksListed { worker, incarnation, tasks: list.tasks }
+                PlannerEvent::TasksListed {
+                    worker,
+                    incarnation,
+                    tasks: list.tasks,
+                }
             }
             Err(_) => PlannerEvent::ListFailed { worker },
         },
-        PlannerAction::Reserve { task, demand, lease, .. } => {
+        PlannerAction::Reserve {
+            task,
+            demand,
+            lease,
+            ..
+        } => {
             let result = target.reserve(&task, demand, lease).await;
             PlannerEvent::ReserveAnswered { task, result }
         }
-        PlannerAction::Start { task, order, lease, .. } => {
+        PlannerAction::Start {
+            task, order, lease, ..
+        } => {
             let result = target.start(&task, &order, lease).await;
             PlannerEvent::StartAnswered { task, result }
         }
-        PlannerAction::Renew { worker, tasks, lease } => {
+        PlannerAction::Renew {
+            worker,
+            tasks,
+            lease,
+        } => {
             let result = target.renew(&tasks, lease).await;
             PlannerEvent::RenewAnswered { worker, result }
         }
@@ -88,20 +113,27 @@
     let fault = TargetFault::Unreachable;
     match action {
         PlannerAction::ListTasks { worker } => Some(PlannerEvent::ListFailed { worker }),
-        PlannerAction::Reserve { task, .. } => {
-            Some(PlannerEvent::ReserveAnswered { task, result: Err(fault) })
-        }
-        PlannerAction::Start { task, .. } => {
-            Some(PlannerEvent::StartAnswered { task, result: Err(fault) })
-        }
-        PlannerAction::Renew { worker, .. } => {
-            Some(PlannerEvent::RenewAnswered { worker, result: Err(fault) })
-        }
-        PlannerAction::Checkpoint { task, .. } => {
-            Some(PlannerEvent::CheckpointAnswered { task, result: Err(fault) })
-        }
+        PlannerAction::Reserve { task, .. } => Some(PlannerEvent::ReserveAnswered {
+            task,
+            result: Err(fault),
+        }),
+        PlannerAction::Start { task, .. } => Some(PlannerEvent::StartAnswered {
+            task,
+            result: Err(fault),
+        }),
+        PlannerAction::Renew { worker, .. } => Some(PlannerEvent::RenewAnswered {
+            worker,
+            result: Err(fault),
+        }),
+        PlannerAction::Checkpoint { task, .. } => Some(PlannerEvent::CheckpointAnswered {
+            task,
+            result: Err(fault),
+        }),
         PlannerAction::Release { task, .. } | PlannerAction::Stop { task, .. } => {
-            Some(PlannerEvent::StopAnswered { task, result: Err(fault) })
+            Some(PlannerEvent::StopAnswered {
+                task,
+                result: Err(fault),
+            })
         }
         PlannerAction::Throttle { .. }
         | PlannerAction::RecordStart { .. }
--- a/crates/node/src/process/seat_port.rs
+++ b/crates/node/src/process/seat_port.rs
@@ -27,7 +27,12 @@
 impl SeatPort {
     /// A port around a new state machine.
     pub fn new(state: SeatState, zone: ZoneName) -> Self {
-        Self { state, zone, actions: Vec::new(), peers: BTreeMap::new() }
+        Self {
+            state,
+            zone,
+            actions: Vec::new(),
+            peers: BTreeMap::new(),
+        }
     }
 
     /// Whether this host may start work at `now`.
@@ -49,7 +54,13 @@
     pub fn apply(&mut self, stored: &StoredRecord, now: MonotonicTime) {
         match read_seat_record(stored, &self.zone) {
             Some(record) => {
-                self.handle(now, SeatEvent::LogRecord { offset: stored.offset, record });
+                self.handle(
+                    now,
+                    SeatEvent::LogRecord {
+                        offset: stored.offset,
+                        record,
+                    },
+                );
             }
             None => {
                 counter!(RECORDS_SKIPPED, "stream" => "seat", "cause" => "kind").increment(1);
@@ -64,8 +75,10 @@
 
     /// Passes on which hosts of the zone are listed.
     pub fn update_peers(&mut self, now: MonotonicTime, peers: Vec<RosterMember>) {
-        let newer: BTreeMap<_, _> =
-            peers.into_iter().map(|peer| (peer.host.clone(), peer)).collect();
+        let newer: BTreeMap<_, _> = peers
+            .into_iter()
+            .map(|peer| (peer.host.clone(), peer))
+            .collect();
         let older = std::mem::replace(&mut self.peers, newer.clone());
         for host in older.into_keys().filter(|host| !newer.contains_key(host)) {
             self.handle(now, SeatEvent::MemberGone { host });
@@ -79,7 +92,10 @@
     /// the peer links and are dropped; the seat then rests on the log alone.
     pub fn take_records(&mut self) -> Vec<NewRecord> {
         let actions = std::mem::take(&mut self.actions);
-        actions.into_iter().filter_map(|action| self.seat_record(action)).collect()
+        actions
+            .into_iter()
+            .filter_map(|action| self.seat_record(action))
+            .collect()
     }
 
     fn seat_record(&self, action: SeatAction) -> Option<NewRecord> {
@@ -96,13 +112,25 @@
                     roster: roster.iter().map(write_member).collect(),
                     claimed_at_ms: wall,
                 };
-                Some(new_record(format!("claim/{run}/{}/{wall}", base_term.0), "seat-claim", &body))
+                Some(new_record(
+                    format!("claim/{run}/{}/{wall}", base_term.0),
+                    "seat-claim",
+                    &body,
+                ))
             }
             SeatAction::AppendActive { term } => {
                 let body = wire::SeatActive { zone, term: term.0 };
-                Some(new_record(format!("active/{run}/{}/{wall}", term.0), "seat-active", &body))
+                Some(new_record(
+                    format!("active/{run}/{}/{wall}", term.0),
+                    "seat-active",
+                    &body,
+                ))
             }
-            SeatAction::AppendRoster { term, base_roster, roster } => {
+            SeatAction::AppendRoster {
+                term,
+                base_roster,
+                roster,
+            } => {
                 let body = wire::SeatRoster {
                     zone,
                     term: term.0,
@@ -114,8 +142,16 @@
             }
             SeatAction::AppendYield { term, successor } => {
                 let successor = successor.map(|host| host.to_string());
-                let body = wire::SeatYield { zone, term: term.0, successor };
-                Some(new_record(format!("yield/{run}/{}/{wall}", term.0), "seat-yield", &body))
+                let body = wire::SeatYield {
+                    zone,
+                    term: term.0,
+                    successor,
+                };
+                Some(new_record(
+                    format!("yield/{run}/{}/{wall}", term.0),
+                    "seat-yield",
+                    &body,
+                ))
             }
             SeatAction::AskPromise { .. }
             | SeatAction::AnswerPromise { .. }
--- a/crates/node/src/process/state_dump.rs
+++ b/crates/node/src/process/state_dump.rs
@@ -123,25 +123,42 @@
             host.config_version
         )?;
         let holder = self.seat.holder.as_deref().unwrap_or("none");
-        writeln!(f, "seat term{} holder {holder} may-start {}", self.seat.term, self.seat.may_start)?;
+        writeln!(
+            f,
+            "seat term{} holder {holder} may-start {}",
+            self.seat.term, self.seat.may_start
+        )?;
         for stream in &self.streams {
-            let age = stream.age_ms.map_or_else(|| "never".to_owned(), |age| format!("{age}ms"));
+            let age = stream
+                .age_ms
+                .map_or_else(|| "never".to_owned(), |age| format!("{age}ms"));
             writeln!(f, "stream {} next {} read {age}", stream.name, stream.next)?;
         }
         for member in &self.members {
             let leaving = if member.leaving { " leaving" } else { "" };
             let (name, zone) = (&member.name, &member.zone);
-            writeln!(f, "member {name} zone {zone} incarnation {}{leaving}", member.incarnation)?;
+            writeln!(
+                f,
+                "member {name} zone {zone} incarnation {}{leaving}",
+                member.incarnation
+            )?;
         }
         for target in &self.targets {
             let leaving = if target.leaving { " leaving" } else { "" };
             let (name, zone) = (&target.name, &target.zone);
             let (calls, slots) = (target.in_flight, target.slots);
-            writeln!(f, "target {name} zone {zone} calls {calls}/{slots}{leaving}")?;
+            writeln!(
+                f,
+                "target {name} zone {zone} calls {calls}/{slots}{leaving}"
+            )?;
         }
         for job in &self.jobs {
             let (id, customer, class) = (&job.id, &job.customer, &job.class);
-            writeln!(f, "job {id} {customer} {class} zone {} {}", job.zone, job.phase)?;
+            writeln!(
+                f,
+                "job {id} {customer} {class} zone {} {}",
+                job.zone, job.phase
+            )?;
         }
         if let Some(planner) = &self.planner {
             writeln!(f, "{}", planner.trim_end())?;
--- a/crates/node/src/request/call.rs
+++ b/crates/node/src/request/call.rs
@@ -23,7 +23,9 @@
 pub async fn serve_call(request: CallRequest, events: EventSender) -> WholeResponse {
     let request_id = request.headers.request_id.clone();
     let result = route_call(request, &events).await;
-    let outcome = result.as_ref().map_or_else(CallFault::label, |_answer| "answered");
+    let outcome = result
+        .as_ref()
+        .map_or_else(CallFault::label, |_answer| "answered");
     counter!(CALLS_ENDED, "outcome" => outcome).increment(1);
     match result {
         Ok(body) => answer_response(&request_id, body),
@@ -34,15 +36,21 @@
 async fn route_call(request: CallRequest, events: &EventSender) -> Result<Bytes, CallFault> {
     let stopped = || CallFault::NotRun("the host is stopping; use another host".to_owned());
     let (reply, answer) = oneshot::channel();
-    let arrival = HostEvent::CallArrived { request: request.clone(), reply };
+    let arrival = HostEvent::CallArrived {
+        request: request.clone(),
+        reply,
+    };
     events.send(arrival).map_err(|_closed| stopped())?;
     let target = answer.await.map_err(|_closed| stopped())??;
     let deadline = target.deadline;
     let exchange = exchange_call(&request, &target);
-    let result = tokio::time::timeout(deadline, exchange).await.unwrap_or_else(|_elapsed| {
-        let text = format!("no answer within {deadline:?}; check whether it ran before repeating");
-        Err(CallFault::OutcomeUnknown(text))
-    });
+    let result = tokio::time::timeout(deadline, exchange)
+        .await
+        .unwrap_or_else(|_elapsed| {
+            let text =
+                format!("no answer within {deadline:?}; check whether it ran before repeating");
+            Err(CallFault::OutcomeUnknown(text))
+        });
     let _ = events.send(HostEvent::CallEnded { target });
     result
 }
@@ -53,7 +61,9 @@
         CallFault::OutcomeUnknown(format!("{worker} {detail}; check before repeating"))
     };
     let stream = TcpStream::connect(target.address).await.map_err(|error| {
-        CallFault::NotRun(format!("no connection to {worker} ({error}); send it again"))
+        CallFault::NotRun(format!(
+            "no connection to {worker} ({error}); send it again"
+        ))
     })?;
     let _ = stream.set_nodelay(true);
     let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
@@ -66,9 +76,14 @@
     let whole = Limited::new(body, BODY_LIMIT).collect().await;
     let whole = whole.map_err(|error| unknown(&format!("cut its answer ({error})")))?;
     driver.abort();
-    let echoed = head.headers.get(REQUEST_HEADER).and_then(|value| value.to_str().ok());
+    let echoed = head
+        .headers
+        .get(REQUEST_HEADER)
+        .and_then(|value| value.to_str().ok());
     if head.status == StatusCode::SERVICE_UNAVAILABLE {
-        return Err(CallFault::NotRun(format!("{worker} takes no calls now; send it again")));
+        return Err(CallFault::NotRun(format!(
+            "{worker} takes no calls now; send it again"
+        )));
     }
     if echoed != Some(request.headers.request_id.as_str()) {
         return Err(unknown("answered another request"));
@@ -77,7 +92,10 @@
         Ok(whole.to_bytes())
     } else {
         let text = String::from_utf8_lossy(&whole.to_bytes()).into_owned();
-        Err(CallFault::Failed(format!("{worker} answered {}: {text}", head.status)))
+        Err(CallFault::Failed(format!(
+            "{worker} answered {}: {text}",
+            head.status
+        )))
     }
 }
 
@@ -96,5 +114,7 @@
         builder = builder.header(KEY_HEADER, key);
     }
     let body = Full::new(request.body.clone());
-    builder.body(body).map_err(|error| CallFault::Invalid(error.to_string()))
+    builder
+        .body(body)
+        .map_err(|error| CallFault::Invalid(error.to_string()))
 }
--- a/crates/node/src/request/call_request.rs
+++ b/crates/node/src/request/call_request.rs
@@ -80,9 +80,10 @@
         CallFault::Invalid(_) => (StatusCode::BAD_REQUEST, wire::CallErrorKind::NotRun),
         CallFault::NotRun(_) => (StatusCode::SERVICE_UNAVAILABLE, wire::CallErrorKind::NotRun),
         CallFault::Failed(_) => (StatusCode::BAD_GATEWAY, wire::CallErrorKind::Failed),
-        CallFault::OutcomeUnknown(_) => {
-            (StatusCode::GATEWAY_TIMEOUT, wire::CallErrorKind::OutcomeUnknown)
-        }
+        CallFault::OutcomeUnknown(_) => (
+            StatusCode::GATEWAY_TIMEOUT,
+            wire::CallErrorKind::OutcomeUnknown,
+        ),
     };
     let body = wire::CallError {
         kind,
--- a/crates/node/src/request/job_request.rs
+++ b/crates/node/src/request/job_request.rs
@@ -36,14 +36,20 @@
 /// Serves the question for a job's state.
 pub async fn show_job(id: &str, events: EventSender) -> WholeResponse {
     let (reply, answer) = oneshot::channel();
-    let event = HostEvent::JobAsked { job: id.into(), reply };
+    let event = HostEvent::JobAsked {
+        job: id.into(),
+        reply,
+    };
     finish_request("show", id, ask_loop(&events, event, answer).await)
 }
 
 /// Serves the cancellation of a job.
 pub async fn cancel_job(id: &str, events: EventSender) -> WholeResponse {
     let (reply, answer) = oneshot::channel();
-    let event = HostEvent::CancelAsked { job: id.into(), reply };
+    let event = HostEvent::CancelAsked {
+        job: id.into(),
+        reply,
+    };
     finish_request("cancel", id, ask_loop(&events, event, answer).await)
 }
 
--- a/crates/node/src/request/route.rs
+++ b/crates/node/src/request/route.rs
@@ -50,7 +50,11 @@
         (Method::GET, "/readyz") => show_readiness(&events).await,
         (Method::GET, "/metrics") => {
             let text = recorder.map(|handle| handle.render()).unwrap_or_default();
-            typed_response(StatusCode::OK, "text/plain; version=0.0.4", Bytes::from(text))
+            typed_response(
+                StatusCode::OK,
+                "text/plain; version=0.0.4",
+                Bytes::from(text),
+            )
         }
         _ => text_response(
             StatusCode::NOT_FOUND,
@@ -72,11 +76,25 @@
     match headers {
         Ok(headers) => {
             let service = service.into();
-            serve_call(CallRequest { service, headers, body: request.into_body() }, events).await
+            serve_call(
+                CallRequest {
+                    service,
+                    headers,
+                    body: request.into_body(),
+                },
+                events,
+            )
+            .await
         }
         Err(fault) => {
-            let id = request.headers().get(REQUEST_HEADER).and_then(|value| value.to_str().ok());
-            fault_response(id.unwrap_or_default(), &CallFault::Invalid(fault.to_string()))
+            let id = request
+                .headers()
+                .get(REQUEST_HEADER)
+                .and_then(|value| value.to_str().ok());
+            fault_response(
+                id.unwrap_or_default(),
+                &CallFault::Invalid(fault.to_string()),
+            )
         }
     }
 }
@@ -104,7 +122,10 @@
     let Some(dump) = ask(events, |reply| HostEvent::DumpAsked { reply }).await else {
         return stopped_response();
     };
-    let wants_json = request.uri().query().is_some_and(|query| query.contains("format=json"));
+    let wants_json = request
+        .uri()
+        .query()
+        .is_some_and(|query| query.contains("format=json"));
     if wants_json {
         json_response(StatusCode::OK, &dump)
     } else {
@@ -117,7 +138,10 @@
     if ready == Some(true) {
         text_response(StatusCode::OK, "ready".to_owned())
     } else {
-        text_response(StatusCode::SERVICE_UNAVAILABLE, "starting or draining".to_owned())
+        text_response(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "starting or draining".to_owned(),
+        )
     }
 }
 
@@ -127,5 +151,8 @@
 }
 
 fn wrong_method(allowed: &str) -> WholeResponse {
-    text_response(StatusCode::METHOD_NOT_ALLOWED, format!("use {allowed} here"))
+    text_response(
+        StatusCode::METHOD_NOT_ALLOWED,
+        format!("use {allowed} here"),
+    )
 }
