--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -28,7 +28,7 @@
 pub fn run() -> ExitCode {
     let command = match command_options().run_inner(bpaf::Args::current_args()) {
         Ok(command) => command,
-        Err(failure) => return finish_usage(failure),
+        Err(failure) => return finish_usage(&failure),
     };
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -53,7 +53,7 @@
 }
 
 /// Prints help or what is wrong with the command line.
-fn finish_usage(failure: ParseFailure) -> ExitCode {
+fn finish_usage(failure: &ParseFailure) -> ExitCode {
     failure.print_message(LINE_WIDTH);
     if matches!(failure, ParseFailure::Stderr(_)) {
         ExitCode::from(EXIT_USAGE)
