--- a/crates/cli/src/try_platform.rs
+++ b/crates/cli/src/try_platform.rs
@@ -5,15 +5,28 @@
 
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::version::settings::{SystemSettings, ZoneSettings};
-use flamingowalk_core::version::{FolderFile, MergedFolder, check_folder, merge_folder};
+use flamingowalk_core::version::{
+    FolderFile, MergedFolder, check_folder, content_hash, merge_folder,
+};
+use flamingowalk_node::connection::http_client::HttpClient;
 use flamingowalk_node::{EntryHandle, HostSettings, start_host};
 use flamingowalk_standin::{HostsStandin, LogStandin, WorkerOptions, WorkerStandin};
+use flamingowalk_wire::caller::HostStatus;
 use flamingowalk_wire::hosts::{HostEntry, HostRole, HostState};
+use flamingowalk_wire::log::LogRecord;
+use flamingowalk_wire::records::ConfigRecord;
+use hyper::Method;
 
 use crate::exit::CommandFault;
 
 /// Entry hosts in each zone.
 const HOSTS_PER_ZONE: u32 = 2;
+/// Longest time for the hosts to become ready and for a job to finish.
+const TRIAL_LIMIT: Duration = Duration::from_secs(30);
+/// Pause between two questions for a state.
+const POLL_PAUSE: Duration = Duration::from_millis(50);
+/// Time an entry host has for an answer.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 /// Secret of the trial's entry hosts.
 const TRIAL_SECRET: &str = "trial";
 
@@ -216,6 +229,42 @@
         )
     }
 
+    /// Appends an example to the log as the first configuration.
+    pub fn publish(&self, example: &ExampleFolder) {
+        let settings = example.merged.to_string();
+        let content_hash = content_hash(&settings);
+        let id = format!("config/0/{content_hash}");
+        let publisher = "try".to_owned();
+        let record = ConfigRecord {
+            base_version: 0,
+            content_hash,
+            publisher,
+            settings,
+        };
+        let body = serde_json::to_value(record).unwrap_or_default();
+        let record = LogRecord {
+            id,
+            kind: "config".to_owned(),
+            schema: 1,
+            body,
+        };
+        self.log.append("config", vec![record]);
+    }
+
+    /// Waits until every entry host is ready; returns the version in force.
+    ///
+    /// # Errors
+    /// [`CommandFault`] when a host does not answer.
+    pub async fn wait_ready(&self) -> Result<u64, CommandFault> {
+        let client = HttpClient::default();
+        let mut version = 0;
+        for address in self.addresses() {
+            let ready = poll_until(|| host_status(&client, address), |status| status.ready).await?;
+            version = ready.config_version;
+        }
+        Ok(version)
+    }
+
     /// Addresses of the entry hosts for callers.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.entries
@@ -225,6 +274,38 @@
     }
 }
 
+async fn host_status(client: &HttpClient, address: SocketAddr) -> Result<HostStatus, CommandFault> {
+    let answer = client
+        .exchange_json(
+            address,
+            Method::GET,
+            "/v1/status",
+            None::<&()>,
+            REQUEST_TIMEOUT,
+        )
+        .await;
+    Ok(answer?)
+}
+
+/// Asks again and again until `done` holds or the trial's limit is over; returns
+/// the last answer.
+///
+/// # Errors
+/// The first [`CommandFault`] of an answer.
+pub async fn poll_until<T, F: Future<Output = Result<T, CommandFault>>>(
+    ask: impl Fn() -> F,
+    done: impl Fn(&T) -> bool,
+) -> Result<T, CommandFault> {
+    let end = tokio::time::Instant::now() + TRIAL_LIMIT;
+    loop {
+        let answer = ask().await?;
+        if done(&answer) || tokio::time::Instant::now() >= end {
+            return Ok(answer);
+        }
+        tokio::time::sleep(POLL_PAUSE).await;
+    }
+}
+
 fn entry_listing(
     name: &str,
     zone: &ZoneName,
--- a/crates/cli/src/try_run.rs
+++ b/crates/cli/src/try_run.rs
@@ -4,29 +4,22 @@
 use std::net::SocketAddr;
 
 use flamingowalk_core::prelude::*;
-use flamingowalk_core::version::content_hash;
 use flamingowalk_core::version::settings::{JobClass, SystemSettings};
 use flamingowalk_node::connection::http_client::HttpClient;
-use flamingowalk_wire::caller::{HostStatus, JobPhase, JobStatus, JobSubmission};
-use flamingowalk_wire::log::LogRecord;
-use flamingowalk_wire::records::ConfigRecord;
+use flamingowalk_wire::caller::{JobPhase, JobStatus, JobSubmission};
 use hyper::Method;
 
 use crate::caller_verbs::call;
 use crate::command::CallOptions;
 use crate::exit::CommandFault;
 use crate::output::OutputFormat;
-use crate::try_platform::{ExampleFolder, TrialPlatform, example_folder};
+use crate::try_platform::{TrialPlatform, example_folder, poll_until};
 use crate::try_report::{CallLine, TryReport};
 
 /// Calls of a trial.
 const CALL_COUNT: usize = 8;
 /// Time left of each call in milliseconds.
 const CALL_DEADLINE_MS: u64 = 5_000;
-/// Longest time for the hosts to become ready and for the jobs to finish.
-const TRIAL_LIMIT: Duration = Duration::from_secs(30);
-/// Pause between two questions for a state.
-const POLL_PAUSE: Duration = Duration::from_millis(50);
 /// Time an entry host has for an answer.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -37,8 +30,8 @@
 pub async fn run_example(name: &str, output: OutputFormat) -> Result<String, CommandFault> {
     let example = example_folder(name)?;
     let platform = TrialPlatform::start(&example.settings).await?;
-    publish_example(&platform, &example);
-    let config_version = wait_ready(&platform).await?;
+    platform.publish(&example);
+    let config_version = platform.wait_ready().await?;
     let calls = run_calls(&platform, &example.settings).await;
     let jobs = run_jobs(&platform, &example.settings).await?;
     let report = TryReport {
@@ -52,62 +45,6 @@
     report.finish(output)
 }
 
-fn publish_example(platform: &TrialPlatform, example: &ExampleFolder) {
-    let settings = example.merged.to_string();
-    let content_hash = content_hash(&settings);
-    let record = ConfigRecord {
-        base_version: 0,
-        content_hash: content_hash.clone(),
-        publisher: "try".to_owned(),
-        settings,
-    };
-    let record = LogRecord {
-        id: format!("config/0/{content_hash}"),
-        kind: "config".to_owned(),
-        schema: 1,
-        body: serde_json::to_value(record).unwrap_or_default(),
-    };
-    platform.log.append("config", vec![record]);
-}
-
-async fn wait_ready(platform: &TrialPlatform) -> Result<u64, CommandFault> {
-    let client = HttpClient::default();
-    let mut version = 0;
-    for address in platform.addresses() {
-        let ready = poll_until(|| host_status(&client, address), |status| status.ready).await?;
-        version = ready.config_version;
-    }
-    Ok(version)
-}
-
-async fn host_status(client: &HttpClient, address: SocketAddr) -> Result<HostStatus, CommandFault> {
-    let answer = client
-        .exchange_json(
-            address,
-            Method::GET,
-            "/v1/status",
-            None::<&()>,
-            REQUEST_TIMEOUT,
-        )
-        .await;
-    Ok(answer?)
-}
-
-/// Asks again and again until `done` holds or the trial's limit is over.
-async fn poll_until<T, F: Future<Output = Result<T, CommandFault>>>(
-    ask: impl Fn() -> F,
-    done: impl Fn(&T) -> bool,
-) -> Result<T, CommandFault> {
-    let end = tokio::time::Instant::now() + TRIAL_LIMIT;
-    loop {
-        let answer = ask().await?;
-        if done(&answer) || tokio::time::Instant::now() >= end {
-            return Ok(answer);
-        }
-        tokio::time::sleep(POLL_PAUSE).await;
-    }
-}
-
 async fn run_calls(platform: &TrialPlatform, settings: &SystemSettings) -> Vec<CallLine> {
     let customers: Vec<_> = settings.customers.keys().collect();
     let Some(service) = settings.services.keys().next() else {
