Planner lists a worker one second after a start

Cause: a worker that held nothing was next listed 30 s after its last list, so the end of a short task was noticed only by the renewal after 5 s. Ruled out: lost list answers and stale terms. Change: a start that succeeded makes the list due within a second. After: the test passes. Conclusion: polling follows what is held.

--- a/crates/core/src/process/planner/gang.rs
+++ b/crates/core/src/process/planner/gang.rs
@@ -210,6 +210,7 @@
             Ok(()) => {
                 member.valid_until = member.valid_until.max(member.since + lease);
                 member.enter(MemberState::Running, now);
+                self.poll_soon(now, &worker);
             }
             Err(TargetFault::OutcomeUnknown) => {
                 member.enter(MemberState::StartUnknown, now);
--- a/crates/core/tests/planner_gang.rs
+++ b/crates/core/tests/planner_gang.rs
@@ -200,3 +200,18 @@
     zone.run();
     insta::assert_snapshot!(zone.state.to_string());
 }
+
+#[test]
+fn end_noticed_after_idle_list() {
+    let mut zone = open_zone();
+    zone.pass(2);
+    zone.run_time = Duration::from_millis(300);
+    zone.submit("j1", "small");
+    zone.run();
+    zone.pass(2);
+    assert_eq!(
+        zone.ending("j1"),
+        Some(&JobEnding::Finished),
+        "a worker that holds a task is listed every second"
+    );
+}
