--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -1,3 +1,12 @@
 //! What lives for the process: planner, seat, followed records and health.
 
+pub mod config_book;
+pub mod config_history;
+pub mod job_book;
+pub mod log_appender;
+pub mod log_follower;
 pub mod planner;
+pub mod record;
+pub mod record_books;
+pub mod retry_backoff;
+pub mod snapshot;
--- /dev/null
+++ b/crates/core/src/process/config_history.rs
@@ -0,0 +1,325 @@
+//! What the records say about all published configurations, for operators:
+//! history, the result of a race, and the difference between two versions.
+
+use std::fmt::{self, Display, Formatter};
+
+use crate::prelude::*;
+use crate::process::config_book::{ConfigBook, ConfigChange, ConfigVoid, version_at};
+use crate::process::record::{ConfigEntry, LogEntry, LogOffset, SnapshotChunk, StoredEntry};
+use crate::version::merged_folder::MergedFolder;
+use crate::version::settings::ConfigVersion;
+use crate::version::{FolderFaults, FolderFile, merge_folder};
+
+/// How a published configuration fared.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PublishedState {
+    /// The newest version, in force.
+    InForce,
+    /// It was in force until the version named.
+    Superseded(ConfigVersion),
+    /// It never was in force.
+    Void(ConfigVoid),
+    /// It is older than the version in force at the first snapshot; whether it
+    /// ever was in force is no longer in the log.
+    Unjudged,
+}
+
+/// One published configuration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PublishedConfig {
+    /// Version that its offset gives it, also when it is void.
+    pub version: ConfigVersion,
+    /// Identifier of the record.
+    pub id: RecordId,
+    /// Unix time of the append.
+    pub appended_at: WallTime,
+    /// What was published.
+    pub entry: ConfigEntry,
+    /// How it fared.
+    pub state: PublishedState,
+}
+
+/// All configurations that the log still holds, oldest first.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfigHistory {
+    book: ConfigBook,
+    list: Vec<PublishedConfig>,
+}
+
+/// How a publisher's record fared against others.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PublishOutcome {
+    /// The record is in force as this version.
+    InForce(ConfigVersion),
+    /// It was in force; a later publisher replaced it since.
+    Superseded {
+        /// Version of the record.
+        version: ConfigVersion,
+        /// Version in force now.
+        newest: ConfigVersion,
+    },
+    /// Another publisher was faster; nothing of this record is in force.
+    LostRace {
+        /// Version that was in force at the record's offset.
+        winner: ConfigVersion,
+        /// Who published it.
+        publisher: String,
+        /// What the record would have changed in the version in force now.
+        differences: Vec<SettingDifference>,
+    },
+    /// The record's settings do not match its hash; publish again.
+    Damaged,
+    /// The log does not show the record.
+    NotSeen,
+}
+
+/// A setting that differs between two configurations.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SettingDifference {
+    /// Section without brackets.
+    pub section: String,
+    /// Key.
+    pub key: String,
+    /// Value in the first; nothing if it is absent there.
+    pub old: Option<String>,
+    /// Value in the second; nothing if it is absent there.
+    pub new: Option<String>,
+}
+
+impl Display for SettingDifference {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "[{}] {}: ", self.section, self.key)?;
+        match (&self.old, &self.new) {
+            (Some(old), Some(new)) => write!(f, "`{old}` becomes `{new}`"),
+            (Some(old), None) => write!(f, "`{old}` is removed"),
+            (None, Some(new)) => write!(f, "`{new}` is added"),
+            (None, None) => write!(f, "absent in both"),
+        }
+    }
+}
+
+impl Display for PublishOutcome {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::InForce(version) => write!(f, "{version} is in force"),
+            Self::Superseded { version, newest } => {
+                write!(f, "{version} was in force; {newest} has replaced it since")
+            }
+            Self::LostRace {
+                winner,
+                publisher,
+                differences,
+            } => {
+                write!(f, "not in force: {publisher} published {winner} first; ")?;
+                write!(f, "look at the differences, take {winner} into the folder ")?;
+                write!(f, "and publish again with it as base")?;
+                for difference in differences {
+                    write!(f, "\n  {difference}")?;
+                }
+                Ok(())
+            }
+            Self::Damaged => write!(f, "not in force: the record is damaged; publish again"),
+            Self::NotSeen => write!(
+                f,
+                "not seen in the log yet; ask for the history before you publish again"
+            ),
+        }
+    }
+}
+
+impl ConfigHistory {
+    /// Reads the history out of records in the order of their offsets. Without
+    /// the stream's beginning the first snapshot says which version was in force
+    /// there; what was published before that version cannot be judged.
+    pub fn read(records: &[StoredEntry], is_start_known: bool) -> Self {
+        let mut history = Self::default();
+        let snapshot = records.iter().find_map(config_snapshot);
+        let mut judged_from = LogOffset(0);
+        match (is_start_known, snapshot) {
+            (true, _) => {}
+            (false, None) => history.book = ConfigBook::with_unknown_start(),
+            (false, Some(chunk)) => {
+                judged_from = chunk.covers_until;
+                history.restore(&chunk.records);
+            }
+        }
+        for record in records {
+            if let LogEntry::Config(entry) = &record.entry {
+                history.apply(record, entry, judged_from);
+            }
+        }
+        history.list.sort_by_key(|config| config.version);
+        history
+    }
+
+    /// All published configurations, oldest first.
+    pub fn list(&self) -> &[PublishedConfig] {
+        &self.list
+    }
+
+    /// Version in force; zero before the first.
+    pub fn in_force(&self) -> ConfigVersion {
+        self.book.head()
+    }
+
+    /// The configuration of a version, void ones included.
+    pub fn get(&self, version: ConfigVersion) -> Option<&PublishedConfig> {
+        self.list.iter().find(|config| config.version == version)
+    }
+
+    /// How the record with this identifier fared.
+    pub fn outcome(&self, id: &RecordId) -> PublishOutcome {
+        let copies = self.list.iter().filter(|config| &config.id == id);
+        let best = copies.min_by_key(|config| matches!(config.state, PublishedState::Void(_)));
+        let Some(config) = best else {
+            return PublishOutcome::NotSeen;
+        };
+        match config.state {
+            PublishedState::InForce => PublishOutcome::InForce(config.version),
+            PublishedState::Superseded(_) => PublishOutcome::Superseded {
+                version: config.version,
+                newest: self.in_force(),
+            },
+            PublishedState::Unjudged => PublishOutcome::NotSeen,
+            PublishedState::Void(ConfigVoid::WrongHash) => PublishOutcome::Damaged,
+            PublishedState::Void(ConfigVoid::LostRace) => self.lost_race(config),
+        }
+    }
+
+    fn lost_race(&self, config: &PublishedConfig) -> PublishOutcome {
+        let counted = |c: &&PublishedConfig| {
+            matches!(
+                c.state,
+                PublishedState::InForce | PublishedState::Superseded(_)
+            )
+        };
+        let before = |c: &&PublishedConfig| c.version < config.version;
+        let winner = self.list.iter().filter(counted).rfind(before);
+        let newest = self.get(self.in_force());
+        let current = newest.map_or("", |newest| &newest.entry.settings);
+        PublishOutcome::LostRace {
+            winner: winner.map_or(ConfigVersion(0), |winner| winner.version),
+            publisher: winner.map_or_else(String::new, |winner| winner.entry.publisher.clone()),
+            differences: diff_texts(current, &config.entry.settings).unwrap_or_default(),
+        }
+    }
+
+    fn apply(&mut self, record: &StoredEntry, entry: &ConfigEntry, judged_from: LogOffset) {
+        let version = version_at(record.offset);
+        if self.get(version).is_some() {
+            return;
+        }
+        if record.offset >= judged_from {
+            let state = match self.book.apply(record) {
+                Some(ConfigChange::Void(reason)) => PublishedState::Void(reason),
+                _ => PublishedState::InForce,
+            };
+            return self.push(record, entry, state);
+        }
+        let is_void = version > self.book.head();
+        let state = if is_void {
+            PublishedState::Void(ConfigVoid::LostRace)
+        } else {
+            PublishedState::Unjudged
+        };
+        self.push(record, entry, state);
+    }
+
+    fn restore(&mut self, records: &[StoredEntry]) {
+        self.book.restore(records);
+        let head = self.book.head();
+        for record in records {
+            if let LogEntry::Config(entry) = &record.entry
+                && version_at(record.offset) == head
+            {
+                self.push(record, entry, PublishedState::InForce);
+            }
+        }
+    }
+
+    fn push(&mut self, record: &StoredEntry, entry: &ConfigEntry, state: PublishedState) {
+        let version = version_at(record.offset);
+        if state == PublishedState::InForce {
+            let before = self
+                .list
+                .iter_mut()
+                .filter(|c| c.state == PublishedState::InForce);
+            before.for_each(|config| config.state = PublishedState::Superseded(version));
+        }
+        self.list.push(PublishedConfig {
+            version,
+            id: record.id.clone(),
+            appended_at: record.appended_at,
+            entry: entry.clone(),
+            state,
+        });
+    }
+}
+
+impl Display for ConfigHistory {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        for config in &self.list {
+            write!(f, "{} on {}", config.version, config.entry.base)?;
+            write!(f, " by {}: ", config.entry.publisher)?;
+            match config.state {
+                PublishedState::InForce => writeln!(f, "in force")?,
+                PublishedState::Superseded(by) => writeln!(f, "replaced by {by}")?,
+                PublishedState::Void(ConfigVoid::LostRace) => {
+                    writeln!(f, "void, another version was in force")?;
+                }
+                PublishedState::Void(ConfigVoid::WrongHash) => writeln!(f, "void, damaged")?,
+                PublishedState::Unjudged => writeln!(f, "older than the oldest snapshot")?,
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The chunk, if it says which configuration was in force.
+fn config_snapshot(record: &StoredEntry) -> Option<&SnapshotChunk> {
+    let LogEntry::Snapshot(chunk) = &record.entry else {
+        return None;
+    };
+    let has_config = |record: &StoredEntry| matches!(record.entry, LogEntry::Config(_));
+    chunk.records.iter().any(has_config).then_some(chunk)
+}
+
+/// Settings that differ between two merged folders, by section and key.
+pub fn diff_folders(old: &MergedFolder, new: &MergedFolder) -> Vec<SettingDifference> {
+    let sections: BTreeSet<&String> = old.sections.keys().chain(new.sections.keys()).collect();
+    let mut differences = Vec::new();
+    for section in sections {
+        let values = |folder: &MergedFolder| {
+            let section = folder.sections.get(section);
+            section.map_or_else(BTreeMap::new, |section| section.values.clone())
+        };
+        let (old, new) = (values(old), values(new));
+        let keys: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+        let text = |placed: &crate::version::merged_folder::PlacedValue| placed.value.clone();
+        differences.extend(keys.into_iter().filter_map(|key| {
+            let difference = SettingDifference {
+                section: section.clone(),
+                key: key.clone(),
+                old: old.get(key).map(text),
+                new: new.get(key).map(text),
+            };
+            (difference.old != difference.new).then_some(difference)
+        }));
+    }
+    differences
+}
+
+/// Settings that differ between two canonical texts.
+///
+/// # Errors
+///
+/// The faults of a text that is not INI.
+pub fn diff_texts(old: &str, new: &str) -> Result<Vec<SettingDifference>, FolderFaults> {
+    let read = |name: &str, text: &str| {
+        merge_folder(&[FolderFile {
+            name: name.to_owned(),
+            text: text.to_owned(),
+        }])
+    };
+    Ok(diff_folders(&read("in force", old)?, &read("new", new)?))
+}
--- /dev/null
+++ b/crates/core/src/process/log_follower.rs
@@ -0,0 +1,447 @@
+//! Follows the platform's log. The machine asks for pages and hands out records
+//! in the order of their offsets, each offset once, whatever is slow, lost or
+//! answered twice on the way. When retention has taken records that it has not
+//! read, it looks for a snapshot and goes on from there.
+
+pub mod snapshot_seek;
+
+use std::fmt::{self, Display, Formatter};
+
+use rand_chacha::ChaCha8Rng;
+
+use crate::prelude::*;
+use crate::process::log_follower::snapshot_seek::{SeekStep, SnapshotSeek};
+use crate::process::record::{LogOffset, StoredEntry};
+use crate::process::retry_backoff::RetryBackoff;
+use crate::process::snapshot::{Snapshot, SnapshotCollector};
+
+/// Wait between reads at the tail of the log.
+pub const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Most records of a page.
+pub const PAGE_RECORDS: u32 = 256;
+/// Time without an answer after which a second read is sent, on another
+/// connection. Doubles while nothing is answered and follows the time of the
+/// latest answer, for a log that is merely slow.
+const READ_PATIENCE: Duration = Duration::from_secs(2);
+/// Longest patience; with `READ_LIMIT` reads it outlasts an answer of 30 s.
+const LONGEST_PATIENCE: Duration = Duration::from_secs(16);
+/// Most reads without an answer; the oldest is given up for a new one.
+const READ_LIMIT: usize = 3;
+
+/// Number of a read request.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct ReadId(pub u64);
+
+impl Display for ReadId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "read{}", self.0)
+    }
+}
+
+/// An answer of the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReadPage {
+    /// Records in the order of their offsets.
+    pub records: Vec<StoredEntry>,
+    /// Oldest offset that retention has kept.
+    pub first: LogOffset,
+    /// Offset to read from next.
+    pub next: LogOffset,
+    /// Offset after the newest record.
+    pub tail: LogOffset,
+}
+
+/// Why a read gave no page.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadFault {
+    /// No answer, or one that says nothing about the records.
+    Unavailable,
+    /// The page is larger than a host will hold.
+    TooLarge,
+}
+
+/// What the follower is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FollowerEvent {
+    /// A page came.
+    ReadAnswered {
+        /// The read.
+        read: ReadId,
+        /// Its page.
+        page: ReadPage,
+    },
+    /// A read failed.
+    ReadFailed {
+        /// The read.
+        read: ReadId,
+        /// Why.
+        fault: ReadFault,
+    },
+    /// Time passed; sent at least every 100 ms.
+    Tick,
+}
+
+/// What the follower asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FollowerAction {
+    /// Read a page.
+    Read {
+        /// Number of the read.
+        read: ReadId,
+        /// First offset wanted.
+        from: LogOffset,
+        /// Most records wanted.
+        limit: u32,
+        /// Whether to open a new connection: one before it may have gone silent.
+        is_connection_new: bool,
+    },
+    /// A read has no use any more; its connection can be closed.
+    GiveUp {
+        /// The read.
+        read: ReadId,
+    },
+    /// The next record in order.
+    Apply(StoredEntry),
+    /// Records were lost to retention; what was applied before is out of date
+    /// until a snapshot replaces it.
+    Truncated {
+        /// First offset that was not read.
+        from: LogOffset,
+        /// Oldest offset that is left.
+        first: LogOffset,
+    },
+    /// Replaces all state; records follow from its offset on.
+    Restore(Snapshot),
+    /// No snapshot came in time; records follow from the oldest one left. State
+    /// that only lost records held is lost. The next snapshot is restored, whoever
+    /// writes it, so that hosts that lost different records agree again.
+    RestoreAbandoned {
+        /// Oldest offset that is left.
+        first: LogOffset,
+    },
+}
+
+/// Counters of a follower.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct FollowerCounters {
+    /// Records handed out.
+    pub applied: u64,
+    /// Records that came again or out of order.
+    pub repeated: u64,
+    /// Records skipped since they are larger than any reader takes.
+    pub oversized: u64,
+    /// Reads that failed.
+    pub failed: u64,
+    /// Reads sent since another went without an answer.
+    pub impatient: u64,
+    /// Answers by which the log ends before records that it gave earlier.
+    pub regressed: u64,
+    /// Times that records were lost to retention.
+    pub truncated: u64,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct PendingRead {
+    from: LogOffset,
+    limit: u32,
+    sent_at: MonotonicTime,
+}
+
+#[derive(Clone, Debug)]
+enum FollowMode {
+    Seeking(SnapshotSeek),
+    Following,
+}
+
+/// Reader of the log.
+#[derive(Clone, Debug)]
+pub struct LogFollower {
+    mode: FollowMode,
+    /// Chunks of the snapshot to agree on, after records were lost for good.
+    agreement: Option<SnapshotCollector>,
+    /// Lowest offset that was not handed out. Goes up only, but for a restore.
+    position: LogOffset,
+    /// When the latest answered read that reached the tail was sent. Whatever
+    /// was in the log by then has been handed out.
+    caught_up_at: Option<MonotonicTime>,
+    /// Reads without an answer, at most `READ_LIMIT`.
+    pending: BTreeMap<ReadId, PendingRead>,
+    /// Latest read, unless it was answered; older ones are kept for late answers.
+    active: Option<ReadId>,
+    next_read: u64,
+    read_at: MonotonicTime,
+    limit: u32,
+    patience: Duration,
+    backoff: RetryBackoff,
+    counters: FollowerCounters,
+}
+
+impl LogFollower {
+    /// A follower that has read nothing. `random` differs between hosts.
+    pub fn new(now: MonotonicTime, random: ChaCha8Rng) -> Self {
+        Self {
+            mode: FollowMode::Seeking(SnapshotSeek::new(None)),
+            agreement: None,
+            position: LogOffset(0),
+            caught_up_at: None,
+            pending: BTreeMap::new(),
+            active: None,
+            next_read: 0,
+            read_at: now,
+            limit: PAGE_RECORDS,
+            patience: READ_PATIENCE,
+            backoff: RetryBackoff::new(random),
+            counters: FollowerCounters::default(),
+        }
+    }
+
+    /// Lowest offset that was not handed out.
+    pub fn position(&self) -> LogOffset {
+        self.position
+    }
+
+    /// When the latest answered read that reached the tail was sent; nothing
+    /// while records are missing.
+    pub fn caught_up_at(&self) -> Option<MonotonicTime> {
+        self.caught_up_at
+    }
+
+    /// Whether records that were handed out, with the snapshot before them, say
+    /// everything up to `position`.
+    pub fn is_complete(&self) -> bool {
+        matches!(self.mode, FollowMode::Following)
+    }
+
+    /// Counters.
+    pub fn counters(&self) -> &FollowerCounters {
+        &self.counters
+    }
+
+    /// Takes an event and says what to do.
+    pub fn handle(&mut self, now: MonotonicTime, event: FollowerEvent) -> Vec<FollowerAction> {
+        let mut actions = Vec::new();
+        match event {
+            FollowerEvent::ReadAnswered { read, page } => {
+                self.take_page(now, read, page, &mut actions);
+            }
+            FollowerEvent::ReadFailed { read, fault } => self.take_fault(now, read, fault),
+            FollowerEvent::Tick => {}
+        }
+        self.send_read(now, &mut actions);
+        actions
+    }
+
+    fn take_page(
+        &mut self,
+        now: MonotonicTime,
+        read: ReadId,
+        page: ReadPage,
+        actions: &mut Vec<FollowerAction>,
+    ) {
+        let Some(pending) = self.pending.remove(&read) else {
+            return;
+        };
+        self.backoff.succeed();
+        let patience = now.since(pending.sent_at) * 2;
+        self.patience = patience.clamp(READ_PATIENCE, LONGEST_PATIENCE);
+        self.limit = (self.limit * 2).min(PAGE_RECORDS);
+        let is_active = self.active == Some(read);
+        if is_active {
+            self.active = None;
+        }
+        if page.tail < pending.from && self.is_complete() {
+            self.counters.regressed += 1;
+            self.read_at = now + POLL_INTERVAL;
+            return;
+        }
+        let has_more = match &mut self.mode {
+            FollowMode::Following => self.follow(&pending, page, actions),
+            FollowMode::Seeking(_) => self.seek(now, &pending, &page, actions),
+        };
+        if is_active {
+            let wait = if has_more {
+                Duration::ZERO
+            } else {
+                POLL_INTERVAL
+            };
+            self.read_at = now + wait;
+        }
+    }
+
+    /// Hands out the records of a page and tells whether more are waiting.
+    fn follow(
+        &mut self,
+        pending: &PendingRead,
+        page: ReadPage,
+        actions: &mut Vec<FollowerAction>,
+    ) -> bool {
+        if page.first > self.position {
+            self.truncate(page.first, actions);
+            return true;
+        }
+        for record in page.records {
+            if let Some(snapshot) = self.agree(&record, page.first) {
+                self.follow_from(snapshot.covers_until, actions);
+                actions.push(FollowerAction::Restore(snapshot));
+                return true;
+            }
+            if record.offset < self.position {
+                self.counters.repeated += 1;
+                continue;
+            }
+            self.position = record.offset.next();
+            self.counters.applied += 1;
+            actions.push(FollowerAction::Apply(record));
+        }
+        self.position = self.position.max(page.next.min(page.tail));
+        let is_at_tail = self.position >= page.tail;
+        if is_at_tail {
+            self.caught_up_at = self.caught_up_at.max(Some(pending.sent_at));
+        }
+        !is_at_tail
+    }
+
+    /// The snapshot that this record completes, if one is awaited and reading can
+    /// go on at its offset.
+    fn agree(&mut self, record: &StoredEntry, first: LogOffset) -> Option<Snapshot> {
+        let collector = self.agreement.as_mut()?;
+        collector.take(record);
+        let is_usable = |snapshot: &Snapshot| snapshot.covers_until >= first;
+        if !collector.newest().is_some_and(is_usable) {
+            return None;
+        }
+        self.agreement.take()?.into_newest()
+    }
+
+    fn truncate(&mut self, first: LogOffset, actions: &mut Vec<FollowerAction>) {
+        self.counters.truncated += 1;
+        self.caught_up_at = None;
+        self.mode = FollowMode::Seeking(SnapshotSeek::new(Some(self.position)));
+        actions.push(FollowerAction::Truncated {
+            from: self.position,
+            first,
+        });
+    }
+
+    fn seek(
+        &mut self,
+        now: MonotonicTime,
+        pending: &PendingRead,
+        page: &ReadPage,
+        actions: &mut Vec<FollowerAction>,
+    ) -> bool {
+        let FollowMode::Seeking(seek) = &mut self.mode else {
+            return false;
+        };
+        match seek.take_page(now, pending.from, page) {
+            SeekStep::ReadOn => true,
+            SeekStep::Wait => false,
+            SeekStep::StartAt(offset) => {
+                self.follow_from(offset, actions);
+                true
+            }
+            SeekStep::Restore(snapshot) => {
+                self.agreement = None;
+                self.follow_from(snapshot.covers_until, actions);
+                actions.push(FollowerAction::Restore(snapshot));
+                true
+            }
+            SeekStep::Abandon(first) => {
+                self.agreement = Some(SnapshotCollector::default());
+                self.follow_from(first, actions);
+                actions.push(FollowerAction::RestoreAbandoned { first });
+                true
+            }
+        }
+    }
+
+    /// Reads that were sent while seeking could hand out records from the wrong
+    /// place, so their answers are not awaited.
+    fn follow_from(&mut self, offset: LogOffset, actions: &mut Vec<FollowerAction>) {
+        self.mode = FollowMode::Following;
+        self.position = offset;
+        let given_up = std::mem::take(&mut self.pending).into_keys();
+        actions.extend(given_up.map(|read| FollowerAction::GiveUp { read }));
+        self.active = None;
+    }
+
+    fn take_fault(&mut self, now: MonotonicTime, read: ReadId, fault: ReadFault) {
+        let Some(pending) = self.pending.remove(&read) else {
+            return;
+        };
+        self.counters.failed += 1;
+        if self.active != Some(read) {
+            return;
+        }
+        self.active = None;
+        match fault {
+            ReadFault::Unavailable => self.read_at = now + self.backoff.fail(),
+            ReadFault::TooLarge if pending.limit > 1 => self.limit = pending.limit / 2,
+            ReadFault::TooLarge => self.skip_record(pending.from),
+        }
+    }
+
+    /// Every reader has the same limit, so a record above it counts for none.
+    fn skip_record(&mut self, from: LogOffset) {
+        self.counters.oversized += 1;
+        match &mut self.mode {
+            FollowMode::Following => self.position = self.position.max(from.next()),
+            FollowMode::Seeking(seek) => seek.skip_record(from),
+        }
+    }
+
+    fn send_read(&mut self, now: MonotonicTime, actions: &mut Vec<FollowerAction>) {
+        let is_impatient = match self.active.and_then(|read| self.pending.get(&read)) {
+            Some(pending) if now.since(pending.sent_at) < self.patience => return,
+            Some(_) => true,
+            None if now < self.read_at => return,
+            None => false,
+        };
+        if is_impatient {
+            self.counters.impatient += 1;
+            self.patience = (self.patience * 2).min(LONGEST_PATIENCE);
+        }
+        self.drop_oldest(actions);
+        let (from, limit) = match &self.mode {
+            FollowMode::Following => (self.position, self.limit),
+            FollowMode::Seeking(seek) => (seek.read_from(), seek.read_limit(self.limit)),
+        };
+        let read = ReadId(self.next_read);
+        self.next_read += 1;
+        let pending = PendingRead {
+            from,
+            limit,
+            sent_at: now,
+        };
+        self.pending.insert(read, pending);
+        self.active = Some(read);
+        actions.push(FollowerAction::Read {
+            read,
+            from,
+            limit,
+            is_connection_new: is_impatient,
+        });
+    }
+
+    fn drop_oldest(&mut self, actions: &mut Vec<FollowerAction>) {
+        while self.pending.len() >= READ_LIMIT {
+            if let Some((read, _)) = self.pending.pop_first() {
+                actions.push(FollowerAction::GiveUp { read });
+            }
+        }
+    }
+}
+
+impl Display for LogFollower {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let mode = match &self.mode {
+            FollowMode::Following => "following",
+            FollowMode::Seeking(_) => "seeking a snapshot",
+        };
+        write!(f, "{mode} at {}, ", self.position)?;
+        match self.caught_up_at {
+            Some(at) => writeln!(f, "caught up at {at}, {} reads pending", self.pending.len()),
+            None => writeln!(f, "not caught up, {} reads pending", self.pending.len()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/log_follower/snapshot_seek.rs
@@ -0,0 +1,142 @@
+//! The search for a snapshot in a log whose beginning is not at hand. Windows
+//! before the tail are scanned, each four times as long as the one before, so
+//! that a start reads little of a long log.
+
+use crate::prelude::*;
+use crate::process::log_follower::ReadPage;
+use crate::process::record::LogOffset;
+use crate::process::snapshot::{Snapshot, SnapshotCollector};
+
+/// Offsets before the tail that are scanned first.
+const FIRST_WINDOW: u64 = 2_048;
+/// Growth of the window from one scan to the next.
+const WINDOW_GROWTH: u64 = 4;
+/// Time to wait at the tail for another host to write a snapshot, before the
+/// records that are left are taken for all there is.
+pub const SNAPSHOT_WAIT: Duration = Duration::from_secs(30);
+
+/// What the search says after a page.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SeekStep {
+    /// Read the next page at once.
+    ReadOn,
+    /// Read again after the poll interval.
+    Wait,
+    /// Nothing is missing from this offset on; no snapshot is needed.
+    StartAt(LogOffset),
+    /// Restore the snapshot and read on from its offset.
+    Restore(Snapshot),
+    /// Take what is left from this offset on for all there is.
+    Abandon(LogOffset),
+}
+
+/// A search in progress.
+#[derive(Clone, Debug)]
+pub struct SnapshotSeek {
+    /// Offset from which this process would need records; nothing at its start.
+    lost_from: Option<LogOffset>,
+    /// Whether the log's bounds are known and a scan runs.
+    is_scanning: bool,
+    /// First offset of the scan.
+    start: LogOffset,
+    /// Next offset of the scan.
+    scan: LogOffset,
+    window: u64,
+    collector: SnapshotCollector,
+    /// When a scan of everything first found nothing.
+    waiting_since: Option<MonotonicTime>,
+}
+
+impl SnapshotSeek {
+    /// A search that knows nothing yet.
+    pub fn new(lost_from: Option<LogOffset>) -> Self {
+        Self {
+            lost_from,
+            is_scanning: false,
+            start: LogOffset(0),
+            scan: lost_from.unwrap_or_default(),
+            window: FIRST_WINDOW,
+            collector: SnapshotCollector::default(),
+            waiting_since: None,
+        }
+    }
+
+    /// Offset of the next read.
+    pub fn read_from(&self) -> LogOffset {
+        self.scan
+    }
+
+    /// Most records of the next read: the first one asks for the log's bounds only.
+    pub fn read_limit(&self, limit: u32) -> u32 {
+        if self.is_scanning { limit } else { 1 }
+    }
+
+    /// Passes over a record that cannot be read.
+    pub fn skip_record(&mut self, offset: LogOffset) {
+        self.scan = self.scan.max(offset.next());
+    }
+
+    /// Takes the page of a read from `from`. Late answers to reads of an earlier
+    /// scan are passed over.
+    pub fn take_page(&mut self, now: MonotonicTime, from: LogOffset, page: &ReadPage) -> SeekStep {
+        if !self.is_scanning {
+            return self.begin(page);
+        }
+        let is_late = from < self.start || from > self.scan;
+        if is_late {
+            return SeekStep::ReadOn;
+        }
+        for record in &page.records {
+            self.scan = self.scan.max(record.offset.next());
+            self.collector.take(record);
+        }
+        self.scan = self.scan.max(page.next.min(page.tail));
+        if self.scan < page.tail {
+            return SeekStep::ReadOn;
+        }
+        self.judge(now, page)
+    }
+
+    /// A log that is whole, or empty, or that still holds all that this process
+    /// missed, needs no snapshot.
+    fn begin(&mut self, page: &ReadPage) -> SeekStep {
+        let is_whole = page.first == LogOffset(0) && page.tail.0 <= FIRST_WINDOW;
+        let is_empty = page.first >= page.tail && self.lost_from.is_none();
+        if is_whole || is_empty {
+            return SeekStep::StartAt(page.first);
+        }
+        self.is_scanning = true;
+        self.scan_from(page);
+        SeekStep::ReadOn
+    }
+
+    fn scan_from(&mut self, page: &ReadPage) {
+        let start = LogOffset(page.tail.0.saturating_sub(self.window));
+        self.start = start.max(page.first);
+        self.scan = self.start;
+        self.collector = SnapshotCollector::default();
+    }
+
+    fn judge(&mut self, now: MonotonicTime, page: &ReadPage) -> SeekStep {
+        let is_usable = |snapshot: &Snapshot| snapshot.covers_until >= page.first;
+        if self.collector.newest().is_some_and(is_usable) {
+            let collector = std::mem::take(&mut self.collector);
+            return collector
+                .into_newest()
+                .map_or(SeekStep::Wait, SeekStep::Restore);
+        }
+        if self.start > page.first {
+            self.window = self.window.saturating_mul(WINDOW_GROWTH);
+            self.scan_from(page);
+            return SeekStep::ReadOn;
+        }
+        if page.first == LogOffset(0) {
+            return SeekStep::StartAt(page.first);
+        }
+        let since = *self.waiting_since.get_or_insert(now);
+        if now.since(since) >= SNAPSHOT_WAIT {
+            return SeekStep::Abandon(page.first);
+        }
+        SeekStep::Wait
+    }
+}
--- /dev/null
+++ b/crates/core/tests/log/appender.rs
@@ -0,0 +1,294 @@
+//! The appender alone: group commit, rate, lost answers, refusals, proofs.
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::log_appender::{
+    APPEND_INTERVAL, AppendFault, AppendId, AppenderAction, AppenderEvent, LogAppender,
+    NotWrittenReason, OutgoingRecord, QUEUE_RECORDS, RECORD_BYTES, SubmitError,
+};
+use flamingowalk_core::process::record::LogOffset;
+use rstest::rstest;
+
+use crate::fake::{cancelled, random};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+struct Writer {
+    now: MonotonicTime,
+    appender: LogAppender,
+    appends: Vec<(AppendId, Vec<String>)>,
+    reports: Vec<String>,
+}
+
+impl Writer {
+    fn new() -> Self {
+        let now = MonotonicTime::from_secs(1);
+        Self {
+            now,
+            appender: LogAppender::new(now, random(3)),
+            appends: Vec::new(),
+            reports: Vec::new(),
+        }
+    }
+
+    fn submit(&mut self, id: &str, limit: Option<Duration>) {
+        let record = outgoing(id, 100, limit.map(|limit| self.now + limit));
+        self.appender.submit(record).expect("room in the queue");
+    }
+
+    fn handle(&mut self, event: AppenderEvent) {
+        for action in self.appender.handle(self.now, event) {
+            match action {
+                AppenderAction::Append { append, records } => {
+                    let ids = records.iter().map(|record| record.id.to_string()).collect();
+                    self.appends.push((append, ids));
+                }
+                AppenderAction::Written { id, offset } => {
+                    let place = offset.map_or("?".to_owned(), |offset| offset.0.to_string());
+                    self.reports.push(format!("{id} written {place}"));
+                }
+                AppenderAction::NotWritten { id, reason } => {
+                    let reason = match reason {
+                        NotWrittenReason::TimeOver => "time over".to_owned(),
+                        NotWrittenReason::Refused(message) => message,
+                    };
+                    self.reports.push(format!("{id} not written: {reason}"));
+                }
+                AppenderAction::Doubtful { id } => self.reports.push(format!("{id} doubtful")),
+            }
+        }
+    }
+
+    fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(50);
+            self.handle(AppenderEvent::Tick);
+        }
+    }
+
+    fn fail_last(&mut self, fault: AppendFault) {
+        let append = self.last();
+        self.handle(AppenderEvent::Failed { append, fault });
+    }
+
+    fn answer_last(&mut self, first: u64, next: u64) {
+        let append = self.last();
+        let (first, next) = (LogOffset(first), LogOffset(next));
+        self.handle(AppenderEvent::Answered {
+            append,
+            first,
+            next,
+        });
+    }
+
+    fn last(&self) -> AppendId {
+        self.appends.last().expect("an append").0
+    }
+}
+
+fn outgoing(id: &str, bytes: usize, give_up_at: Option<MonotonicTime>) -> OutgoingRecord {
+    OutgoingRecord {
+        id: RecordId::from(id),
+        entry: cancelled("j"),
+        bytes,
+        give_up_at,
+    }
+}
+
+#[test]
+fn append_groups_what_waits() {
+    let mut writer = Writer::new();
+    writer.submit("a", None);
+    writer.pass(APPEND_INTERVAL);
+    for id in ["b", "c", "d"] {
+        writer.submit(id, None);
+    }
+    writer.pass(APPEND_INTERVAL * 4);
+    assert_eq!(writer.appends.len(), 1, "one append is in flight at a time");
+    writer.answer_last(5, 6);
+    writer.answer_last(5, 6);
+    writer.pass(APPEND_INTERVAL);
+    assert_eq!(writer.appends[1].1, ["b", "c", "d"]);
+    writer.answer_last(9, 13);
+    assert_eq!(
+        writer.reports,
+        ["a written 5", "b written ?", "c written ?", "d written ?"]
+    );
+}
+
+#[test]
+fn append_keeps_to_rate() {
+    let mut writer = Writer::new();
+    for index in 0..200 {
+        writer.submit(&index.to_string(), None);
+        writer.pass(Duration::from_millis(50));
+        if writer.appender.open_records() > 0 && !writer.appends.is_empty() {
+            writer.answer_last(0, 1);
+        }
+    }
+    let appends = writer.appends.len();
+    assert!((30..=41).contains(&appends), "{appends} appends in 10 s");
+}
+
+/// An answer that is lost after the write has taken effect.
+#[test]
+fn append_lost_answer_settled_by_reading() {
+    let mut writer = Writer::new();
+    writer.submit("a", Some(LIMIT));
+    writer.pass(APPEND_INTERVAL);
+    writer.fail_last(AppendFault::Unknown);
+    writer.pass(Duration::from_secs(2));
+    assert_eq!(writer.appends.len(), 1, "nothing is repeated before a read");
+    let (id, offset) = (RecordId::from("a"), LogOffset(4));
+    writer.handle(AppenderEvent::Followed { id, offset });
+    let at = writer.now;
+    writer.handle(AppenderEvent::CaughtUp { at });
+    writer.pass(LIMIT);
+    assert_eq!(writer.reports, ["a written 4"]);
+    assert_eq!(
+        (writer.appends.len(), writer.appender.open_records()),
+        (1, 0)
+    );
+}
+
+#[test]
+fn append_unseen_record_is_repeated() {
+    let mut writer = Writer::new();
+    let before = writer.now;
+    writer.submit("a", None);
+    writer.pass(APPEND_INTERVAL);
+    writer.fail_last(AppendFault::Unknown);
+    writer.handle(AppenderEvent::CaughtUp { at: before });
+    writer.pass(Duration::from_secs(2));
+    assert_eq!(
+        writer.appends.len(),
+        1,
+        "a read from before the doubt proves nothing"
+    );
+    let at = writer.now;
+    writer.handle(AppenderEvent::CaughtUp { at });
+    writer.pass(Duration::from_secs(2));
+    assert_eq!(writer.appends[1].1, ["a"]);
+    let append = writer.appends[0].0;
+    let (first, next) = (LogOffset(2), LogOffset(3));
+    writer.handle(AppenderEvent::Answered {
+        append,
+        first,
+        next,
+    });
+    writer.answer_last(7, 8);
+    assert_eq!(
+        writer.reports,
+        ["a written 2"],
+        "the late answer settles it, once"
+    );
+}
+
+#[rstest]
+#[case::never_sent(None, "a not written: time over")]
+#[case::no_connection(Some(AppendFault::NotSent), "a not written: time over")]
+#[case::lost_answer(Some(AppendFault::Unknown), "a doubtful")]
+#[case::refused(Some(AppendFault::Refused("malformed".to_owned())), "a not written: malformed")]
+fn append_time_over(#[case] fault: Option<AppendFault>, #[case] report: &str) {
+    let mut writer = Writer::new();
+    if fault.is_none() {
+        writer.submit("other", None);
+        writer.pass(APPEND_INTERVAL);
+    }
+    writer.submit("a", Some(Duration::from_secs(5)));
+    if let Some(fault) = fault {
+        for _ in 0..100 {
+            writer.pass(Duration::from_millis(50));
+            if !writer.appends.is_empty() {
+                writer.fail_last(fault.clone());
+            }
+        }
+    }
+    writer.pass(Duration::from_secs(6));
+    assert_eq!(writer.reports, [report]);
+}
+
+/// A connection that could not be made does not prove anything about an append
+/// that was sent before it.
+#[test]
+fn append_not_sent_after_lost_answer() {
+    let mut writer = Writer::new();
+    writer.submit("a", Some(LIMIT));
+    writer.pass(APPEND_INTERVAL);
+    writer.fail_last(AppendFault::Unknown);
+    let at = writer.now + Duration::from_millis(1);
+    writer.pass(Duration::from_secs(1));
+    writer.handle(AppenderEvent::CaughtUp { at });
+    writer.pass(Duration::from_secs(1));
+    assert_eq!(writer.appends.len(), 2);
+    writer.fail_last(AppendFault::NotSent);
+    while writer.reports.is_empty() {
+        writer.pass(APPEND_INTERVAL);
+        writer.fail_last(AppendFault::NotSent);
+    }
+    assert_eq!(writer.reports, ["a doubtful"]);
+    let (id, offset) = (RecordId::from("a"), LogOffset(4));
+    writer.handle(AppenderEvent::Followed { id, offset });
+    assert_eq!(writer.reports, ["a doubtful", "a written 4"]);
+}
+
+/// One faulty record is refused alone, the others are written.
+#[test]
+fn append_refused_record_alone() {
+    let mut writer = Writer::new();
+    for id in ["a", "bad", "c"] {
+        writer.submit(id, None);
+    }
+    for offset in 0..100 {
+        writer.pass(Duration::from_millis(500));
+        let Some((_, ids)) = writer.appends.last() else {
+            continue;
+        };
+        if ids.iter().any(|id| id == "bad") {
+            writer.fail_last(AppendFault::Refused("malformed".to_owned()));
+        } else {
+            let next = offset + ids.len() as u64;
+            writer.answer_last(offset, next);
+        }
+    }
+    let mut ends: Vec<&str> = writer
+        .reports
+        .iter()
+        .map(|r| &r[..r.len().min(11)])
+        .collect();
+    ends.sort_unstable();
+    assert_eq!(ends.len(), 3, "{ends:?}");
+    assert_eq!(
+        (&ends[0][..9], ends[1], &ends[2][..9]),
+        ("a written", "bad not wri", "c written")
+    );
+}
+
+#[test]
+fn append_unanswered_for_long() {
+    let mut writer = Writer::new();
+    writer.submit("a", None);
+    writer.submit("b", Some(LIMIT));
+    writer.pass(Duration::from_secs(30));
+    assert_eq!(writer.appends.len(), 1);
+    assert_eq!(writer.reports, ["b doubtful"]);
+    writer.answer_last(3, 5);
+    assert_eq!(writer.reports, ["b doubtful", "a written 3", "b written 4"]);
+}
+
+#[test]
+fn submit_limits() {
+    let mut writer = Writer::new();
+    let bytes = RECORD_BYTES + 1;
+    let large = writer.appender.submit(outgoing("large", bytes, None));
+    assert_eq!(large, Err(SubmitError::TooLarge { bytes }));
+    let limit = Some(writer.now + LIMIT);
+    for index in 0..QUEUE_RECORDS {
+        let record = outgoing(&index.to_string(), 1, limit);
+        assert_eq!(writer.appender.submit(record), Ok(()));
+    }
+    let full = writer.appender.submit(outgoing("full", 1, limit));
+    assert_eq!(full, Err(SubmitError::QueueFull));
+    let ending = writer.appender.submit(outgoing("ending", 1, None));
+    assert_eq!(ending, Ok(()), "an ending is never refused");
+}
--- /dev/null
+++ b/crates/core/tests/log/books.rs
@@ -0,0 +1,450 @@
+//! Books as folds over records: first ones count, copies change nothing, and a
+//! snapshot stands for all records before it.
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::config_book::{ConfigBook, ConfigChange, ConfigVoid, version_at};
+use flamingowalk_core::process::config_history::{ConfigHistory, PublishOutcome, diff_texts};
+use flamingowalk_core::process::job_book::{JOB_MEMORY, JobBook, JobChange, VoidReason};
+use flamingowalk_core::process::planner::action::JobEnding;
+use flamingowalk_core::process::record::{LogEntry, LogOffset, StoredEntry};
+use flamingowalk_core::process::record_books::RecordBooks;
+use flamingowalk_core::process::snapshot::{
+    SnapshotCollector, SnapshotSchedule, SnapshotTimes, chunk_id, cut_snapshot,
+};
+use flamingowalk_core::version::settings::ConfigVersion;
+use proptest::prelude::*;
+use rstest::rstest;
+
+use crate::fake::{
+    FakeLog, WALL_START, accepted, cancelled, config, ended, moved, settings_text, started,
+};
+
+const HOUR_MS: u64 = 3_600_000;
+
+fn log_of(entries: Vec<LogEntry>) -> FakeLog {
+    let mut log = FakeLog::default();
+    for (index, entry) in entries.into_iter().enumerate() {
+        log.append(&RecordId::from(format!("id{index}")), entry);
+    }
+    log
+}
+
+fn last_change(entries: Vec<LogEntry>) -> JobChange {
+    let mut book = JobBook::default();
+    let log = log_of(entries);
+    let changes = log.records.iter().filter_map(|record| book.apply(record));
+    changes.last().expect("a record about jobs")
+}
+
+fn other_work(job: &str) -> LogEntry {
+    let LogEntry::JobAccepted(mut entry) = accepted(job, 0) else {
+        unreachable!("an acceptance");
+    };
+    entry.class = ClassName::from("other");
+    LogEntry::JobAccepted(entry)
+}
+
+const DONE: JobEnding = JobEnding::Finished;
+
+#[rstest]
+#[case::same_work(vec![accepted("j", 0), accepted("j", 5)], VoidReason::Repeated)]
+#[case::other_work(vec![accepted("j", 0), other_work("j")], VoidReason::OtherWork)]
+#[case::after_end(vec![accepted("j", 0), ended("j", DONE), accepted("j", 0)], VoidReason::Repeated)]
+#[case::clock_ahead(vec![accepted("j", 2 * HOUR_MS)], VoidReason::ClockSkew)]
+#[case::cancel_unknown(vec![cancelled("j")], VoidReason::UnknownJob)]
+#[case::cancel_twice(vec![accepted("j", 0), cancelled("j"), cancelled("j")], VoidReason::Repeated)]
+#[case::start_again(vec![accepted("j", 0), started("j", 2), started("j", 1)], VoidReason::Repeated)]
+#[case::start_after_end(vec![accepted("j", 0), ended("j", DONE), started("j", 1)], VoidReason::EndedJob)]
+#[case::end_twice(vec![accepted("j", 0), ended("j", DONE), ended("j", JobEnding::Cancelled)], VoidReason::EndedJob)]
+#[case::move_from_other(vec![accepted("j", 0), moved("j", "b", "c")], VoidReason::OtherZone)]
+fn job_book_void_record(#[case] entries: Vec<LogEntry>, #[case] reason: VoidReason) {
+    assert_eq!(last_change(entries), JobChange::Void(reason));
+}
+
+#[test]
+fn job_book_keeps_first_ending() {
+    let failed = JobEnding::Failed("out of memory".to_owned());
+    let log = log_of(vec![
+        accepted("j", 0),
+        started("j", 1),
+        started("j", 2),
+        moved("j", "a", "b"),
+        cancelled("j"),
+        ended("j", failed.clone()),
+        ended("j", DONE),
+    ]);
+    let mut book = JobBook::default();
+    for record in &log.records {
+        book.apply(record);
+    }
+    let job = book.get(&JobId::from("j")).expect("the job");
+    assert_eq!(job.home(), &ZoneName::from("b"));
+    assert_eq!(job.attempts_started(), 2);
+    assert!(job.cancelled.is_some());
+    assert_eq!(
+        job.ended.as_ref().map(|end| &end.entry.ending),
+        Some(&failed)
+    );
+}
+
+/// A copy of a move must not move the job again once it has come back.
+#[test]
+fn job_book_copy_of_move() {
+    let mut log = log_of(vec![
+        accepted("j", 0),
+        moved("j", "a", "b"),
+        moved("j", "b", "a"),
+    ]);
+    log.append(&RecordId::from("id1"), moved("j", "a", "b"));
+    let mut book = JobBook::default();
+    let changes: Vec<_> = log
+        .records
+        .iter()
+        .map(|record| book.apply(record))
+        .collect();
+    assert_eq!(changes[3], Some(JobChange::Void(VoidReason::Repeated)));
+}
+
+/// A late copy of an acceptance never starts a forgotten job again.
+#[test]
+fn job_book_forgets_ended_job() {
+    let mut log = log_of(vec![
+        accepted("j", 0),
+        ended("j", DONE),
+        accepted("open", 0),
+    ]);
+    log.wall.set(JOB_MEMORY.as_millis() as u64 + 1);
+    log.append(&RecordId::from("id0"), accepted("j", 0));
+    let mut book = JobBook::default();
+    let changes: Vec<_> = log
+        .records
+        .iter()
+        .map(|record| book.apply(record))
+        .collect();
+    assert_eq!(changes[3], Some(JobChange::Void(VoidReason::ClockSkew)));
+    let left: Vec<_> = book.jobs().map(|(id, _)| id.as_str()).collect();
+    assert_eq!(left, ["open"]);
+}
+
+#[test]
+fn config_book_lost_race() {
+    let text = settings_text("0.1");
+    let mut log = log_of(vec![config(ConfigVersion(0), &text)]);
+    let won = log.append(
+        &RecordId::from("won"),
+        config(ConfigVersion(1), &settings_text("0.2")),
+    );
+    let lost = log.append(
+        &RecordId::from("lost"),
+        config(ConfigVersion(1), &settings_text("0.3")),
+    );
+    let copy = log.append(
+        &RecordId::from("lost"),
+        config(ConfigVersion(1), &settings_text("0.3")),
+    );
+    let mut book = ConfigBook::default();
+    let changes: Vec<_> = log.records.iter().filter_map(|r| book.apply(r)).collect();
+    let void = ConfigChange::Void(ConfigVoid::LostRace);
+    let adopted = |offset| ConfigChange::Adopted(version_at(offset));
+    assert_eq!(
+        changes,
+        [adopted(LogOffset(0)), adopted(won), void.clone(), void]
+    );
+    assert!(copy > lost && book.head() == version_at(won));
+    let history = ConfigHistory::read(&log.records, true);
+    insta::assert_snapshot!(history.outcome(&RecordId::from("lost")), @r"
+    not in force: operator published config2 first; look at the differences, take config2 into the folder and publish again with it as base
+      [policy] weight: `0.2` becomes `0.3`
+    ");
+    insta::assert_snapshot!(history, @r"
+    config1 on config0 by operator: replaced by config2
+    config2 on config1 by operator: in force
+    config3 on config1 by operator: void, another version was in force
+    config5 on config1 by operator: void, another version was in force
+    ");
+    assert_eq!(
+        history.outcome(&RecordId::from("id0")),
+        PublishOutcome::Superseded {
+            version: ConfigVersion(1),
+            newest: version_at(won)
+        }
+    );
+    assert_eq!(
+        history.outcome(&RecordId::from("none")),
+        PublishOutcome::NotSeen
+    );
+}
+
+/// An older content comes back as a new version.
+#[test]
+fn config_book_older_content_again() {
+    let (old, new) = (settings_text("0.1"), settings_text("0.2"));
+    let log = log_of(vec![
+        config(ConfigVersion(0), &old),
+        config(ConfigVersion(1), &new),
+        config(ConfigVersion(2), &old),
+    ]);
+    let mut book = ConfigBook::default();
+    let versions: Vec<_> = log
+        .records
+        .iter()
+        .map(|record| {
+            book.apply(record);
+            book.adopted_version()
+        })
+        .collect();
+    assert_eq!(
+        versions,
+        [ConfigVersion(1), ConfigVersion(2), ConfigVersion(3)]
+    );
+    let weight = book.adopted().map(|config| config.settings.policy.weight);
+    assert_eq!(weight, Some(0.1));
+}
+
+#[rstest]
+#[case::nonsense("[zone", true)]
+#[case::unknown_key("[policy]\nspeed = 9\n", true)]
+#[case::wrong_hash("", false)]
+fn config_book_faulty_record(#[case] text: &str, #[case] counts: bool) {
+    let mut faulty = config(ConfigVersion(1), text);
+    if let LogEntry::Config(entry) = &mut faulty
+        && !counts
+    {
+        entry.content_hash.push('0');
+    }
+    let mut log = log_of(vec![
+        config(ConfigVersion(0), &settings_text("0.1")),
+        faulty,
+    ]);
+    let mut book = ConfigBook::default();
+    for record in &log.records {
+        book.apply(record);
+    }
+    assert_eq!(book.adopted_version(), ConfigVersion(1));
+    assert_eq!(book.unreadable_records(), u64::from(counts));
+    let base = book.head();
+    let mended = log.append(
+        &RecordId::from("mended"),
+        config(base, &settings_text("0.2")),
+    );
+    book.apply(log.records.last().expect("a record"));
+    assert_eq!(book.adopted_version(), version_at(mended));
+}
+
+/// A host that is cut from the log learns a version from a peer and keeps it
+/// while it reads older records later.
+#[test]
+fn config_book_learns_from_peer() {
+    let log = log_of(vec![
+        config(ConfigVersion(0), &settings_text("0.1")),
+        config(ConfigVersion(1), &settings_text("0.2")),
+        config(ConfigVersion(2), &settings_text("0.3")),
+    ]);
+    let mut book = ConfigBook::default();
+    book.apply(&log.records[0]);
+    let learned = book.learn(&log.records[2]);
+    assert_eq!(learned, Some(ConfigChange::Adopted(ConfigVersion(3))));
+    assert_eq!(
+        book.learn(&log.records[1]),
+        Some(ConfigChange::Known(ConfigVersion(2)))
+    );
+    for record in &log.records[1..] {
+        book.apply(record);
+        assert_eq!(book.adopted_version(), ConfigVersion(3));
+    }
+    assert_eq!(book.head(), ConfigVersion(3));
+}
+
+#[test]
+fn config_history_starts_at_snapshot() {
+    let mut log = log_of(vec![
+        config(ConfigVersion(0), &settings_text("0.1")),
+        config(ConfigVersion(1), &settings_text("0.2")),
+        config(ConfigVersion(1), &settings_text("0.3")),
+    ]);
+    let mut books = RecordBooks::default();
+    for record in &log.records {
+        books.apply(record);
+    }
+    for chunk in cut_snapshot(LogOffset(log.tail), "h", books.live_entries()) {
+        log.append(&chunk_id(&chunk), LogEntry::Snapshot(chunk));
+    }
+    log.append(
+        &RecordId::from("new"),
+        config(ConfigVersion(2), &settings_text("0.4")),
+    );
+    let history = ConfigHistory::read(&log.records[2..], false);
+    insta::assert_snapshot!(history, @r"
+    config2 on config1 by operator: replaced by config6
+    config3 on config1 by operator: void, another version was in force
+    config6 on config2 by operator: in force
+    ");
+}
+
+#[test]
+fn diff_texts_all_kinds() {
+    let old = "[a]\nsame = 1\nchanged = 1\ngone = 1\n[gone]\nk = 1\n";
+    let new = "[a]\nchanged = 2\nsame = 1\nnew = 1\n";
+    let lines: Vec<String> = diff_texts(old, new)
+        .expect("readable")
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    [a] changed: `1` becomes `2`
+    [a] gone: `1` is removed
+    [a] new: `1` is added
+    [gone] k: `1` is removed
+    ");
+}
+
+#[test]
+fn snapshot_chunks_of_two_writers() {
+    let entries: Vec<StoredEntry> =
+        log_of((0..900).map(|i| accepted(&format!("j{i}"), 0)).collect()).records;
+    let mut chunks = cut_snapshot(LogOffset(7_000), "h1", entries.clone());
+    assert!(chunks.len() > 3);
+    let other = cut_snapshot(LogOffset(7_000), "h2", entries[..600].to_vec());
+    chunks.reverse();
+    let mixed: Vec<_> = chunks
+        .iter()
+        .skip(1)
+        .chain(&other[1..])
+        .chain(&chunks)
+        .collect();
+    let mut log = FakeLog::default();
+    let mut collector = SnapshotCollector::default();
+    for chunk in mixed {
+        assert_eq!(collector.newest(), None);
+        log.append(&chunk_id(chunk), LogEntry::Snapshot(chunk.clone()));
+        collector.take(log.records.last().expect("a record"));
+        if chunk == &chunks[0] {
+            break;
+        }
+    }
+    assert_eq!(
+        collector.newest().map(|snapshot| &snapshot.records),
+        Some(&entries)
+    );
+}
+
+#[rstest]
+#[case::none_seen(None, 0, true)]
+#[case::fresh(Some(10), 0, false)]
+#[case::due(Some(40), 0, true)]
+#[case::second_host_waits(Some(40), 1, false)]
+#[case::second_host_steps_in(Some(45), 1, true)]
+fn snapshot_schedule_due(#[case] age_secs: Option<u64>, #[case] rank: u32, #[case] due: bool) {
+    let times = SnapshotTimes {
+        interval: Duration::from_secs(40),
+        fallback_step: Duration::from_secs(5),
+    };
+    let mut schedule = SnapshotSchedule::new(times);
+    let wall = WallTime(WALL_START + age_secs.unwrap_or(0) * 1_000);
+    if age_secs.is_some() {
+        let mut log = FakeLog::default();
+        for chunk in cut_snapshot(LogOffset(0), "h", Vec::new()) {
+            log.append(&chunk_id(&chunk), LogEntry::Snapshot(chunk));
+        }
+        schedule.take(&log.records[0]);
+    }
+    let now = MonotonicTime::from_secs(100);
+    assert_eq!(schedule.is_due(now, wall, rank), due);
+    schedule.wrote(now);
+    assert!(!schedule.is_due(now + Duration::from_secs(19), wall, rank));
+}
+
+fn any_entry() -> impl Strategy<Value = LogEntry> {
+    let job = (0..4_u8).prop_map(|index| format!("j{index}"));
+    let zone = || (0..3_usize).prop_map(|index| ["a", "b", "c"][index]);
+    prop_oneof![
+        job.clone().prop_map(|job| accepted(&job, 0)),
+        job.clone().prop_map(|job| cancelled(&job)),
+        (job.clone(), 1..4_u32).prop_map(|(job, attempt)| started(&job, attempt)),
+        job.clone().prop_map(|job| ended(&job, DONE)),
+        (job, zone(), zone()).prop_map(|(job, from, to)| moved(&job, from, to)),
+        (0..8_u64, 1..9_u8).prop_map(|(base, weight)| {
+            config(ConfigVersion(base), &settings_text(&format!("0.{weight}")))
+        }),
+        Just(LogEntry::Unreadable {
+            kind: "new".to_owned()
+        }),
+    ]
+}
+
+fn fold(records: &[StoredEntry]) -> RecordBooks {
+    let mut books = RecordBooks::default();
+    for record in records {
+        books.apply(record);
+    }
+    books
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// A snapshot taken anywhere, with the records after it, gives the same books
+    /// as all records.
+    #[test]
+    fn books_from_snapshot(entries in proptest::collection::vec(any_entry(), 1..40), cut in 0..40_usize) {
+        let log = log_of(entries);
+        let cut = cut.min(log.records.len());
+        let covers = log.records.get(cut).map_or(LogOffset(log.tail), |record| record.offset);
+        let mut collector = SnapshotCollector::default();
+        let mut other = FakeLog::default();
+        for chunk in cut_snapshot(covers, "h", fold(&log.records[..cut]).live_entries()) {
+            other.append(&chunk_id(&chunk), LogEntry::Snapshot(chunk));
+            collector.take(other.records.last().expect("a record"));
+        }
+        let snapshot = collector.into_newest().expect("a snapshot");
+        let mut books = RecordBooks::default();
+        books.restore(&snapshot);
+        for record in &log.records[cut..] {
+            books.apply(record);
+        }
+        let whole = fold(&log.records);
+        prop_assert_eq!(books.live_entries(), whole.live_entries());
+        prop_assert_eq!(books.config.adopted(), whole.config.adopted());
+        prop_assert_eq!(books.config.head(), whole.config.head());
+    }
+
+    /// Copies of records that had an effect change nothing, and the adopted
+    /// configuration never gets older.
+    #[test]
+    fn books_ignore_copies(
+        entries in proptest::collection::vec(any_entry(), 1..30),
+        copies in proptest::collection::vec((0..30_usize, 0..30_usize), 0..12),
+    ) {
+        let log = log_of(entries);
+        let mut books = RecordBooks::default();
+        let mut effective = Vec::new();
+        let mut mixed = Vec::new();
+        for (index, record) in log.records.iter().enumerate() {
+            let before = books.live_entries();
+            books.apply(record);
+            mixed.push(record.clone());
+            if books.live_entries() != before {
+                effective.push(record.clone());
+            }
+            let due = copies.iter().filter(|(at, _)| *at == index);
+            let due = due.filter_map(|(_, copied)| effective.get(*copied));
+            mixed.extend(due.cloned());
+        }
+        // Offsets of copies lie above those of all records, as in a real log the
+        // copy's own offset would; what a copy says is unchanged.
+        let mut repeated = RecordBooks::default();
+        let mut adopted = ConfigVersion(0);
+        for record in &mixed {
+            let is_copy = matches!(record.entry, LogEntry::Config(_))
+                && version_at(record.offset) <= repeated.config.head();
+            let mut record = record.clone();
+            if is_copy {
+                record.offset = LogOffset(record.offset.0 + 1_000);
+            }
+            repeated.apply(&record);
+            prop_assert!(repeated.config.adopted_version() >= adopted);
+            adopted = repeated.config.adopted_version();
+        }
+        prop_assert_eq!(repeated.live_entries(), books.live_entries());
+    }
+}
--- /dev/null
+++ b/crates/core/tests/log/fake.rs
@@ -0,0 +1,139 @@
+//! A log in memory whose offsets have gaps, and short forms of records.
+
+use std::cell::Cell;
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::log_follower::ReadPage;
+use flamingowalk_core::process::planner::action::JobEnding;
+use flamingowalk_core::process::planner::event::SeatTerm;
+use flamingowalk_core::process::record::{
+    AcceptedEntry, CancelledEntry, ConfigEntry, EndedEntry, LogEntry, LogOffset, MovedEntry,
+    StartedEntry, StoredEntry,
+};
+use flamingowalk_core::version::content_hash;
+use flamingowalk_core::version::settings::ConfigVersion;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+/// Unix time at the origin of the virtual clock.
+pub const WALL_START: u64 = 1_700_000_000_000;
+
+#[derive(Debug, Default)]
+pub struct FakeLog {
+    /// Everything ever appended, retention aside.
+    pub records: Vec<StoredEntry>,
+    /// Oldest offset left.
+    pub first: u64,
+    pub tail: u64,
+    pub wall: Cell<u64>,
+}
+
+impl FakeLog {
+    pub fn append(&mut self, id: &RecordId, entry: LogEntry) -> LogOffset {
+        let offset = LogOffset(self.tail + u64::from(self.tail % 5 == 3));
+        self.tail = offset.0 + 1;
+        self.records.push(StoredEntry {
+            offset,
+            id: id.clone(),
+            appended_at: WallTime(WALL_START + self.wall.get()),
+            entry,
+        });
+        offset
+    }
+
+    pub fn read(&self, from: LogOffset, limit: u32) -> ReadPage {
+        let kept = |r: &&StoredEntry| r.offset.0 >= from.0.max(self.first);
+        let records: Vec<StoredEntry> = self
+            .records
+            .iter()
+            .filter(kept)
+            .take(limit as usize)
+            .cloned()
+            .collect();
+        let is_last = records.len() < limit as usize;
+        let last = records.last().map_or(from, |record| record.offset.next());
+        ReadPage {
+            records,
+            first: LogOffset(self.first),
+            next: if is_last {
+                LogOffset(self.tail.max(last.0))
+            } else {
+                last
+            },
+            tail: LogOffset(self.tail),
+        }
+    }
+
+    pub fn has(&self, id: &RecordId) -> bool {
+        self.records.iter().any(|record| &record.id == id)
+    }
+}
+
+pub fn random(seed: u64) -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(seed)
+}
+
+pub fn accepted(job: &str, wall: u64) -> LogEntry {
+    LogEntry::JobAccepted(AcceptedEntry {
+        job: JobId::from(job),
+        customer: CustomerName::from("c"),
+        class: ClassName::from("k"),
+        zone: ZoneName::from("a"),
+        config: ConfigVersion(1),
+        accepted_at: WallTime(WALL_START + wall),
+        start_before: None,
+    })
+}
+
+pub fn cancelled(job: &str) -> LogEntry {
+    LogEntry::JobCancelled(CancelledEntry {
+        job: JobId::from(job),
+        requested_at: WallTime(WALL_START),
+    })
+}
+
+pub fn started(job: &str, attempt: u32) -> LogEntry {
+    LogEntry::JobStarted(StartedEntry {
+        job: JobId::from(job),
+        attempt,
+        term: SeatTerm(1),
+        zone: ZoneName::from("a"),
+        workers: vec![WorkerName::from("w1")],
+        started_at: WallTime(WALL_START),
+    })
+}
+
+pub fn ended(job: &str, ending: JobEnding) -> LogEntry {
+    LogEntry::JobEnded(EndedEntry {
+        job: JobId::from(job),
+        ending,
+        term: SeatTerm(1),
+        ended_at: WallTime(WALL_START),
+    })
+}
+
+pub fn moved(job: &str, from: &str, to: &str) -> LogEntry {
+    LogEntry::JobMoved(MovedEntry {
+        job: JobId::from(job),
+        from: ZoneName::from(from),
+        to: ZoneName::from(to),
+        term: SeatTerm(1),
+    })
+}
+
+pub fn settings_text(weight: &str) -> String {
+    format!(
+        "[policy]\nweight = {weight}\n\n[zone a]\naccelerators-per-worker = 8\n\
+         connections-per-worker = 64\ncores-per-worker = 32\nmemory-gb-per-worker = 64\n\
+         racks = 2\nregion = r\nslots-per-worker = 8\nworkers-per-rack = 8\n"
+    )
+}
+
+pub fn config(base: ConfigVersion, text: &str) -> LogEntry {
+    LogEntry::Config(ConfigEntry {
+        base,
+        content_hash: content_hash(text),
+        settings: Arc::from(text),
+        publisher: "operator".to_owned(),
+    })
+}
--- /dev/null
+++ b/crates/core/tests/log/faults.rs
@@ -0,0 +1,582 @@
+//! Two hosts that work through the log while it fails: every fault alone and in
+//! pairs. Nothing is lost, nothing counts twice, no configuration reverts.
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::config_book::version_at;
+use flamingowalk_core::process::config_history::{ConfigHistory, PublishedState};
+use flamingowalk_core::process::log_appender::{
+    AppendFault, AppendId, AppenderAction, AppenderEvent, LogAppender, OutgoingRecord,
+};
+use flamingowalk_core::process::log_follower::{
+    FollowerAction, FollowerEvent, LogFollower, ReadFault, ReadId, ReadPage,
+};
+use flamingowalk_core::process::planner::action::JobEnding;
+use flamingowalk_core::process::record::{LogEntry, LogOffset};
+use flamingowalk_core::process::record_books::RecordBooks;
+use flamingowalk_core::process::snapshot::{
+    SnapshotSchedule, SnapshotTimes, chunk_id, cut_snapshot,
+};
+use flamingowalk_core::version::settings::ConfigVersion;
+use rstest::rstest;
+
+use crate::fake::{FakeLog, WALL_START, accepted, config, ended, random, settings_text};
+
+const STEP_MS: u64 = 50;
+const FAULT_FROM: u64 = 10_000;
+const FAULT_UNTIL: u64 = 50_000;
+/// Time after the faults in which everything must be settled.
+const CALM_MS: u64 = 60_000;
+/// Time after the faults in which there is still work.
+const WORK_AFTER_MS: u64 = 20_000;
+/// Time at the end without snapshots, so that all records get settled.
+const REST_MS: u64 = 15_000;
+const RETENTION_MS: u64 = 15_000;
+const DEADLINE: Duration = Duration::from_secs(5);
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fault {
+    None,
+    /// No connection can be made.
+    Down,
+    /// Every answer takes five seconds.
+    Slow,
+    /// Appends take effect, their answers are lost.
+    AppendAnswerLost,
+    /// Appends take effect after eight seconds, without an answer.
+    AppendLate,
+    /// Reads are never answered.
+    ReadSilent,
+    /// Retention takes all records older than `RETENTION_MS`.
+    Truncate,
+    /// The first host starts anew every ten seconds.
+    Restart,
+}
+
+/// An answer or a late effect on its way.
+enum Flight {
+    Page {
+        host: usize,
+        run: u32,
+        read: ReadId,
+        page: ReadPage,
+    },
+    ReadFailed {
+        host: usize,
+        run: u32,
+        read: ReadId,
+    },
+    Answer {
+        host: usize,
+        run: u32,
+        append: AppendId,
+        first: LogOffset,
+        next: LogOffset,
+    },
+    AppendFailed {
+        host: usize,
+        run: u32,
+        append: AppendId,
+        fault: AppendFault,
+    },
+    Effect {
+        records: Vec<OutgoingRecord>,
+    },
+}
+
+struct Host {
+    run: u32,
+    follower: LogFollower,
+    appender: LogAppender,
+    books: RecordBooks,
+    schedule: SnapshotSchedule,
+    adopted: ConfigVersion,
+    is_complete: bool,
+}
+
+struct World {
+    now: MonotonicTime,
+    faults: [Fault; 2],
+    fault_until: u64,
+    log: FakeLog,
+    hosts: Vec<Host>,
+    flights: Vec<(MonotonicTime, Flight)>,
+    written: BTreeSet<RecordId>,
+    not_written: BTreeSet<RecordId>,
+    /// Records that must be in the log at the end.
+    owed: BTreeSet<RecordId>,
+}
+
+impl Host {
+    fn new(now: MonotonicTime, run: u32, seed: u64) -> Self {
+        let times = SnapshotTimes {
+            interval: Duration::from_secs(4),
+            fallback_step: Duration::from_secs(1),
+        };
+        Self {
+            run,
+            follower: LogFollower::new(now, random(seed)),
+            appender: LogAppender::new(now, random(seed + 100)),
+            books: RecordBooks::default(),
+            schedule: SnapshotSchedule::new(times),
+            adopted: ConfigVersion(0),
+            is_complete: true,
+        }
+    }
+}
+
+impl World {
+    fn new(faults: [Fault; 2]) -> Self {
+        let now = MonotonicTime(0);
+        Self {
+            now,
+            faults,
+            fault_until: FAULT_UNTIL,
+            log: FakeLog::default(),
+            hosts: vec![Host::new(now, 0, 1), Host::new(now, 0, 2)],
+            flights: Vec::new(),
+            written: BTreeSet::new(),
+            not_written: BTreeSet::new(),
+            owed: BTreeSet::new(),
+        }
+    }
+
+    fn millis(&self) -> u64 {
+        self.now.0 / 1_000
+    }
+
+    fn is_faulty(&self, fault: Fault) -> bool {
+        let is_time = (FAULT_FROM..self.fault_until).contains(&self.millis());
+        is_time && self.faults.contains(&fault)
+    }
+
+    /// Records that nobody could read before retention took them are lost.
+    fn is_loss_expected(&self) -> bool {
+        self.faults == [Fault::ReadSilent, Fault::Truncate]
+    }
+
+    fn run(&mut self) {
+        while self.millis() < self.fault_until + CALM_MS {
+            self.log.wall.set(self.millis());
+            self.land_flights();
+            self.disturb();
+            for host in 0..self.hosts.len() {
+                self.follow(host, FollowerEvent::Tick);
+                self.append(host, AppenderEvent::Tick);
+                if self.millis() < self.fault_until + CALM_MS - REST_MS {
+                    self.snapshot(host);
+                }
+            }
+            if self.millis() < self.fault_until + WORK_AFTER_MS {
+                self.work();
+            }
+            self.now = self.now + Duration::from_millis(STEP_MS);
+        }
+    }
+
+    fn disturb(&mut self) {
+        let millis = self.millis();
+        if self.is_faulty(Fault::Truncate) {
+            let oldest = WALL_START + millis.saturating_sub(RETENTION_MS);
+            let kept = self.log.records.iter().find(|r| r.appended_at.0 >= oldest);
+            let first = kept.map_or(self.log.tail, |record| record.offset.0);
+            self.log.first = self.log.first.max(first);
+        }
+        if self.is_faulty(Fault::Restart) && millis.is_multiple_of(10_000) {
+            let run = self.hosts[0].run + 1;
+            self.hosts[0] = Host::new(self.now, run, u64::from(run) + 10);
+        }
+    }
+
+    /// The first host accepts jobs, the second ends them, both publish.
+    fn work(&mut self) {
+        let millis = self.millis();
+        let second = millis / 1_000;
+        match millis % 1_000 {
+            0 => self.submit(0, accepted(&format!("j{second}"), millis), Some(DEADLINE)),
+            300 => self.end_oldest(1),
+            500 if second.is_multiple_of(3) => self.publish(0, second),
+            500 if second.is_multiple_of(2) => self.publish(1, second),
+            _ => {}
+        }
+    }
+
+    fn end_oldest(&mut self, host: usize) {
+        let open = self.hosts[host].books.jobs.open_jobs().nth(3);
+        let oldest = open.map(|(job, _)| job.to_string());
+        if let Some(job) = oldest {
+            let entry = ended(&job, JobEnding::Finished);
+            self.submit(host, entry, None);
+        }
+    }
+
+    fn publish(&mut self, host: usize, second: u64) {
+        let base = self.hosts[host].books.config.head();
+        let text = settings_text(&format!("0.{}", second % 9 + 1));
+        self.submit(host, config(base, &text), Some(DEADLINE));
+    }
+
+    fn submit(&mut self, host: usize, entry: LogEntry, limit: Option<Duration>) {
+        let run = self.hosts[host].run;
+        let id = RecordId::from(format!("{host}/{run}/{}", self.millis()));
+        let record = OutgoingRecord {
+            id: id.clone(),
+            entry,
+            bytes: 200,
+            give_up_at: limit.map(|limit| self.now + limit),
+        };
+        if limit.is_none() {
+            self.owed.insert(id);
+        }
+        self.hosts[host].appender.submit(record).expect("room");
+    }
+
+    fn snapshot(&mut self, host: usize) {
+        let wall = WallTime(WALL_START + self.millis());
+        let Host {
+            follower,
+            books,
+            schedule,
+            appender,
+            is_complete,
+            run,
+            ..
+        } = &mut self.hosts[host];
+        let is_current = follower
+            .caught_up_at()
+            .is_some_and(|at| self.now.since(at).as_secs() < 2);
+        if !*is_complete || !is_current || !schedule.is_due(self.now, wall, host as u32) {
+            return;
+        }
+        schedule.wrote(self.now);
+        let writer = format!("{host}/{run}");
+        for chunk in cut_snapshot(follower.position(), &writer, books.live_entries()) {
+            let record = OutgoingRecord {
+                id: chunk_id(&chunk),
+                entry: LogEntry::Snapshot(chunk),
+                bytes: 1_000,
+                give_up_at: Some(self.now + DEADLINE),
+            };
+            appender.submit(record).expect("room");
+        }
+    }
+
+    fn follow(&mut self, host: usize, event: FollowerEvent) {
+        let actions = self.hosts[host].follower.handle(self.now, event);
+        for action in actions {
+            self.carry_out(host, action);
+        }
+        if let Some(at) = self.hosts[host].follower.caught_up_at() {
+            self.append(host, AppenderEvent::CaughtUp { at });
+        }
+    }
+
+    fn carry_out(&mut self, host: usize, action: FollowerAction) {
+        match action {
+            FollowerAction::Read {
+                read, from, limit, ..
+            } => {
+                self.read(host, read, from, limit);
+            }
+            FollowerAction::GiveUp { .. } => {}
+            FollowerAction::Apply(record) => {
+                let state = &mut self.hosts[host];
+                state.books.apply(&record);
+                state.schedule.take(&record);
+                let (id, offset) = (record.id, record.offset);
+                self.append(host, AppenderEvent::Followed { id, offset });
+            }
+            FollowerAction::Truncated { .. } => self.hosts[host].is_complete = false,
+            FollowerAction::Restore(snapshot) => {
+                let state = &mut self.hosts[host];
+                state.is_complete = true;
+                state.books.restore(&snapshot);
+                state.schedule.take_restored(&snapshot);
+                for record in snapshot.records {
+                    let (id, offset) = (record.id, record.offset);
+                    self.append(host, AppenderEvent::Followed { id, offset });
+                }
+            }
+            FollowerAction::RestoreAbandoned { .. } => {
+                assert!(self.is_loss_expected(), "a snapshot was to be had");
+                self.hosts[host].is_complete = true;
+            }
+        }
+        let adopted = self.hosts[host].books.config.adopted_version();
+        assert!(
+            adopted >= self.hosts[host].adopted,
+            "the configuration reverted"
+        );
+        self.hosts[host].adopted = adopted;
+    }
+
+    fn read(&mut self, host: usize, read: ReadId, from: LogOffset, limit: u32) {
+        let run = self.hosts[host].run;
+        if self.is_faulty(Fault::ReadSilent) {
+            return;
+        }
+        let flight = if self.is_faulty(Fault::Down) {
+            Flight::ReadFailed { host, run, read }
+        } else {
+            let page = self.log.read(from, limit);
+            Flight::Page {
+                host,
+                run,
+                read,
+                page,
+            }
+        };
+        self.launch(flight);
+    }
+
+    fn append(&mut self, host: usize, event: AppenderEvent) {
+        let actions = self.hosts[host].appender.handle(self.now, event);
+        for action in actions {
+            match action {
+                AppenderAction::Append { append, records } => {
+                    self.write(host, append, records);
+                }
+                AppenderAction::Written { id, .. } => {
+                    let is_first = self.written.insert(id.clone());
+                    assert!(is_first || is_snapshot(&id), "{id} reported twice");
+                }
+                AppenderAction::NotWritten { id, .. } => {
+                    let is_first = self.not_written.insert(id.clone());
+                    assert!(is_first || is_snapshot(&id), "{id} reported twice");
+                }
+                AppenderAction::Doubtful { .. } => {}
+            }
+        }
+    }
+
+    fn write(&mut self, host: usize, append: AppendId, records: Vec<OutgoingRecord>) {
+        let run = self.hosts[host].run;
+        if self.is_faulty(Fault::Down) {
+            let fault = AppendFault::NotSent;
+            return self.launch(Flight::AppendFailed {
+                host,
+                run,
+                append,
+                fault,
+            });
+        }
+        if self.is_faulty(Fault::AppendLate) {
+            let at = self.now + Duration::from_secs(8);
+            return self.flights.push((at, Flight::Effect { records }));
+        }
+        let first = self.effect(&records);
+        let next = LogOffset(self.log.tail);
+        if !self.is_faulty(Fault::AppendAnswerLost) {
+            self.launch(Flight::Answer {
+                host,
+                run,
+                append,
+                first,
+                next,
+            });
+        } else if append.0.is_multiple_of(2) {
+            let fault = AppendFault::Unknown;
+            self.launch(Flight::AppendFailed {
+                host,
+                run,
+                append,
+                fault,
+            });
+        }
+    }
+
+    fn effect(&mut self, records: &[OutgoingRecord]) -> LogOffset {
+        let offsets: Vec<LogOffset> = records
+            .iter()
+            .map(|record| self.log.append(&record.id, record.entry.clone()))
+            .collect();
+        offsets[0]
+    }
+
+    fn launch(&mut self, flight: Flight) {
+        let delay = if self.is_faulty(Fault::Slow) {
+            5_000
+        } else {
+            20
+        };
+        let at = self.now + Duration::from_millis(delay);
+        self.flights.push((at, flight));
+    }
+
+    fn land_flights(&mut self) {
+        let now = self.now;
+        let (due, left) = std::mem::take(&mut self.flights)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.flights = left;
+        let due: Vec<(MonotonicTime, Flight)> = due;
+        for (_, flight) in due {
+            match flight {
+                Flight::Page {
+                    host,
+                    run,
+                    read,
+                    page,
+                } if self.hosts[host].run == run => {
+                    self.follow(host, FollowerEvent::ReadAnswered { read, page });
+                }
+                Flight::ReadFailed { host, run, read } if self.hosts[host].run == run => {
+                    let fault = ReadFault::Unavailable;
+                    self.follow(host, FollowerEvent::ReadFailed { read, fault });
+                }
+                Flight::Answer {
+                    host,
+                    run,
+                    append,
+                    first,
+                    next,
+                } if self.hosts[host].run == run => {
+                    self.append(
+                        host,
+                        AppenderEvent::Answered {
+                            append,
+                            first,
+                            next,
+                        },
+                    );
+                }
+                Flight::AppendFailed {
+                    host,
+                    run,
+                    append,
+                    fault,
+                } if self.hosts[host].run == run => {
+                    self.append(host, AppenderEvent::Failed { append, fault });
+                }
+                Flight::Effect { records } => {
+                    self.effect(&records);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn check(&self) {
+        let in_log = |id: &RecordId| self.log.has(id);
+        assert!(
+            self.written.iter().all(in_log),
+            "reported as written, yet absent"
+        );
+        let is_wrong = |id: &&RecordId| in_log(id) && !is_snapshot(id);
+        let wrong = self.not_written.iter().find(is_wrong);
+        assert_eq!(wrong, None, "reported as not written, yet there");
+        assert!(self.owed.iter().all(in_log), "an ending is lost");
+        let mut whole = RecordBooks::default();
+        for record in &self.log.records {
+            whole.apply(record);
+        }
+        for host in &self.hosts {
+            assert!(host.is_complete && host.follower.is_complete());
+            let other = &self.hosts[0].books;
+            assert_eq!(host.books.live_entries(), other.live_entries());
+            if !self.is_loss_expected() {
+                assert_eq!(host.books.live_entries(), whole.live_entries());
+            }
+            assert_eq!(host.appender.open_records(), 0);
+        }
+        let history = ConfigHistory::read(&self.log.records, true);
+        let in_force = |config: &&_| matches!(config, PublishedState::InForce);
+        let states: Vec<_> = history.list().iter().map(|config| config.state).collect();
+        assert_eq!(states.iter().filter(in_force).count(), 1);
+        assert!(whole.jobs.jobs().count() > 15, "the system worked on");
+        assert!(whole.config.head() > ConfigVersion(3));
+    }
+}
+
+/// A host that has read nothing new writes the same snapshot again.
+fn is_snapshot(id: &RecordId) -> bool {
+    id.as_str().starts_with("snapshot/")
+}
+
+#[rstest]
+fn faults_alone_and_in_pairs(
+    #[values(
+        Fault::None,
+        Fault::Down,
+        Fault::Slow,
+        Fault::AppendAnswerLost,
+        Fault::AppendLate,
+        Fault::ReadSilent,
+        Fault::Truncate,
+        Fault::Restart
+    )]
+    first: Fault,
+    #[values(
+        Fault::None,
+        Fault::Down,
+        Fault::Slow,
+        Fault::AppendAnswerLost,
+        Fault::AppendLate,
+        Fault::ReadSilent,
+        Fault::Truncate,
+        Fault::Restart
+    )]
+    second: Fault,
+) {
+    if (first as u8) > (second as u8) {
+        return; // The pair is tested in the other order.
+    }
+    let mut world = World::new([first, second]);
+    world.run();
+    world.check();
+}
+
+/// The log is gone for an hour, and retention passes everything meanwhile.
+#[test]
+fn faults_outage_of_an_hour() {
+    let mut world = World::new([Fault::Down, Fault::Truncate]);
+    world.fault_until = 3_610_000;
+    world.run();
+    world.check();
+    assert!(
+        world
+            .hosts
+            .iter()
+            .all(|host| host.appender.counters().appends < 4_000)
+    );
+}
+
+/// What makes up the six seconds in which a published configuration is in force
+/// on every host: the wait for the append, the append, the poll and the read.
+#[test]
+fn config_in_force_within_six_seconds() {
+    let mut world = World::new([Fault::None, Fault::None]);
+    let mut slowest = 0;
+    let mut published = BTreeMap::new();
+    while world.millis() < FAULT_UNTIL {
+        let base = world.hosts[0].books.config.head();
+        let is_settled = world.hosts.iter().all(|host| host.adopted == base);
+        if is_settled && world.millis().is_multiple_of(1_300) && world.millis() > 2_000 {
+            world.publish(0, world.millis() / 100);
+            published.insert(base, world.millis());
+        }
+        world.log.wall.set(world.millis());
+        world.land_flights();
+        for host in 0..2 {
+            world.follow(host, FollowerEvent::Tick);
+            world.append(host, AppenderEvent::Tick);
+            world.snapshot(host);
+        }
+        let lowest = world
+            .hosts
+            .iter()
+            .map(|host| host.adopted)
+            .min()
+            .expect("hosts");
+        for record in &world.log.records {
+            if let LogEntry::Config(entry) = &record.entry
+                && version_at(record.offset) <= lowest
+                && let Some(at) = published.remove(&entry.base)
+            {
+                slowest = slowest.max(world.millis() - at);
+            }
+        }
+        world.now = world.now + Duration::from_millis(STEP_MS);
+    }
+    assert!(published.len() <= 1 && world.hosts[1].adopted > ConfigVersion(10));
+    assert!(slowest < 6_000, "{slowest} ms");
+}
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -785,6 +785,10 @@
 ///      "default": [],
 ///      "type": "array",
 ///      "items": {}
+///    },
+///    "writer": {
+///      "description": "Host and incarnation that wrote the snapshot; chunks of one snapshot share it.",
+///      "type": "string"
 ///    }
 ///  }
 ///}
@@ -801,6 +805,9 @@
     ///Records, oldest first, each with offset, id, kind, schema and body.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub records: ::std::vec::Vec<::serde_json::Value>,
+    ///Host and incarnation that wrote the snapshot; chunks of one snapshot share it.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub writer: ::std::option::Option<::std::string::String>,
 }
 impl ::std::convert::From<&SnapshotChunk> for SnapshotChunk {
     fn from(value: &SnapshotChunk) -> Self {
