--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -3,3 +3,13 @@
 pub mod estimate;
 pub mod planner;
 pub mod seat;
+pub mod config_book;
+pub mod config_history;
+pub mod job_book;
+pub mod log_appender;
+pub mod log_follower;
+pub mod planner;
+pub mod record;
+pub mod record_books;
+pub mod retry_backoff;
+pub mod snapshot;
