--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -1,10 +1,8 @@
 //! What lives for the process: planner, seat, followed records and health.
 
-pub mod estimate;
-pub mod planner;
-pub mod seat;
 pub mod config_book;
 pub mod config_history;
+pub mod estimate;
 pub mod job_book;
 pub mod log_appender;
 pub mod log_follower;
@@ -12,4 +10,5 @@
 pub mod record;
 pub mod record_books;
 pub mod retry_backoff;
+pub mod seat;
 pub mod snapshot;
