Call rules: outcomes, routing, health, admission and connection liveness

Cause: calls need decisions that hold whatever fails, apart from any input or output. Change: the outcome and repetition table by point of failure, attempts of one call, deadlines, retry budget, liveness per connection, the target table with leaving words per incarnation, two-choice routing with own zone first, quarantine with cap and probing return, adaptive limits, fair admission.

--- a/crates/core/src/connection.rs
+++ b/crates/core/src/connection.rs
@@ -1,1 +1,3 @@
 //! What lives for one connection to a target: its liveness and reuse rules.
+
+pub mod liveness;
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -1,3 +1,6 @@
 //! What lives for the process: planner, seat, followed records and health.
 
+pub mod admission;
+pub mod health;
 pub mod planner;
+pub mod router;
--- /dev/null
+++ b/crates/core/src/process/health.rs
@@ -0,0 +1,260 @@
+//! Health of one target: quarantine of targets that fail or slow down, judged by
+//! shares with hysteresis, and the probing return. Caps and comparison with the
+//! rest of the zone are the target table's, since they need all targets.
+
+use crate::prelude::*;
+use crate::request::outcome::RepeatSafety;
+
+/// When targets enter and leave quarantine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HealthRules {
+    /// Outcomes that must be known before a failure share counts; at most 32.
+    pub least_outcomes: u32,
+    /// Failure share from which a target is suspect.
+    pub failure_share: f64,
+    /// By how much its share must exceed that of the rest of the zone. A bad call
+    /// fails everywhere; a bad worker stands out.
+    pub margin: f64,
+    /// Answers that must be known before slowness counts.
+    pub least_answers: u64,
+    /// Mean latency against the zone's median from which a target is slow.
+    pub slow_factor: f64,
+    /// Failed connection attempts in a row from which a target is unreachable.
+    pub unreachable_after: u32,
+    /// First time in quarantine; doubles with each return to it.
+    pub first_wait: Duration,
+    /// Longest time in quarantine.
+    pub longest_wait: Duration,
+    /// Good answers in a row that end the probation.
+    pub return_answers: u32,
+    /// Extra wait before a non-idempotent call may be a trial.
+    pub trial_grace: Duration,
+}
+
+impl Default for HealthRules {
+    fn default() -> Self {
+        Self {
+            least_outcomes: 5,
+            failure_share: 0.5,
+            margin: 0.3,
+            least_answers: 8,
+            slow_factor: 4.0,
+            unreachable_after: 2,
+            first_wait: Duration::from_secs(1),
+            longest_wait: Duration::from_secs(30),
+            return_answers: 3,
+            trial_grace: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Why a target is in quarantine.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum QuarantineCause {
+    /// It fails calls that others answer.
+    Failing,
+    /// It is much slower than the rest of its zone.
+    Slow,
+    /// No connection to it can be made.
+    Unreachable,
+}
+
+/// Where a target stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HealthState {
+    /// It takes calls.
+    Healthy,
+    /// It takes no calls until the given time, then one trial at a time.
+    Quarantined {
+        /// Why.
+        cause: QuarantineCause,
+        /// When trials may begin.
+        until: MonotonicTime,
+    },
+}
+
+/// Recent outcomes of one target and the state that follows from them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetHealth {
+    state: HealthState,
+    /// Last outcomes, newest in the lowest bit; a set bit is a failure.
+    outcomes: u32,
+    /// Number of bits of `outcomes` in use, at most 32.
+    known: u32,
+    /// Failed connection attempts since the last success.
+    refused_connects: u32,
+    /// Good answers in a row during probation.
+    good_trials: u32,
+    /// A trial is in flight. Only ever set in quarantine.
+    trial: bool,
+    /// Length of the next quarantine.
+    next_wait: Duration,
+}
+
+impl TargetHealth {
+    /// A target of which nothing is known.
+    pub const fn new(rules: &HealthRules) -> Self {
+        Self {
+            state: HealthState::Healthy,
+            outcomes: 0,
+            known: 0,
+            refused_connects: 0,
+            good_trials: 0,
+            trial: false,
+            next_wait: rules.first_wait,
+        }
+    }
+
+    /// Where the target stands.
+    pub const fn state(&self) -> HealthState {
+        self.state
+    }
+
+    /// Whether the target takes calls.
+    pub fn is_healthy(&self) -> bool {
+        self.state == HealthState::Healthy
+    }
+
+    /// Failures among the last outcomes, and how many outcomes those are.
+    pub const fn recent(&self) -> (u32, u32) {
+        (self.outcomes.count_ones(), self.known)
+    }
+
+    /// Share of recent outcomes that were good; one when nothing is known.
+    pub fn success_share(&self) -> f64 {
+        let (failures, known) = self.recent();
+        if known == 0 {
+            return 1.0;
+        }
+        1.0 - f64::from(failures) / f64::from(known)
+    }
+
+    /// Whether a quarantined target may be given a trial at `now`.
+    pub fn is_trial_due(
+        &self,
+        rules: &HealthRules,
+        safety: RepeatSafety,
+        now: MonotonicTime,
+    ) -> bool {
+        let HealthState::Quarantined { until, cause } = self.state else {
+            return false;
+        };
+        if cause == QuarantineCause::Unreachable {
+            return false;
+        }
+        let grace = match safety {
+            RepeatSafety::Idempotent => Duration::ZERO,
+            RepeatSafety::NonIdempotent => rules.trial_grace,
+        };
+        !self.trial && now >= until + grace
+    }
+
+    /// Notes that the call about to be sent is a trial.
+    pub fn begin_trial(&mut self) {
+        debug_assert!(!self.is_healthy(), "only a quarantined target is tried");
+        self.trial = true;
+    }
+
+    /// Takes in a good answer; true when it ends the quarantine. Answers to calls
+    /// that were sent before the quarantine began do not end it.
+    pub fn record_success(&mut self, rules: &HealthRules, is_trial: bool) -> bool {
+        self.push(false, rules);
+        self.refused_connects = 0;
+        if !is_trial || self.is_healthy() {
+            return false;
+        }
+        self.trial = false;
+        self.good_trials += 1;
+        if self.good_trials < rules.return_answers {
+            return false;
+        }
+        self.restore(rules);
+        true
+    }
+
+    /// Takes in a failure that is blamed on the target.
+    pub fn record_failure(&mut self, rules: &HealthRules, is_trial: bool, now: MonotonicTime) {
+        self.push(true, rules);
+        if is_trial {
+            self.end_trial_badly(rules, now);
+        }
+    }
+
+    /// Takes in a trial that was answered as slowly as before.
+    pub fn record_slow_trial(&mut self, rules: &HealthRules, now: MonotonicTime) {
+        self.end_trial_badly(rules, now);
+    }
+
+    /// Takes in a connection that could not be made; true when the target is now
+    /// to be held unreachable.
+    pub const fn record_connect_failure(&mut self, rules: &HealthRules) -> bool {
+        self.trial = false;
+        self.refused_connects += 1;
+        matches!(self.state, HealthState::Healthy)
+            && self.refused_connects >= rules.unreachable_after
+    }
+
+    /// Takes in the end of an attempt that says nothing of the target.
+    pub const fn record_neutral(&mut self, is_trial: bool) {
+        if is_trial {
+            self.trial = false;
+        }
+    }
+
+    /// Whether the target is to be probed at `now`: unreachable targets return by
+    /// probes alone, so that no call waits for a connection that is not made.
+    pub fn is_probe_due(&self, now: MonotonicTime) -> bool {
+        matches!(
+            self.state,
+            HealthState::Quarantined { cause: QuarantineCause::Unreachable, until } if now >= until
+        )
+    }
+
+    /// Takes in the end of a probe of an unreachable target.
+    pub fn record_probe(&mut self, rules: &HealthRules, is_answered: bool, now: MonotonicTime) {
+        if !self.is_probe_due(now) {
+            return;
+        }
+        if is_answered {
+            self.restore(rules);
+        } else {
+            self.quarantine(rules, QuarantineCause::Unreachable, now);
+        }
+    }
+
+    /// Whether the recent outcomes alone make the target suspect.
+    pub fn is_suspect(&self, rules: &HealthRules) -> bool {
+        self.known >= rules.least_outcomes && 1.0 - self.success_share() >= rules.failure_share
+    }
+
+    /// Puts the target into quarantine.
+    pub fn quarantine(&mut self, rules: &HealthRules, cause: QuarantineCause, now: MonotonicTime) {
+        let until = now + self.next_wait;
+        self.state = HealthState::Quarantined { cause, until };
+        self.next_wait = (self.next_wait * 2).min(rules.longest_wait);
+        self.good_trials = 0;
+        self.trial = false;
+    }
+
+    fn restore(&mut self, rules: &HealthRules) {
+        *self = Self {
+            next_wait: self.next_wait,
+            ..Self::new(rules)
+        };
+    }
+
+    /// Adds an outcome. A full history of good ones forgives earlier quarantines.
+    fn push(&mut self, is_failure: bool, rules: &HealthRules) {
+        self.outcomes = (self.outcomes << 1) | u32::from(is_failure);
+        self.known = (self.known + 1).min(u32::BITS);
+        if self.known == u32::BITS && self.outcomes == 0 {
+            self.next_wait = rules.first_wait;
+        }
+    }
+
+    fn end_trial_badly(&mut self, rules: &HealthRules, now: MonotonicTime) {
+        if let HealthState::Quarantined { cause, .. } = self.state {
+            self.quarantine(rules, cause, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/router/choice.rs
@@ -0,0 +1,211 @@
+//! The choice of a target for one attempt: the better of two random targets by
+//! expected cost, own zone first. Other zones are used when no target of the own
+//! zone has room; quarantined targets get one trial at a time, and carry calls
+//! only when no healthy target is left at all.
+
+use std::cmp::Ordering;
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use sha2::{Digest, Sha256};
+use thiserror::Error;
+
+use crate::prelude::*;
+use crate::process::health::{HealthState, QuarantineCause};
+use crate::process::router::table::{TargetEntry, TargetIndex, TargetTable};
+use crate::request::outcome::RepeatSafety;
+
+/// Lowest share of good outcomes that the cost of a target is divided by.
+const LEAST_SUCCESS: f64 = 0.05;
+
+/// What an attempt asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteQuery<'a> {
+    /// Service of the call.
+    pub service: &'a ServiceName,
+    /// Whether the call may run more than once.
+    pub safety: RepeatSafety,
+    /// Targets that the call has tried.
+    pub tried: &'a BTreeSet<TargetIndex>,
+    /// Idempotency key that pins the call to one target, on every host the same.
+    pub key: Option<&'a str>,
+}
+
+/// Why there is no target for an attempt. Nothing was sent.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum RouteRefusal {
+    /// No listed target runs the service.
+    #[error("no live worker runs the service; declare one or wait for one to be listed")]
+    NoTarget,
+    /// Targets are there, but none has room.
+    #[error("every worker of the service is full; send the call again later")]
+    AllFull,
+}
+
+impl TargetTable {
+    /// Chooses a target.
+    ///
+    /// # Errors
+    /// A [`RouteRefusal`]; `AllFull` may pass when a call ends.
+    pub fn choose(
+        &self,
+        query: &RouteQuery<'_>,
+        now: MonotonicTime,
+        rng: &mut ChaCha8Rng,
+    ) -> Result<TargetIndex, RouteRefusal> {
+        let candidates: Vec<Candidate<'_>> = self.candidates(query).collect();
+        if candidates.is_empty() {
+            return Err(RouteRefusal::NoTarget);
+        }
+        if let Some(key) = query.key {
+            return pinned_target(&candidates, key, now);
+        }
+        let own = |candidate: &&Candidate<'_>| candidate.entry.record.zone == self.own_zone;
+        let is_ready = |candidate: &&Candidate<'_>| {
+            candidate.entry.health.is_healthy() && candidate.entry.has_room(now)
+        };
+        let ready = || candidates.iter().filter(is_ready);
+        self.due_trial(candidates.iter().filter(own), query, now)
+            .or_else(|| better_of_two(&ready().filter(own).collect::<Vec<_>>(), now, rng))
+            .or_else(|| self.due_trial(candidates.iter(), query, now))
+            .or_else(|| better_of_two(&ready().collect::<Vec<_>>(), now, rng))
+            .or_else(|| last_resort(&candidates, now, rng))
+            .ok_or(RouteRefusal::AllFull)
+    }
+
+    /// Whether any healthy target of the service has room.
+    pub fn has_room(&self, service: &ServiceName, now: MonotonicTime) -> bool {
+        self.serving(service)
+            .any(|candidate| candidate.entry.health.is_healthy() && candidate.entry.has_room(now))
+    }
+
+    fn serving<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = Candidate<'a>> {
+        self.entries()
+            .iter()
+            .filter(|(_, entry)| entry.is_present() && entry.record.services.contains(service))
+            .map(|(index, entry)| Candidate {
+                index: *index,
+                entry,
+            })
+    }
+
+    /// Targets that the call has not tried; all of them once it has tried each.
+    fn candidates<'a>(&'a self, query: &'a RouteQuery<'_>) -> impl Iterator<Item = Candidate<'a>> {
+        let untried = |candidate: &Candidate<'_>| !query.tried.contains(&candidate.index);
+        let has_untried = self
+            .serving(query.service)
+            .any(|candidate| untried(&candidate));
+        self.serving(query.service)
+            .filter(move |candidate| !has_untried || untried(candidate))
+    }
+
+    /// A quarantined target whose trial is due; only first attempts are trials.
+    fn due_trial<'a>(
+        &self,
+        mut candidates: impl Iterator<Item = &'a Candidate<'a>>,
+        query: &RouteQuery<'_>,
+        now: MonotonicTime,
+    ) -> Option<TargetIndex> {
+        if !query.tried.is_empty() {
+            return None;
+        }
+        let is_due = |entry: &TargetEntry| {
+            entry.has_room(now) && entry.health.is_trial_due(&self.rules, query.safety, now)
+        };
+        candidates
+            .find(|candidate| is_due(candidate.entry))
+            .map(|candidate| candidate.index)
+    }
+}
+
+/// A target that may take the call.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    index: TargetIndex,
+    entry: &'a TargetEntry,
+}
+
+/// The cheaper of two distinct random candidates.
+fn better_of_two(
+    candidates: &[&Candidate<'_>],
+    now: MonotonicTime,
+    rng: &mut ChaCha8Rng,
+) -> Option<TargetIndex> {
+    let count = candidates.len();
+    if count < 2 {
+        return candidates.first().map(|candidate| candidate.index);
+    }
+    let first = rng.random_range(0..count);
+    let step = rng.random_range(1..count);
+    let (left, right) = (candidates[first], candidates[(first + step) % count]);
+    let is_left = cost_order(left.entry, right.entry, now).is_le();
+    Some(if is_left { left.index } else { right.index })
+}
+
+/// Compares the expected cost of one more call: its latency times the calls that
+/// share the target, divided by the share of calls that end well. What has not
+/// been refreshed for a while does not count, so that every target is tried again;
+/// without latency on both sides only the load counts.
+fn cost_order(left: &TargetEntry, right: &TargetEntry, now: MonotonicTime) -> Ordering {
+    let load = |entry: &TargetEntry| {
+        let share = if entry.is_stale(now) {
+            1.0
+        } else {
+            entry.health.success_share()
+        };
+        f64::from(entry.in_flight + 1) / share.max(LEAST_SUCCESS)
+    };
+    let latency =
+        |entry: &TargetEntry| entry.latency.peak_micros().filter(|_| !entry.is_stale(now));
+    let pair = latency(left).zip(latency(right));
+    let (left_micros, right_micros) = pair.unwrap_or((1.0, 1.0));
+    (load(left) * left_micros).total_cmp(&(load(right) * right_micros))
+}
+
+/// With no healthy target at all, quarantined ones carry calls rather than none.
+/// Otherwise only slow ones do, and only when the healthy ones have no room.
+fn last_resort(
+    candidates: &[Candidate<'_>],
+    now: MonotonicTime,
+    rng: &mut ChaCha8Rng,
+) -> Option<TargetIndex> {
+    let has_healthy = candidates
+        .iter()
+        .any(|candidate| candidate.entry.health.is_healthy());
+    let is_usable = |candidate: &&Candidate<'_>| {
+        let HealthState::Quarantined { cause, .. } = candidate.entry.health.state() else {
+            return false;
+        };
+        candidate.entry.has_room(now) && (!has_healthy || cause == QuarantineCause::Slow)
+    };
+    better_of_two(
+        &candidates.iter().filter(is_usable).collect::<Vec<_>>(),
+        now,
+        rng,
+    )
+}
+
+/// The target with the highest hash of key and name. Health, load and zone are
+/// left out, since other hosts see them differently.
+fn pinned_target(
+    candidates: &[Candidate<'_>],
+    key: &str,
+    now: MonotonicTime,
+) -> Result<TargetIndex, RouteRefusal> {
+    let weight = |candidate: &&Candidate<'_>| {
+        let digest = Sha256::new()
+            .chain_update(key.as_bytes())
+            .chain_update([0])
+            .chain_update(candidate.entry.record.name.as_str().as_bytes());
+        <[u8; 32]>::from(digest.finalize())
+    };
+    let pinned = candidates
+        .iter()
+        .max_by_key(weight)
+        .ok_or(RouteRefusal::NoTarget)?;
+    if pinned.entry.has_room(now) {
+        Ok(pinned.index)
+    } else {
+        Err(RouteRefusal::AllFull)
+    }
+}
--- /dev/null
+++ b/crates/core/tests/call_limits.rs
@@ -0,0 +1,132 @@
+//! Time and traffic limits: deadlines, liveness of connections, the retry budget,
+//! learned latency and adaptive concurrency.
+
+use flamingowalk_core::connection::liveness::{
+    ConnectionRecord, DiscardReason, LivenessRules, ReuseVerdict,
+};
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::router::budget::RetryBudget;
+use flamingowalk_core::process::router::latency::LatencyEstimate;
+use flamingowalk_core::process::router::limit::ConcurrencyLimit;
+use flamingowalk_core::request::deadline::CallDeadline;
+use flamingowalk_core::request::outcome::RepeatSafety::{self, Idempotent, NonIdempotent};
+use rstest::rstest;
+
+const fn millis(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+#[rstest]
+#[case(0, Some(1_000))]
+#[case(999, Some(1))]
+#[case(1_000, None)]
+#[case(5_000, None)]
+fn deadline_header(#[case] now: u64, #[case] sent: Option<u64>) {
+    let deadline = CallDeadline::new(millis(0), Duration::from_secs(1));
+    assert_eq!(deadline.header_millis(millis(now)), sent);
+    assert_eq!(deadline.is_expired(millis(now)), sent.is_none());
+}
+
+#[rstest]
+#[case(false, Some(10), 800)]
+#[case(true, None, 400)]
+#[case(true, Some(10), 100)]
+#[case(true, Some(300), 300)]
+#[case(true, Some(700), 400)]
+fn deadline_attempt_time(#[case] repeat: bool, #[case] floor: Option<u64>, #[case] time: u64) {
+    let deadline = CallDeadline::new(millis(0), Duration::from_secs(1));
+    let floor = floor.map(Duration::from_millis);
+    let expected = Duration::from_millis(time);
+    assert_eq!(deadline.attempt_time(millis(200), repeat, floor), expected);
+}
+
+#[rstest]
+#[case(10, NonIdempotent, ReuseVerdict::Ready)]
+#[case(50, NonIdempotent, ReuseVerdict::Probe)]
+#[case(50, Idempotent, ReuseVerdict::Ready)]
+#[case(600, Idempotent, ReuseVerdict::Probe)]
+#[case(21_000, Idempotent, ReuseVerdict::Discard(DiscardReason::Idle))]
+#[case(601_000, Idempotent, ReuseVerdict::Discard(DiscardReason::Old))]
+fn liveness_silence(
+    #[case] silence: u64,
+    #[case] safety: RepeatSafety,
+    #[case] verdict: ReuseVerdict,
+) {
+    let record = ConnectionRecord::new(millis(0));
+    assert_eq!(
+        record.judge(&LivenessRules::default(), safety, millis(silence)),
+        verdict
+    );
+}
+
+#[test]
+fn liveness_after_answer_and_failure() {
+    let rules = LivenessRules::default();
+    let mut record = ConnectionRecord::new(millis(0));
+    record.record_answer(millis(5_000));
+    assert_eq!(
+        record.judge(&rules, NonIdempotent, millis(5_010)),
+        ReuseVerdict::Ready
+    );
+    record.record_failure();
+    let spoiled = ReuseVerdict::Discard(DiscardReason::Spoiled);
+    assert_eq!(record.judge(&rules, Idempotent, millis(5_010)), spoiled);
+}
+
+fn granted(budget: &mut RetryBudget, now: MonotonicTime) -> usize {
+    (0..1_000).take_while(|_| budget.try_repeat(now)).count()
+}
+
+#[rstest]
+#[case(0, 3)]
+#[case(100, 13)]
+#[case(1_000, 103)]
+fn budget_share_of_calls(#[case] calls: usize, #[case] repeats: usize) {
+    let mut budget = RetryBudget::new(0.1, millis(0));
+    (0..calls).for_each(|_| budget.record_call(millis(1)));
+    assert_eq!(granted(&mut budget, millis(2)), repeats);
+    assert_eq!(
+        granted(&mut budget, millis(5_500)),
+        0,
+        "the window still counts them"
+    );
+    assert_eq!(
+        granted(&mut budget, millis(60_000)),
+        3,
+        "old calls carry no repetition"
+    );
+}
+
+#[test]
+fn latency_rises_faster_than_it_falls() {
+    let mut estimate = LatencyEstimate::default();
+    estimate.record(Duration::from_millis(10));
+    estimate.record(Duration::from_millis(100));
+    let risen = estimate.peak_micros().unwrap();
+    estimate.record(Duration::from_millis(10));
+    let fallen = estimate.peak_micros().unwrap();
+    assert!(
+        risen - 10_000.0 > 2.0 * (risen - fallen),
+        "{risen} {fallen}"
+    );
+    assert_eq!(estimate.mean_micros(4), None);
+}
+
+#[test]
+fn limit_full_then_answers() {
+    let mut limit = ConcurrencyLimit::new(8);
+    assert_eq!(limit.allowed(), 8);
+    limit.record_full(millis(0));
+    limit.record_full(millis(1));
+    assert_eq!(limit.allowed(), 6, "one slowdown counts once");
+    (0..40).for_each(|at| limit.record_answer(1_000.0, millis(at)));
+    assert_eq!(limit.allowed(), 8);
+}
+
+#[test]
+fn limit_slow_target() {
+    let mut limit = ConcurrencyLimit::new(8);
+    limit.record_answer(1_000.0, millis(0));
+    (1..30).for_each(|at| limit.record_answer(9_000.0, millis(at * 200)));
+    assert_eq!(limit.allowed(), 1, "one call at a time is always allowed");
+}
