Call desk: admission, routing and retries as one event-driven state machine

Change: the desk takes typed events of a call and gives typed orders; a late attempt is given up only when both the retry budget and a target allow it. Conclusion: a property test over random events finds no second run of a non-idempotent call, no unproved not-run and no lost place.

--- a/crates/core/src/process/router/choice.rs
+++ b/crates/core/src/process/router/choice.rs
@@ -73,10 +73,9 @@
             .ok_or(RouteRefusal::AllFull)
     }
 
-    /// Whether any healthy target of the service has room.
-    pub fn has_room(&self, service: &ServiceName, now: MonotonicTime) -> bool {
-        self.serving(service)
-            .any(|candidate| candidate.entry.health.is_healthy() && candidate.entry.has_room(now))
+    /// Whether any target may take calls of the service, now or later.
+    pub fn is_served(&self, service: &ServiceName) -> bool {
+        self.serving(service).next().is_some()
     }
 
     fn serving<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = Candidate<'a>> {
@@ -89,12 +88,14 @@
             })
     }
 
-    /// Targets that the call has not tried; all of them once it has tried each.
+    /// Targets that the call has not tried; all of them once it has tried each, or
+    /// when a key pins it, since a pin that moves would pin nothing.
     fn candidates<'a>(&'a self, query: &'a RouteQuery<'_>) -> impl Iterator<Item = Candidate<'a>> {
         let untried = |candidate: &Candidate<'_>| !query.tried.contains(&candidate.index);
-        let has_untried = self
-            .serving(query.service)
-            .any(|candidate| untried(&candidate));
+        let has_untried = query.key.is_none()
+            && self
+                .serving(query.service)
+                .any(|candidate| untried(&candidate));
         self.serving(query.service)
             .filter(move |candidate| !has_untried || untried(candidate))
     }
--- /dev/null
+++ b/crates/core/src/process/router/desk.rs
@@ -0,0 +1,416 @@
+//! The call desk: admission, routing, retries and health of all calls of this
+//! host. It is told events and gives orders; it owns no connection and no clock.
+//! Every admitted call holds its place until its last attempt has ended, also
+//! when the caller is gone, since the target still runs it.
+
+pub mod message;
+
+use rand_chacha::ChaCha8Rng;
+
+use crate::prelude::*;
+use crate::process::admission::queue::{
+    AdmissionAnswer, AdmissionQueue, AdmissionRefusal, CallTicket,
+};
+use crate::process::router::budget::RetryBudget;
+use crate::process::router::choice::{RouteQuery, RouteRefusal};
+use crate::process::router::desk::message::{
+    AddressedOrder, AttemptOrder, CallArrival, CallEnding, CallEvent, CallOrder, EndCause,
+};
+use crate::process::router::latency::ServicePace;
+use crate::process::router::table::{AttemptResult, AttemptTicket, TargetIndex, TargetTable};
+use crate::request::outcome::{CallOutcome, ConnectionAge, FailurePoint, RepeatRule};
+use crate::request::progress::{CallProgress, NextStep};
+
+/// Time after which a call without a target with room looks again.
+const ROOM_PAUSE: Duration = Duration::from_millis(5);
+
+/// Where an open call is.
+#[derive(Debug)]
+enum CallStage {
+    /// Waits for admission, at most until the given time.
+    Queued(MonotonicTime),
+    /// Admitted; waits for a target with room, at most until the given time.
+    Parked(MonotonicTime),
+    /// At a target.
+    Attempting(AttemptTicket),
+}
+
+/// One open call.
+#[derive(Debug)]
+struct OpenCall {
+    arrival: CallArrival,
+    progress: CallProgress,
+    stage: CallStage,
+    /// Where the next attempt goes, if it is a repetition.
+    repeat: Option<(RepeatRule, TargetIndex)>,
+    /// The caller is gone: no further attempt begins. Never reset.
+    abandoned: bool,
+}
+
+/// All open calls and what they share.
+#[derive(Debug)]
+pub struct CallDesk {
+    /// Targets.
+    pub table: TargetTable,
+    /// Admission.
+    pub admission: AdmissionQueue,
+    /// Repetitions.
+    pub budget: RetryBudget,
+    paces: BTreeMap<ServiceName, ServicePace>,
+    calls: BTreeMap<CallTicket, OpenCall>,
+    rng: ChaCha8Rng,
+}
+
+impl CallDesk {
+    /// A desk without customers; until they are set, every call is refused.
+    pub fn new(table: TargetTable, budget: RetryBudget, rng: ChaCha8Rng) -> Self {
+        Self {
+            table,
+            admission: AdmissionQueue::default(),
+            budget,
+            paces: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            rng,
+        }
+    }
+
+    /// Calls that have not ended.
+    pub fn open_calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Takes in a call and gives its first order: `Wait` or `Attempt`.
+    ///
+    /// # Errors
+    /// The ending of a call that is refused at once; it did not run.
+    pub fn arrive(
+        &mut self,
+        arrival: CallArrival,
+        now: MonotonicTime,
+    ) -> Result<AddressedOrder, CallEnding> {
+        if !self.table.is_served(&arrival.service) {
+            return Err(not_run(EndCause::NotRouted(RouteRefusal::NoTarget)));
+        }
+        self.admission.set_capacity(self.table.capacity());
+        let answer = self
+            .admission
+            .offer(&arrival.customer, &arrival.deadline, now)
+            .map_err(|refusal| not_run(EndCause::NotAdmitted(refusal)))?;
+        self.budget.record_call(now);
+        let (ticket, until, is_admitted) = match answer {
+            AdmissionAnswer::Admitted(ticket) => (ticket, arrival.deadline.queue_until(now), true),
+            AdmissionAnswer::Queued(ticket, until) => (ticket, until, false),
+        };
+        let stage = if is_admitted {
+            CallStage::Parked(until)
+        } else {
+            CallStage::Queued(until)
+        };
+        let progress = CallProgress::new(arrival.safety);
+        let call = OpenCall {
+            arrival,
+            progress,
+            stage,
+            repeat: None,
+            abandoned: false,
+        };
+        self.calls.insert(ticket, call);
+        let order = if is_admitted {
+            self.route(ticket, now)
+        } else {
+            CallOrder::Wait(until)
+        };
+        Ok(AddressedOrder { ticket, order })
+    }
+
+    /// Takes in what happened to a call. Orders may be for other calls as well:
+    /// the end of one makes room for the next.
+    pub fn handle(
+        &mut self,
+        ticket: CallTicket,
+        event: CallEvent,
+        now: MonotonicTime,
+    ) -> Vec<AddressedOrder> {
+        let own = self.handle_own(ticket, event, now);
+        let mut orders: Vec<_> = own
+            .into_iter()
+            .map(|order| AddressedOrder { ticket, order })
+            .collect();
+        self.admission.set_capacity(self.table.capacity());
+        while let Some(ticket) = self.admission.admit_next() {
+            orders.push(AddressedOrder {
+                ticket,
+                order: self.begin_admitted(ticket, now),
+            });
+        }
+        orders
+    }
+
+    fn handle_own(
+        &mut self,
+        ticket: CallTicket,
+        event: CallEvent,
+        now: MonotonicTime,
+    ) -> Option<CallOrder> {
+        let call = self.calls.get(&ticket)?;
+        let is_attempting = matches!(call.stage, CallStage::Attempting(_));
+        match event {
+            CallEvent::WaitEnded if is_attempting => None,
+            CallEvent::WaitEnded => Some(self.end_wait(ticket, now)),
+            CallEvent::CallerGone => {
+                self.abandon(ticket);
+                None
+            }
+            _ if !is_attempting => {
+                debug_assert!(false, "{ticket} reports an attempt that it does not make");
+                None
+            }
+            CallEvent::AttemptLate(connection) => Some(self.replace_late(ticket, connection, now)),
+            CallEvent::Answered(latency) => {
+                let service = call.arrival.service.clone();
+                self.paces.entry(service).or_default().record(latency);
+                self.end_attempt(ticket, AttemptResult::Answered(latency), now);
+                self.close(ticket);
+                None
+            }
+            CallEvent::Failed(point, connection) => {
+                self.repeat_or_end(ticket, point, connection, now)
+            }
+        }
+    }
+
+    fn begin_admitted(&mut self, ticket: CallTicket, now: MonotonicTime) -> CallOrder {
+        if let Some(call) = self.calls.get_mut(&ticket) {
+            call.stage = CallStage::Parked(call.arrival.deadline.queue_until(now));
+        }
+        self.route(ticket, now)
+    }
+
+    /// A wait is over: look again, or end the call.
+    fn end_wait(&mut self, ticket: CallTicket, now: MonotonicTime) -> CallOrder {
+        let call = &self.calls[&ticket];
+        match call.stage {
+            CallStage::Queued(until) if now < until => CallOrder::Wait(until),
+            CallStage::Queued(_) => {
+                let cause = EndCause::NotAdmitted(AdmissionRefusal::WaitedOut);
+                self.end(ticket, CallOutcome::NotRun, cause)
+            }
+            CallStage::Parked(_) | CallStage::Attempting(_) => self.route(ticket, now),
+        }
+    }
+
+    /// Finds a target for an admitted call that is at none.
+    fn route(&mut self, ticket: CallTicket, now: MonotonicTime) -> CallOrder {
+        let call = &self.calls[&ticket];
+        let CallStage::Parked(until) = call.stage else {
+            debug_assert!(false, "{ticket} is not waiting for a target");
+            return CallOrder::Continue;
+        };
+        let is_expired = call.arrival.deadline.header_millis(now).is_none();
+        let is_late = now >= until || is_expired;
+        match self.choose(ticket, now) {
+            Ok(index) if !is_expired => self.begin_attempt(ticket, index, now),
+            Err(RouteRefusal::AllFull) if !is_late => {
+                CallOrder::Wait((now + ROOM_PAUSE).min(until))
+            }
+            Ok(_) => {
+                let cause = EndCause::NotAdmitted(AdmissionRefusal::WaitedOut);
+                self.end(ticket, CallOutcome::NotRun, cause)
+            }
+            Err(refusal) => self.end(ticket, CallOutcome::NotRun, EndCause::NotRouted(refusal)),
+        }
+    }
+
+    fn choose(
+        &mut self,
+        ticket: CallTicket,
+        now: MonotonicTime,
+    ) -> Result<TargetIndex, RouteRefusal> {
+        let call = &self.calls[&ticket];
+        if let Some((RepeatRule::FreshConnection, index)) = call.repeat {
+            let same = self.table.entry(index);
+            if same.is_some_and(|entry| entry.is_present() && entry.has_room(now)) {
+                return Ok(index);
+            }
+        }
+        let query = RouteQuery {
+            service: &call.arrival.service,
+            safety: call.arrival.safety,
+            tried: call.progress.tried(),
+            key: call.arrival.key.as_deref(),
+        };
+        self.table.choose(&query, now, &mut self.rng)
+    }
+
+    fn begin_attempt(
+        &mut self,
+        ticket: CallTicket,
+        index: TargetIndex,
+        now: MonotonicTime,
+    ) -> CallOrder {
+        let attempt = self.table.begin_attempt(index);
+        let (Some(attempt), Some(entry)) = (attempt, self.table.entry(index)) else {
+            let cause = EndCause::NotRouted(RouteRefusal::NoTarget);
+            return self.end(ticket, CallOutcome::NotRun, cause);
+        };
+        let record = &entry.record;
+        let (worker, incarnation, address) =
+            (record.name.clone(), record.incarnation, record.address);
+        let Some(call) = self.calls.get_mut(&ticket) else {
+            return CallOrder::Continue;
+        };
+        debug_assert!(
+            !call.abandoned,
+            "an attempt began for a caller that is gone"
+        );
+        call.stage = CallStage::Attempting(attempt);
+        let needs_fresh = matches!(call.repeat.take(), Some((RepeatRule::FreshConnection, _)));
+        let pace = self
+            .paces
+            .get(&call.arrival.service)
+            .and_then(ServicePace::late_after);
+        let late_after = call
+            .progress
+            .may_repeat_unproved()
+            .then(|| call.arrival.deadline.late_after(now, pace));
+        CallOrder::Attempt(AttemptOrder {
+            worker,
+            incarnation,
+            address,
+            needs_fresh,
+            late_after,
+        })
+    }
+
+    /// Replaces an attempt that is late, if there is both budget and a target.
+    fn replace_late(
+        &mut self,
+        ticket: CallTicket,
+        connection: ConnectionAge,
+        now: MonotonicTime,
+    ) -> CallOrder {
+        let call = &self.calls[&ticket];
+        let may_repeat = !call.abandoned && call.progress.may_repeat_unproved();
+        if !may_repeat || self.choose(ticket, now).is_err() || !self.budget.try_repeat(now) {
+            return CallOrder::Continue;
+        }
+        self.fail_attempt(ticket, FailurePoint::LateAnswer, connection, now);
+        self.begin_admitted(ticket, now)
+    }
+
+    fn repeat_or_end(
+        &mut self,
+        ticket: CallTicket,
+        point: FailurePoint,
+        connection: ConnectionAge,
+        now: MonotonicTime,
+    ) -> Option<CallOrder> {
+        let step = self.fail_attempt(ticket, point, connection, now);
+        let is_abandoned = self.calls.get(&ticket)?.abandoned;
+        match step {
+            _ if is_abandoned => {
+                self.close(ticket);
+                None
+            }
+            NextStep::End(outcome) => {
+                Some(self.end(ticket, outcome, EndCause::AttemptFailed(point)))
+            }
+            NextStep::Repeat(_) if !self.budget.try_repeat(now) => {
+                Some(self.end(ticket, point.outcome(), EndCause::BudgetSpent(point)))
+            }
+            NextStep::Repeat(_) => Some(self.begin_admitted(ticket, now)),
+        }
+    }
+
+    /// Ends the attempt in flight as failed; the call is parked after it.
+    fn fail_attempt(
+        &mut self,
+        ticket: CallTicket,
+        point: FailurePoint,
+        connection: ConnectionAge,
+        now: MonotonicTime,
+    ) -> NextStep {
+        let result = match point {
+            FailurePoint::TargetFull => AttemptResult::Full,
+            _ => AttemptResult::Failed(point.blame(connection)),
+        };
+        let index = self.end_attempt(ticket, result, now);
+        if point == FailurePoint::TargetLeaving
+            && let Some(entry) = index.and_then(|index| self.table.entry(index))
+        {
+            let (name, incarnation) = (entry.record.name.clone(), entry.record.incarnation);
+            self.table.mark_leaving(&name, incarnation);
+        }
+        let Some(call) = self.calls.get_mut(&ticket) else {
+            return NextStep::End(point.outcome());
+        };
+        let deadline = call.arrival.deadline;
+        let step = call
+            .progress
+            .record_failure(index, point, connection, &deadline, now);
+        call.repeat = match (step, index) {
+            (NextStep::Repeat(rule), Some(index)) => Some((rule, index)),
+            _ => None,
+        };
+        step
+    }
+
+    fn end_attempt(
+        &mut self,
+        ticket: CallTicket,
+        result: AttemptResult,
+        now: MonotonicTime,
+    ) -> Option<TargetIndex> {
+        let call = self.calls.get_mut(&ticket)?;
+        let stage = std::mem::replace(&mut call.stage, CallStage::Parked(now));
+        let CallStage::Attempting(attempt) = stage else {
+            call.stage = stage;
+            return None;
+        };
+        self.table.end_attempt(&attempt, result, now);
+        Some(attempt.index)
+    }
+
+    fn abandon(&mut self, ticket: CallTicket) {
+        let Some(call) = self.calls.get_mut(&ticket) else {
+            return;
+        };
+        call.abandoned = true;
+        if !matches!(call.stage, CallStage::Attempting(_)) {
+            self.close(ticket);
+        }
+    }
+
+    fn end(&mut self, ticket: CallTicket, last: CallOutcome, cause: EndCause) -> CallOrder {
+        let outcome = self
+            .calls
+            .get(&ticket)
+            .map_or(last, |call| call.progress.ending(last));
+        self.close(ticket);
+        CallOrder::End(CallEnding { outcome, cause })
+    }
+
+    fn close(&mut self, ticket: CallTicket) {
+        let Some(call) = self.calls.remove(&ticket) else {
+            return;
+        };
+        debug_assert!(
+            !matches!(call.stage, CallStage::Attempting(_)),
+            "an attempt is in flight"
+        );
+        let customer = &call.arrival.customer;
+        if matches!(call.stage, CallStage::Queued(_)) {
+            self.admission
+                .withdraw(customer, ticket, &call.arrival.deadline);
+        } else {
+            self.admission.finish(customer);
+        }
+    }
+}
+
+const fn not_run(cause: EndCause) -> CallEnding {
+    CallEnding {
+        outcome: CallOutcome::NotRun,
+        cause,
+    }
+}
--- a/crates/core/src/process/router/latency.rs
+++ b/crates/core/src/process/router/latency.rs
@@ -1,5 +1,6 @@
-//! The learned latency of one target: an exponentially weighted mean that rises
-//! fast and falls slowly, so that a target that turns slow loses traffic at once.
+//! Learned latency: of one target, as an exponentially weighted mean that rises
+//! fast and falls slowly, so that a target that turns slow loses traffic at once;
+//! and of one service, as the time by which nearly all its answers are there.
 
 use crate::prelude::*;
 
@@ -54,3 +55,45 @@
         *self = Self::default();
     }
 }
+
+/// Samples needed before a service's pace counts.
+const PACE_SAMPLES: u64 = 20;
+
+/// Weight of a sample in a service's pace.
+const PACE_WEIGHT: f64 = 0.05;
+
+/// Mean deviations above the mean that nearly all answers stay below.
+const PACE_DEVIATIONS: f64 = 8.0;
+
+/// Least time after which an answer counts as late.
+const LEAST_PACE: Duration = Duration::from_millis(50);
+
+/// Mean and mean deviation of a service's answers, as in TCP's retransmission
+/// timer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServicePace {
+    /// Mean in microseconds.
+    mean: f64,
+    /// Mean deviation in microseconds.
+    deviation: f64,
+    samples: u64,
+}
+
+impl ServicePace {
+    /// Takes in the time of a whole answer.
+    pub fn record(&mut self, sample: Duration) {
+        let micros = sample.as_secs_f64() * 1e6;
+        self.samples += 1;
+        let weight = PACE_WEIGHT.max(1.0 / self.samples as f64);
+        let error = micros - self.mean;
+        self.mean += weight * error;
+        self.deviation += weight * (error.abs() - self.deviation);
+    }
+
+    /// Time after which an answer is late; nothing while too little is known.
+    pub fn late_after(&self) -> Option<Duration> {
+        let micros = PACE_DEVIATIONS.mul_add(self.deviation, self.mean);
+        let pace = Duration::from_secs_f64(micros / 1e6);
+        (self.samples >= PACE_SAMPLES).then_some(pace.max(LEAST_PACE))
+    }
+}
--- a/crates/core/src/request/deadline.rs
+++ b/crates/core/src/request/deadline.rs
@@ -47,20 +47,11 @@
         (millis > 0).then_some(millis)
     }
 
-    /// Time for one attempt. A call that may still be repeated keeps half of the
-    /// remaining time for the repetition, but waits no less than `floor`, the time
-    /// by which nearly all answers of the service are there.
-    pub fn attempt_time(
-        &self,
-        now: MonotonicTime,
-        may_repeat: bool,
-        floor: Option<Duration>,
-    ) -> Duration {
-        let left = self.left(now);
-        match floor {
-            Some(floor) if may_repeat => floor.min(left / 2).max(left / 8),
-            None if may_repeat => left / 2,
-            _ => left,
-        }
+    /// Time after which an attempt at a call that may be repeated is late: half of
+    /// the remaining time is kept for the repetition. `pace` is the time by which
+    /// nearly all answers of the service are there.
+    pub fn late_after(&self, now: MonotonicTime, pace: Option<Duration>) -> Duration {
+        let half = self.left(now) / 2;
+        pace.map_or(half, |pace| pace.min(half))
     }
 }
--- /dev/null
+++ b/crates/core/tests/call_desk.rs
@@ -0,0 +1,260 @@
+//! The call desk as a whole: what each event leads to, and that no sequence of
+//! events runs a non-idempotent call twice or loses a place.
+
+use std::net::SocketAddr;
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::admission::queue::{AdmissionRefusal, CallTicket, CustomerShare};
+use flamingowalk_core::process::health::HealthRules;
+use flamingowalk_core::process::router::budget::RetryBudget;
+use flamingowalk_core::process::router::choice::RouteRefusal;
+use flamingowalk_core::process::router::desk::CallDesk;
+use flamingowalk_core::process::router::desk::message::{
+    AddressedOrder, AttemptOrder, CallArrival, CallEnding, CallEvent, CallOrder, EndCause,
+};
+use flamingowalk_core::process::router::table::{TargetRecord, TargetTable};
+use flamingowalk_core::request::deadline::CallDeadline;
+use flamingowalk_core::request::outcome::ConnectionAge::{Fresh, Reused};
+use flamingowalk_core::request::outcome::RepeatSafety::{self, Idempotent, NonIdempotent};
+use flamingowalk_core::request::outcome::{CallOutcome, FailurePoint};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const NOW: MonotonicTime = MonotonicTime::from_secs(10);
+
+fn desk(workers: u32, slots: u32) -> CallDesk {
+    let mut table = TargetTable::new("a".into(), HealthRules::default(), 0.25);
+    let record = |number| TargetRecord {
+        name: format!("w{number}").into(),
+        zone: "a".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        incarnation: 1,
+        leaving: false,
+        services: BTreeSet::from(["plan".into()]),
+        slots,
+        connections: 8,
+    };
+    table.apply_listing((0..workers).map(record).collect());
+    let rng = ChaCha8Rng::seed_from_u64(3);
+    let mut desk = CallDesk::new(table, RetryBudget::new(0.1, NOW), rng);
+    let share = CustomerShare {
+        weight: 1,
+        max_calls: 0,
+    };
+    desk.admission
+        .set_customers(&BTreeMap::from([("c".into(), share)]));
+    desk
+}
+
+fn arrival(safety: RepeatSafety) -> CallArrival {
+    CallArrival {
+        customer: "c".into(),
+        service: "plan".into(),
+        safety,
+        deadline: CallDeadline::new(NOW, Duration::from_secs(1)),
+        key: None,
+    }
+}
+
+fn attempt(order: &AddressedOrder) -> (CallTicket, AttemptOrder) {
+    match &order.order {
+        CallOrder::Attempt(attempt) => (order.ticket, attempt.clone()),
+        other => panic!("expected an attempt: {other:?}"),
+    }
+}
+
+#[test]
+fn arrive_unserved_and_undeclared() {
+    let refused = desk(0, 1).arrive(arrival(Idempotent), NOW).unwrap_err();
+    assert_eq!(refused.cause, EndCause::NotRouted(RouteRefusal::NoTarget));
+    let stranger = CallArrival {
+        customer: "x".into(),
+        ..arrival(Idempotent)
+    };
+    let refused = desk(1, 1).arrive(stranger, NOW).unwrap_err();
+    assert_eq!(
+        refused.cause,
+        EndCause::NotAdmitted(AdmissionRefusal::UnknownCustomer)
+    );
+}
+
+#[test]
+fn silent_kept_connection_then_new_then_other_target() {
+    let mut desk = desk(4, 2);
+    let (ticket, first) = attempt(&desk.arrive(arrival(Idempotent), NOW).unwrap());
+    let orders = desk.handle(ticket, CallEvent::AttemptLate(Reused), NOW);
+    let (_, second) = attempt(&orders[0]);
+    assert_eq!((&second.worker, second.needs_fresh), (&first.worker, true));
+    let orders = desk.handle(ticket, CallEvent::AttemptLate(Fresh), NOW);
+    assert_ne!(attempt(&orders[0]).1.worker, first.worker);
+}
+
+#[test]
+fn late_attempt_without_budget_runs_on() {
+    let mut desk = desk(4, 2);
+    while desk.budget.try_repeat(NOW) {}
+    let (ticket, _) = attempt(&desk.arrive(arrival(Idempotent), NOW).unwrap());
+    let orders = desk.handle(ticket, CallEvent::AttemptLate(Reused), NOW);
+    assert_eq!(
+        orders,
+        [AddressedOrder {
+            ticket,
+            order: CallOrder::Continue
+        }]
+    );
+    assert!(
+        desk.handle(ticket, CallEvent::Answered(Duration::from_millis(9)), NOW)
+            .is_empty()
+    );
+    assert_eq!(desk.open_calls(), 0);
+}
+
+#[test]
+fn leaving_refusal_takes_target_out() {
+    let mut desk = desk(2, 2);
+    let (ticket, first) = attempt(&desk.arrive(arrival(NonIdempotent), NOW).unwrap());
+    let leaving = CallEvent::Failed(FailurePoint::TargetLeaving, Fresh);
+    let (_, second) = attempt(&desk.handle(ticket, leaving, NOW)[0]);
+    assert_ne!(first.worker, second.worker);
+    let (_, third) = attempt(&desk.arrive(arrival(NonIdempotent), NOW).unwrap());
+    assert_eq!(third.worker, second.worker);
+}
+
+#[test]
+fn caller_gone_while_attempting() {
+    let mut desk = desk(2, 1);
+    let (ticket, _) = attempt(&desk.arrive(arrival(Idempotent), NOW).unwrap());
+    assert_eq!(desk.handle(ticket, CallEvent::CallerGone, NOW), []);
+    assert_eq!(desk.open_calls(), 1, "the target still runs it");
+    let failed = CallEvent::Failed(FailurePoint::TargetFull, Fresh);
+    assert_eq!(
+        desk.handle(ticket, failed, NOW),
+        [],
+        "nothing is repeated for nobody"
+    );
+    assert_eq!(desk.open_calls(), 0);
+}
+
+#[test]
+fn queued_call_is_admitted_or_refused() {
+    let mut desk = desk(1, 1);
+    let (running, _) = attempt(&desk.arrive(arrival(Idempotent), NOW).unwrap());
+    let until = NOW + Duration::from_millis(250);
+    let waiting = [0, 1].map(|_| {
+        let order = desk.arrive(arrival(NonIdempotent), NOW).unwrap();
+        assert_eq!(order.order, CallOrder::Wait(until));
+        order.ticket
+    });
+    let orders = desk.handle(running, CallEvent::Answered(Duration::from_millis(1)), NOW);
+    assert_eq!(attempt(&orders[0]).0, waiting[0]);
+    let orders = desk.handle(waiting[1], CallEvent::WaitEnded, until);
+    let cause = EndCause::NotAdmitted(AdmissionRefusal::WaitedOut);
+    let ending = CallEnding {
+        outcome: CallOutcome::NotRun,
+        cause,
+    };
+    let ticket = waiting[1];
+    assert_eq!(
+        orders,
+        [AddressedOrder {
+            ticket,
+            order: CallOrder::End(ending)
+        }]
+    );
+}
+
+/// A call as its carrier sees it.
+#[derive(Clone, Copy, Debug)]
+struct Carried {
+    ticket: CallTicket,
+    safety: RepeatSafety,
+    attempting: bool,
+    gone: bool,
+    /// Attempts that may have run and were followed by another one.
+    perhaps_run: u32,
+}
+
+fn step() -> impl Strategy<Value = (u8, usize, FailurePoint, u64)> {
+    let point = prop::sample::select(FailurePoint::ALL.to_vec());
+    (0..8_u8, any::<usize>(), point, 0..40_u64)
+}
+
+proptest! {
+    #[test]
+    fn desk_any_events(
+        steps in prop::collection::vec(step(), 1..150),
+        workers in 1..4_u32,
+        slots in 1..3_u32,
+    ) {
+        let mut desk = desk(workers, slots);
+        let mut now = NOW;
+        let mut carried: Vec<Carried> = Vec::new();
+        let drained = std::iter::repeat_n((7, 0, FailurePoint::NoAnswer, 40), 2_000);
+        for (kind, pick, point, pause) in steps.into_iter().chain(drained) {
+            now = now + Duration::from_millis(pause);
+            let mut orders = Vec::new();
+            if kind < 2 {
+                let safety = if kind == 0 { Idempotent } else { NonIdempotent };
+                let deadline = CallDeadline::new(now, Duration::from_millis(200));
+                let arrival = CallArrival { deadline, ..arrival(safety) };
+                if let Ok(order) = desk.arrive(arrival, now) {
+                    let ticket = order.ticket;
+                    let (attempting, gone, perhaps_run) = (false, false, 0);
+                    carried.push(Carried { ticket, safety, attempting, gone, perhaps_run });
+                    orders.push(order);
+                }
+            } else if !carried.is_empty() {
+                let at = pick % carried.len();
+                let call = &mut carried[at];
+                let event = match (kind, call.attempting) {
+                    (2 | 3, true) => CallEvent::Answered(Duration::from_millis(pause)),
+                    (4, true) if call.safety == Idempotent => CallEvent::AttemptLate(Reused),
+                    (5, _) => CallEvent::CallerGone,
+                    (_, true) => CallEvent::Failed(point, Fresh),
+                    (_, false) => CallEvent::WaitEnded,
+                };
+                let is_unknown = point.outcome() != CallOutcome::NotRun;
+                match event {
+                    CallEvent::Answered(_) => call.perhaps_run += 1,
+                    CallEvent::Failed(..) => call.perhaps_run += u32::from(is_unknown),
+                    _ => {}
+                }
+                let ends = matches!(event, CallEvent::Failed(..) | CallEvent::Answered(_));
+                call.attempting &= !ends;
+                call.gone |= event == CallEvent::CallerGone;
+                let is_done = !call.attempting
+                    && (call.gone || matches!(event, CallEvent::Answered(_)));
+                let ticket = call.ticket;
+                orders = desk.handle(ticket, event, now);
+                if is_done {
+                    carried.remove(at);
+                }
+            }
+            for AddressedOrder { ticket, order } in orders {
+                let at = carried.iter().position(|call| call.ticket == ticket);
+                prop_assert!(at.is_some(), "an order for a call that has ended: {:?}", order);
+                let call = &mut carried[at.unwrap()];
+                match order {
+                    CallOrder::Attempt(_) => {
+                        prop_assert!(!call.gone);
+                        prop_assert!(call.safety == Idempotent || call.perhaps_run == 0);
+                        call.attempting = true;
+                    }
+                    CallOrder::End(ending) => {
+                        let is_proved = ending.outcome != CallOutcome::NotRun;
+                        prop_assert!(is_proved || call.perhaps_run == 0);
+                        carried.remove(at.unwrap());
+                    }
+                    CallOrder::Wait(until) => prop_assert!(until >= now),
+                    CallOrder::Continue => prop_assert!(call.attempting),
+                }
+            }
+            let attempting = carried.iter().filter(|call| call.attempting).count();
+            let in_flight: u32 = desk.table.entries().values().map(|entry| entry.in_flight).sum();
+            prop_assert_eq!(in_flight as usize, attempting);
+        }
+        prop_assert_eq!(desk.open_calls(), 0);
+        prop_assert_eq!((desk.admission.in_flight(), desk.admission.waiting()), (0, 0));
+    }
+}
