Call path: target connections, pool and carrier under the call desk

Cause: the outcome of a call is only proved if the connection says how far the request had got. Change: connections count bytes, carry one request at a time, check the echoed identifier and the declared length, and survive only a whole answer; the pool probes kept connections; each call runs in a task that outlives its caller. Conclusion: the fault table over raw TCP (14 faults, idempotent or not) gives the stated outcome and number of runs; latency is not measured yet.

--- a/crates/core/src/process/admission/queue.rs
+++ b/crates/core/src/process/admission/queue.rs
@@ -35,9 +35,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AdmissionAnswer {
     /// The call may begin.
-    Admitted(CallTicket),
+    Admitted,
     /// The call waits, at most until the given time.
-    Queued(CallTicket, MonotonicTime),
+    Queued(MonotonicTime),
 }
 
 /// Why a call is not admitted. It did not run.
@@ -82,7 +82,6 @@
     capacity: u32,
     /// Virtual start time of the last admission; never decreases.
     virtual_time: f64,
-    next_ticket: u64,
 }
 
 impl AdmissionQueue {
@@ -134,6 +133,7 @@
     /// An [`AdmissionRefusal`]: the call did not run.
     pub fn offer(
         &mut self,
+        ticket: CallTicket,
         customer: &CustomerName,
         deadline: &CallDeadline,
         now: MonotonicTime,
@@ -146,15 +146,13 @@
         if queue.waiting.len() >= QUEUE_LIMIT {
             return Err(AdmissionRefusal::QueueFull);
         }
-        let ticket = CallTicket(self.next_ticket);
-        self.next_ticket += 1;
         let is_free = self.in_flight < self.capacity && !has_waiting;
         if is_free && queue.waiting.is_empty() && queue.is_below_limit() {
             self.admit(customer);
-            return Ok(AdmissionAnswer::Admitted(ticket));
+            return Ok(AdmissionAnswer::Admitted);
         }
         queue.waiting.insert((deadline.expires_at, ticket));
-        Ok(AdmissionAnswer::Queued(ticket, deadline.queue_until(now)))
+        Ok(AdmissionAnswer::Queued(deadline.queue_until(now)))
     }
 
     /// Ends an admitted call.
--- a/crates/core/src/process/router/desk.rs
+++ b/crates/core/src/process/router/desk.rs
@@ -18,7 +18,7 @@
 };
 use crate::process::router::latency::ServicePace;
 use crate::process::router::table::{AttemptResult, AttemptTicket, TargetIndex, TargetTable};
-use crate::request::outcome::{CallOutcome, ConnectionAge, FailurePoint, RepeatRule};
+use crate::request::outcome::{CallOutcome, ConnectionAge, FailureBlame, FailurePoint, RepeatRule};
 use crate::request::progress::{CallProgress, NextStep};
 
 /// Time after which a call without a target with room looks again.
@@ -43,8 +43,6 @@
     stage: CallStage,
     /// Where the next attempt goes, if it is a repetition.
     repeat: Option<(RepeatRule, TargetIndex)>,
-    /// The caller is gone: no further attempt begins. Never reset.
-    abandoned: bool,
 }
 
 /// All open calls and what they share.
@@ -59,6 +57,7 @@
     paces: BTreeMap<ServiceName, ServicePace>,
     calls: BTreeMap<CallTicket, OpenCall>,
     rng: ChaCha8Rng,
+    next_ticket: u64,
 }
 
 impl CallDesk {
@@ -71,6 +70,7 @@
             paces: BTreeMap::new(),
             calls: BTreeMap::new(),
             rng,
+            next_ticket: 0,
         }
     }
 
@@ -79,32 +79,38 @@
         self.calls.len()
     }
 
-    /// Takes in a call and gives its first order: `Wait` or `Attempt`.
-    ///
-    /// # Errors
-    /// The ending of a call that is refused at once; it did not run.
-    pub fn arrive(
+    /// Takes in a call and gives its first order. `End` means that it is refused.
+    pub fn arrive(&mut self, arrival: CallArrival, now: MonotonicTime) -> AddressedOrder {
+        let ticket = CallTicket(self.next_ticket);
+        self.next_ticket += 1;
+        let order = match self.offer(ticket, arrival, now) {
+            Ok(order) => order,
+            Err(cause) => CallOrder::End(CallEnding {
+                outcome: CallOutcome::NotRun,
+                cause,
+            }),
+        };
+        AddressedOrder { ticket, order }
+    }
+
+    fn offer(
         &mut self,
+        ticket: CallTicket,
         arrival: CallArrival,
         now: MonotonicTime,
-    ) -> Result<AddressedOrder, CallEnding> {
+    ) -> Result<CallOrder, EndCause> {
         if !self.table.is_served(&arrival.service) {
-            return Err(not_run(EndCause::NotRouted(RouteRefusal::NoTarget)));
+            return Err(EndCause::NotRouted(RouteRefusal::NoTarget));
         }
         self.admission.set_capacity(self.table.capacity());
         let answer = self
             .admission
-            .offer(&arrival.customer, &arrival.deadline, now)
-            .map_err(|refusal| not_run(EndCause::NotAdmitted(refusal)))?;
+            .offer(ticket, &arrival.customer, &arrival.deadline, now)
+            .map_err(EndCause::NotAdmitted)?;
         self.budget.record_call(now);
-        let (ticket, until, is_admitted) = match answer {
-            AdmissionAnswer::Admitted(ticket) => (ticket, arrival.deadline.queue_until(now), true),
-            AdmissionAnswer::Queued(ticket, until) => (ticket, until, false),
-        };
-        let stage = if is_admitted {
-            CallStage::Parked(until)
-        } else {
-            CallStage::Queued(until)
+        let stage = match answer {
+            AdmissionAnswer::Admitted => CallStage::Parked(arrival.deadline.queue_until(now)),
+            AdmissionAnswer::Queued(until) => CallStage::Queued(until),
         };
         let progress = CallProgress::new(arrival.safety);
         let call = OpenCall {
@@ -112,15 +118,12 @@
             progress,
             stage,
             repeat: None,
-            abandoned: false,
         };
         self.calls.insert(ticket, call);
-        let order = if is_admitted {
-            self.route(ticket, now)
-        } else {
-            CallOrder::Wait(until)
-        };
-        Ok(AddressedOrder { ticket, order })
+        Ok(match answer {
+            AdmissionAnswer::Admitted => self.route(ticket, now),
+            AdmissionAnswer::Queued(until) => CallOrder::Wait(until),
+        })
     }
 
     /// Takes in what happened to a call. Orders may be for other calls as well:
@@ -158,7 +161,8 @@
             CallEvent::WaitEnded if is_attempting => None,
             CallEvent::WaitEnded => Some(self.end_wait(ticket, now)),
             CallEvent::CallerGone => {
-                self.abandon(ticket);
+                self.end_attempt(ticket, AttemptResult::Failed(FailureBlame::Nobody), now);
+                self.close(ticket);
                 None
             }
             _ if !is_attempting => {
@@ -173,8 +177,13 @@
                 self.close(ticket);
                 None
             }
+            CallEvent::FailedUnheard(point, connection) => {
+                self.fail_attempt(ticket, point, connection, now);
+                self.close(ticket);
+                None
+            }
             CallEvent::Failed(point, connection) => {
-                self.repeat_or_end(ticket, point, connection, now)
+                Some(self.repeat_or_end(ticket, point, connection, now))
             }
         }
     }
@@ -259,10 +268,6 @@
         let Some(call) = self.calls.get_mut(&ticket) else {
             return CallOrder::Continue;
         };
-        debug_assert!(
-            !call.abandoned,
-            "an attempt began for a caller that is gone"
-        );
         call.stage = CallStage::Attempting(attempt);
         let needs_fresh = matches!(call.repeat.take(), Some((RepeatRule::FreshConnection, _)));
         let pace = self
@@ -290,7 +295,7 @@
         now: MonotonicTime,
     ) -> CallOrder {
         let call = &self.calls[&ticket];
-        let may_repeat = !call.abandoned && call.progress.may_repeat_unproved();
+        let may_repeat = call.progress.may_repeat_unproved();
         if !may_repeat || self.choose(ticket, now).is_err() || !self.budget.try_repeat(now) {
             return CallOrder::Continue;
         }
@@ -304,21 +309,11 @@
         point: FailurePoint,
         connection: ConnectionAge,
         now: MonotonicTime,
-    ) -> Option<CallOrder> {
-        let step = self.fail_attempt(ticket, point, connection, now);
-        let is_abandoned = self.calls.get(&ticket)?.abandoned;
-        match step {
-            _ if is_abandoned => {
-                self.close(ticket);
-                None
-            }
-            NextStep::End(outcome) => {
-                Some(self.end(ticket, outcome, EndCause::AttemptFailed(point)))
-            }
-            NextStep::Repeat(_) if !self.budget.try_repeat(now) => {
-                Some(self.end(ticket, point.outcome(), EndCause::BudgetSpent(point)))
-            }
-            NextStep::Repeat(_) => Some(self.begin_admitted(ticket, now)),
+    ) -> CallOrder {
+        match self.fail_attempt(ticket, point, connection, now) {
+            NextStep::End(outcome) => self.end(ticket, outcome, EndCause::AttemptFailed(point)),
+            NextStep::Repeat(_) if self.budget.try_repeat(now) => self.begin_admitted(ticket, now),
+            NextStep::Repeat(_) => self.end(ticket, point.outcome(), EndCause::BudgetSpent(point)),
         }
     }
 
@@ -371,16 +366,6 @@
         Some(attempt.index)
     }
 
-    fn abandon(&mut self, ticket: CallTicket) {
-        let Some(call) = self.calls.get_mut(&ticket) else {
-            return;
-        };
-        call.abandoned = true;
-        if !matches!(call.stage, CallStage::Attempting(_)) {
-            self.close(ticket);
-        }
-    }
-
     fn end(&mut self, ticket: CallTicket, last: CallOutcome, cause: EndCause) -> CallOrder {
         let outcome = self
             .calls
@@ -407,10 +392,3 @@
         }
     }
 }
-
-const fn not_run(cause: EndCause) -> CallEnding {
-    CallEnding {
-        outcome: CallOutcome::NotRun,
-        cause,
-    }
-}
--- a/crates/core/src/process/router/desk/message.rs
+++ b/crates/core/src/process/router/desk/message.rs
@@ -34,7 +34,10 @@
     Answered(Duration),
     /// The attempt failed.
     Failed(FailurePoint, ConnectionAge),
-    /// The caller went away. An attempt in flight runs on and is not repeated.
+    /// The attempt failed when the caller had gone. It is not repeated.
+    FailedUnheard(FailurePoint, ConnectionAge),
+    /// The caller went away while the call waited. An order to begin an attempt
+    /// that crossed this event is not carried out.
     CallerGone,
 }
 
--- /dev/null
+++ b/crates/node/src/border.rs
@@ -0,0 +1,3 @@
+//! The external formats.
+
+pub mod caller;
--- /dev/null
+++ b/crates/node/src/border/caller.rs
@@ -0,0 +1,144 @@
+//! The caller's interface, version 1: headers of calls and bodies of job requests.
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_wire::caller as wire;
+use hyper::{HeaderMap, StatusCode};
+use thiserror::Error;
+
+use crate::connection::http_server::{WholeResponse, json_response};
+
+/// Header with the customer's name.
+pub const CUSTOMER_HEADER: &str = "flamingowalk-customer";
+/// Header with the request identifier, echoed by workers and entry hosts.
+pub const REQUEST_HEADER: &str = "flamingowalk-request-id";
+/// Header with the time left in milliseconds.
+pub const DEADLINE_HEADER: &str = "flamingowalk-deadline-ms";
+/// Header that marks a call as idempotent.
+pub const IDEMPOTENT_HEADER: &str = "flamingowalk-idempotent";
+/// Header with the caller's idempotency key.
+pub const KEY_HEADER: &str = "flamingowalk-idempotency-key";
+
+/// What the headers of a call say.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallHeaders {
+    /// Customer of the call.
+    pub customer: CustomerName,
+    /// Request identifier.
+    pub request_id: String,
+    /// Time left for the call, if the caller gave one.
+    pub deadline: Option<Duration>,
+    /// Whether the call may run more than once.
+    pub idempotent: bool,
+    /// Idempotency key, if the caller gave one.
+    pub key: Option<String>,
+}
+
+/// What is wrong with the headers of a call.
+#[derive(Clone, Debug, Error, Eq, PartialEq)]
+pub enum HeaderFault {
+    /// A required header is absent or not text.
+    #[error("header {name} is missing or not text; send it with every call")]
+    Missing {
+        /// Header name.
+        name: &'static str,
+    },
+    /// A header's value cannot be used.
+    #[error("header {name} has the value {value:?}; send {expected}")]
+    Invalid {
+        /// Header name.
+        name: &'static str,
+        /// Value sent.
+        value: String,
+        /// What is expected.
+        expected: &'static str,
+    },
+}
+
+impl CallHeaders {
+    /// Reads the headers of a call.
+    ///
+    /// # Errors
+    /// A [`HeaderFault`] for the first header that cannot be used.
+    pub fn parse(headers: &HeaderMap) -> Result<Self, HeaderFault> {
+        let text = |name: &'static str| headers.get(name).and_then(|value| value.to_str().ok());
+        let required = |name| text(name).ok_or(HeaderFault::Missing { name });
+        let deadline = text(DEADLINE_HEADER).map(parse_deadline).transpose()?;
+        let idempotent = text(IDEMPOTENT_HEADER).map_or(Ok(false), parse_flag)?;
+        Ok(Self {
+            customer: required(CUSTOMER_HEADER)?.into(),
+            request_id: required(REQUEST_HEADER)?.to_owned(),
+            deadline,
+            idempotent,
+            key: text(KEY_HEADER).map(str::to_owned),
+        })
+    }
+}
+
+fn parse_deadline(value: &str) -> Result<Duration, HeaderFault> {
+    let millis = value.parse::<u64>().ok().filter(|millis| *millis > 0);
+    millis
+        .map(Duration::from_millis)
+        .ok_or_else(|| HeaderFault::Invalid {
+            name: DEADLINE_HEADER,
+            value: value.to_owned(),
+            expected: "a whole number of milliseconds above zero",
+        })
+}
+
+fn parse_flag(value: &str) -> Result<bool, HeaderFault> {
+    value.parse().map_err(|_not_bool| HeaderFault::Invalid {
+        name: IDEMPOTENT_HEADER,
+        value: value.to_owned(),
+        expected: "true or false",
+    })
+}
+
+/// Why a job request was not carried out.
+#[derive(Clone, Debug, Error, Eq, PartialEq)]
+pub enum JobFault {
+    /// The request itself is wrong.
+    #[error("{0}")]
+    Invalid(String),
+    /// The job did not run and will not run from this request.
+    #[error("not run: {message}")]
+    NotRun {
+        /// What happened, with the remedy.
+        message: String,
+        /// When a repetition may succeed.
+        retry_after: Option<Duration>,
+    },
+    /// The request may take effect.
+    #[error("outcome unknown: {0}")]
+    OutcomeUnknown(String),
+    /// No such job is known here.
+    #[error(
+        "job {0} is not known here; check the identifier, or ask again once the host has read the log"
+    )]
+    UnknownJob(JobId),
+}
+
+/// The response for a job request that was not carried out.
+pub fn job_fault_response(id: &str, fault: &JobFault) -> WholeResponse {
+    let (status, kind) = match fault {
+        JobFault::Invalid(_) => (StatusCode::BAD_REQUEST, wire::JobErrorKind::Invalid),
+        JobFault::NotRun { .. } => (StatusCode::SERVICE_UNAVAILABLE, wire::JobErrorKind::NotRun),
+        JobFault::OutcomeUnknown(_) => (
+            StatusCode::GATEWAY_TIMEOUT,
+            wire::JobErrorKind::OutcomeUnknown,
+        ),
+        JobFault::UnknownJob(_) => (StatusCode::NOT_FOUND, wire::JobErrorKind::UnknownJob),
+    };
+    let retry_after_ms = match fault {
+        JobFault::NotRun { retry_after, .. } => {
+            retry_after.map(|after| u64::try_from(after.as_millis()).unwrap_or(u64::MAX))
+        }
+        _ => None,
+    };
+    let body = wire::JobError {
+        id: id.to_owned(),
+        kind,
+        message: fault.to_string(),
+        retry_after_ms,
+    };
+    json_response(status, &body)
+}
--- /dev/null
+++ b/crates/node/src/connection.rs
@@ -0,0 +1,8 @@
+//! What lives for one connection, to callers and to targets.
+
+pub mod http_server;
+pub mod target_answer;
+pub mod target_connection;
+pub mod target_pool;
+pub mod target_request;
+pub mod target_stream;
--- /dev/null
+++ b/crates/node/src/process.rs
@@ -0,0 +1,4 @@
+//! What lives for the process.
+
+pub mod call_port;
+pub mod host_clock;
--- /dev/null
+++ b/crates/node/src/request/call.rs
@@ -0,0 +1,385 @@
+//! Carries one call to its targets and back, as the call desk orders. The work
+//! runs in a task of its own: when the caller goes away, an attempt in flight
+//! ends in peace, keeps its place until then, and is not repeated.
+
+use std::cell::Cell;
+
+use bytes::Bytes;
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::admission::queue::CallTicket;
+use flamingowalk_core::process::router::desk::message::{AttemptOrder, CallEvent, CallOrder};
+use flamingowalk_core::request::deadline::CallDeadline;
+use flamingowalk_core::request::outcome::{ConnectionAge, FailurePoint, RepeatSafety};
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Method, Uri};
+use metrics::counter;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::border::caller::{
+    CUSTOMER_HEADER, DEADLINE_HEADER, IDEMPOTENT_HEADER, KEY_HEADER, REQUEST_HEADER,
+};
+use crate::connection::http_server::WholeResponse;
+use crate::connection::target_connection::{ExchangeEnd, TargetConnection};
+use crate::connection::target_pool::TargetPool;
+use crate::connection::target_request::TargetRequest;
+use crate::process::call_port::{ArrivedCall, CallMessage, CallReply, CallSender};
+use crate::process::host_clock::HostClock;
+use crate::request::call_request::{CallFault, CallRequest, answer_response, fault_response};
+
+/// Calls that ended, by `outcome`.
+const CALLS_ENDED: &str = "flamingowalk_calls_ended_total";
+
+/// What every call needs of its host.
+#[derive(Clone, Debug)]
+pub struct CallContext {
+    /// Leads to the loop.
+    pub messages: CallSender,
+    /// Kept connections.
+    pub pool: TargetPool,
+    /// Clock of the host.
+    pub clock: HostClock,
+}
+
+/// Serves one call from arrival to response. Must run inside a `LocalSet`.
+pub async fn serve_call(request: CallRequest, context: CallContext) -> WholeResponse {
+    let request_id = request.headers.request_id.clone();
+    let (reply, result) = oneshot::channel();
+    tokio::task::spawn_local(carry_call(request, context, reply));
+    let result = result
+        .await
+        .unwrap_or_else(|_closed| Err(CallFault::stopping()));
+    let outcome = result
+        .as_ref()
+        .map_or_else(CallFault::label, |_answer| "answered");
+    counter!(CALLS_ENDED, "outcome" => outcome).increment(1);
+    match result {
+        Ok(body) => answer_response(&request_id, body),
+        Err(fault) => fault_response(&request_id, &fault),
+    }
+}
+
+async fn carry_call(
+    request: CallRequest,
+    context: CallContext,
+    reply: oneshot::Sender<Result<Bytes, CallFault>>,
+) {
+    match CallCarrier::open(request, context).await {
+        Ok(carrier) => carrier.carry(reply).await,
+        Err(fault) => {
+            // A caller that is gone needs no answer.
+            let _ = reply.send(Err(fault));
+        }
+    }
+}
+
+/// How far an attempt has got.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AttemptStage {
+    /// Nothing of the request has been sent.
+    Connecting,
+    /// The request has been handed to a connection of this age.
+    Sent(ConnectionAge),
+}
+
+/// One open call.
+struct CallCarrier {
+    request: CallRequest,
+    context: CallContext,
+    inbox: mpsc::UnboundedReceiver<CallReply>,
+    ticket: CallTicket,
+    deadline: CallDeadline,
+    body_limit: u64,
+}
+
+impl CallCarrier {
+    async fn open(request: CallRequest, context: CallContext) -> Result<Self, CallFault> {
+        let (orders, mut inbox) = mpsc::unbounded_channel();
+        let headers = &request.headers;
+        let call = ArrivedCall {
+            customer: headers.customer.clone(),
+            service: request.service.clone(),
+            safety: safety(headers.idempotent),
+            allowed: headers.deadline,
+            key: headers.key.clone(),
+            body_size: request.body.len() as u64,
+            arrived_at: context.clock.now(),
+        };
+        let arrived = CallMessage::Arrived { call, orders };
+        context
+            .messages
+            .send(arrived)
+            .map_err(|_closed| CallFault::stopping())?;
+        match inbox.recv().await {
+            Some(CallReply::Opened {
+                ticket,
+                deadline,
+                body_limit,
+            }) => Ok(Self {
+                request,
+                context,
+                inbox,
+                ticket,
+                deadline,
+                body_limit,
+            }),
+            Some(CallReply::Refused(fault)) => Err(fault),
+            Some(CallReply::Order(_)) | None => Err(CallFault::stopping()),
+        }
+    }
+
+    /// Carries out orders until the call has ended.
+    async fn carry(mut self, mut reply: oneshot::Sender<Result<Bytes, CallFault>>) {
+        let mut order = self.next_order().await;
+        loop {
+            order = match order {
+                Some(CallOrder::Wait(until)) => self.wait(until, &mut reply).await,
+                Some(CallOrder::Attempt(attempt)) => match self.attempt(attempt, &reply).await {
+                    AttemptEnd::Next(next) => next,
+                    AttemptEnd::Answered(body, latency) => {
+                        let _ = reply.send(Ok(body));
+                        return self.report(CallEvent::Answered(latency));
+                    }
+                },
+                Some(CallOrder::End(ending)) => {
+                    let _ = reply.send(Err(CallFault::from_ending(&ending)));
+                    return;
+                }
+                Some(CallOrder::Continue) | None => {
+                    debug_assert!(order.is_none(), "told to continue without an attempt");
+                    return;
+                }
+            };
+        }
+    }
+
+    /// Waits for the next order; nothing when the caller is gone.
+    async fn wait(
+        &mut self,
+        until: MonotonicTime,
+        reply: &mut oneshot::Sender<Result<Bytes, CallFault>>,
+    ) -> Option<CallOrder> {
+        let clock = self.context.clock;
+        tokio::select! {
+            next = self.next_order() => return next,
+            () = sleep_until(until, clock) => {}
+            () = reply.closed() => {
+                self.report(CallEvent::CallerGone);
+                return None;
+            }
+        }
+        self.report(CallEvent::WaitEnded);
+        self.next_order().await
+    }
+
+    async fn attempt(
+        &mut self,
+        order: AttemptOrder,
+        reply: &oneshot::Sender<Result<Bytes, CallFault>>,
+    ) -> AttemptEnd {
+        let stage = Cell::new(AttemptStage::Connecting);
+        let clock = self.context.clock;
+        let began = clock.now();
+        let run = run_attempt(
+            self.context.pool.clone(),
+            clock,
+            AttemptPlan::new(&self.request, &order, self.deadline, self.body_limit),
+            &stage,
+        );
+        let mut run = std::pin::pin!(run);
+        let mut late_at = order.late_after.map(|after| began + after);
+        loop {
+            let next_look = late_at
+                .unwrap_or(self.deadline.expires_at)
+                .min(self.deadline.expires_at);
+            tokio::select! {
+                end = &mut run => return self.end_attempt(end, began, reply).await,
+                () = sleep_until(next_look, clock) => {}
+            }
+            if self.deadline.is_expired(clock.now()) {
+                return self.fail(expired_point(stage.get()), reply).await;
+            }
+            late_at = None;
+            let AttemptStage::Sent(age) = stage.get() else {
+                // Connecting has its own timeout; a late answer is judged from now on.
+                late_at = order.late_after.map(|after| clock.now() + after);
+                continue;
+            };
+            if reply.is_closed() {
+                continue;
+            }
+            self.report(CallEvent::AttemptLate(age));
+            match self.next_order().await {
+                Some(CallOrder::Continue) | None => {}
+                other => return AttemptEnd::Next(other),
+            }
+        }
+    }
+
+    async fn end_attempt(
+        &mut self,
+        end: ExchangeEnd,
+        began: MonotonicTime,
+        reply: &oneshot::Sender<Result<Bytes, CallFault>>,
+    ) -> AttemptEnd {
+        if let Some(connection) = end.connection {
+            self.context.pool.check_in(connection);
+        }
+        match end.result {
+            Ok(body) => AttemptEnd::Answered(body, self.context.clock.now().since(began)),
+            Err(point) => self.fail((point, end.age), reply).await,
+        }
+    }
+
+    async fn fail(
+        &mut self,
+        (point, age): (FailurePoint, ConnectionAge),
+        reply: &oneshot::Sender<Result<Bytes, CallFault>>,
+    ) -> AttemptEnd {
+        let is_gone = reply.is_closed();
+        if is_gone {
+            self.report(CallEvent::CallerGone);
+        }
+        self.report(CallEvent::Failed(point, age));
+        AttemptEnd::Next(if is_gone {
+            None
+        } else {
+            self.next_order().await
+        })
+    }
+
+    fn report(&self, event: CallEvent) {
+        let message = CallMessage::Happened {
+            ticket: self.ticket,
+            event,
+        };
+        // The loop ends only after every call; then nobody counts this one.
+        let _ = self.context.messages.send(message);
+    }
+
+    async fn next_order(&mut self) -> Option<CallOrder> {
+        match self.inbox.recv().await? {
+            CallReply::Order(order) => Some(order),
+            CallReply::Opened { .. } | CallReply::Refused(_) => None,
+        }
+    }
+}
+
+/// How one attempt ended for its call.
+enum AttemptEnd {
+    /// With a whole answer after this time.
+    Answered(Bytes, Duration),
+    /// With the next order; nothing when the call is over.
+    Next(Option<CallOrder>),
+}
+
+/// One attempt with everything it needs, apart from its call.
+struct AttemptPlan {
+    order: AttemptOrder,
+    headers: HeaderMap,
+    path: Option<Uri>,
+    body: Bytes,
+    safety: RepeatSafety,
+    deadline: CallDeadline,
+    body_limit: u64,
+}
+
+impl AttemptPlan {
+    fn new(
+        request: &CallRequest,
+        order: &AttemptOrder,
+        deadline: CallDeadline,
+        body_limit: u64,
+    ) -> Self {
+        Self {
+            order: order.clone(),
+            headers: target_headers(request),
+            path: format!("/v1/calls/{}", request.service).parse().ok(),
+            body: request.body.clone(),
+            safety: safety(request.headers.idempotent),
+            deadline,
+            body_limit,
+        }
+    }
+
+    fn into_request(self, now: MonotonicTime) -> Option<TargetRequest> {
+        let millis = self.deadline.header_millis(now)?;
+        let mut headers = self.headers;
+        headers.insert(DEADLINE_HEADER, HeaderValue::from(millis));
+        let address = self.order.address;
+        Some(TargetRequest::new(
+            Method::POST,
+            self.path?,
+            address,
+            headers,
+            self.body,
+        ))
+    }
+}
+
+async fn run_attempt(
+    pool: TargetPool,
+    clock: HostClock,
+    plan: AttemptPlan,
+    stage: &Cell<AttemptStage>,
+) -> ExchangeEnd {
+    let now = move || clock.now();
+    let (address, needs_fresh) = (plan.order.address, plan.order.needs_fresh);
+    let opened = pool.checkout(address, plan.safety, needs_fresh, now).await;
+    let connection = match opened {
+        Ok(connection) => connection,
+        Err(point) => return unsent(point, None),
+    };
+    let body_limit = plan.body_limit;
+    let Some(request) = plan.into_request(clock.now()) else {
+        return unsent(FailurePoint::BeforeConnect, Some(connection));
+    };
+    stage.set(AttemptStage::Sent(connection.age()));
+    connection.exchange(request, body_limit, now).await
+}
+
+const fn unsent(point: FailurePoint, connection: Option<TargetConnection>) -> ExchangeEnd {
+    ExchangeEnd {
+        result: Err(point),
+        age: ConnectionAge::Fresh,
+        connection,
+    }
+}
+
+/// Where an attempt failed that is cut by the deadline.
+const fn expired_point(stage: AttemptStage) -> (FailurePoint, ConnectionAge) {
+    match stage {
+        AttemptStage::Connecting => (FailurePoint::BeforeConnect, ConnectionAge::Fresh),
+        AttemptStage::Sent(age) => (FailurePoint::AfterDeadline, age),
+    }
+}
+
+fn target_headers(request: &CallRequest) -> HeaderMap {
+    let from = &request.headers;
+    let idempotent = if from.idempotent { "true" } else { "false" };
+    let mut headers = HeaderMap::new();
+    let mut insert = |name: &'static str, value: &str| {
+        // The values came as headers, so that they are valid ones.
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(name, value);
+        }
+    };
+    insert(CUSTOMER_HEADER, from.customer.as_str());
+    insert(REQUEST_HEADER, &from.request_id);
+    insert(IDEMPOTENT_HEADER, idempotent);
+    if let Some(key) = &from.key {
+        insert(KEY_HEADER, key);
+    }
+    headers
+}
+
+const fn safety(is_idempotent: bool) -> RepeatSafety {
+    if is_idempotent {
+        RepeatSafety::Idempotent
+    } else {
+        RepeatSafety::NonIdempotent
+    }
+}
+
+async fn sleep_until(time: MonotonicTime, clock: HostClock) {
+    tokio::time::sleep(time.since(clock.now())).await;
+}
--- /dev/null
+++ b/crates/node/tests/call_faults.rs
@@ -0,0 +1,262 @@
+//! The fault table of calls over real connections: each point of failure,
+//! idempotent or not, against the answer to the caller and the number of runs.
+
+#[path = "support/faulty_target.rs"]
+mod faulty_target;
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use faulty_target::{TargetFault, TargetScript};
+use flamingowalk_core::connection::liveness::LivenessRules;
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::router::table::TargetRecord;
+use flamingowalk_core::version::settings::{CustomerSettings, ServiceSettings, SystemSettings};
+use flamingowalk_node::border::caller::CallHeaders;
+use flamingowalk_node::connection::http_server::WholeResponse;
+use flamingowalk_node::connection::target_pool::TargetPool;
+use flamingowalk_node::process::call_port::CallPort;
+use flamingowalk_node::process::host_clock::HostClock;
+use flamingowalk_node::request::call::{CallContext, serve_call};
+use flamingowalk_node::request::call_request::CallRequest;
+use http_body_util::BodyExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+const BODY_LIMIT: u64 = 32 * 1024 * 1024;
+
+/// Larger than what the system takes over for sending while nobody reads.
+const HUGE_BODY: usize = 24 * 1024 * 1024;
+
+fn settings() -> SystemSettings {
+    let service = ServiceSettings {
+        default_deadline: Duration::from_secs(5),
+        max_body_bytes: BODY_LIMIT,
+        hedging: false,
+    };
+    let customer = CustomerSettings {
+        weight: 1,
+        max_calls: 0,
+        max_queued_jobs: 1,
+        guarantees: Vec::new(),
+    };
+    SystemSettings {
+        services: BTreeMap::from([("plan".into(), service)]),
+        customers: BTreeMap::from([("dock".into(), customer)]),
+        ..SystemSettings::default()
+    }
+}
+
+/// Starts the call path with workers at these addresses. Every kept connection is
+/// probed before a non-idempotent use.
+fn start_path(addresses: &[SocketAddr]) -> CallContext {
+    let clock = HostClock::start();
+    let rng = ChaCha8Rng::seed_from_u64(11);
+    let mut port = CallPort::new("a".into(), rng, clock.now());
+    port.adopt(Arc::new(settings()));
+    let record = |(number, address): (usize, &SocketAddr)| TargetRecord {
+        name: format!("w{number}").into(),
+        zone: "a".into(),
+        address: *address,
+        incarnation: 1,
+        leaving: false,
+        services: BTreeSet::from(["plan".into()]),
+        slots: 2,
+        connections: 8,
+    };
+    port.update(addresses.iter().enumerate().map(record).collect(), 1);
+    let (messages, mut inbox) = mpsc::unbounded_channel();
+    tokio::task::spawn_local(async move {
+        while let Some(message) = inbox.recv().await {
+            port.handle(message, clock.now());
+        }
+    });
+    let rules = LivenessRules {
+        fresh_non_idempotent: Duration::ZERO,
+        ..LivenessRules::default()
+    };
+    CallContext {
+        messages,
+        pool: TargetPool::new(rules),
+        clock,
+    }
+}
+
+fn call(id: &str, idempotent: bool, deadline: u64, body: usize) -> CallRequest {
+    let headers = CallHeaders {
+        customer: "dock".into(),
+        request_id: id.to_owned(),
+        deadline: Some(Duration::from_millis(deadline)),
+        idempotent,
+        key: None,
+    };
+    CallRequest {
+        service: "plan".into(),
+        headers,
+        body: Bytes::from(vec![b'x'; body]),
+    }
+}
+
+async fn read(response: WholeResponse) -> (u16, String) {
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    (status, String::from_utf8_lossy(&body).into_owned())
+}
+
+#[rstest]
+#[case(TargetFault::CutRequest, 504)]
+#[case(TargetFault::NoAnswer, 504)]
+#[case(TargetFault::Silent, 504)]
+#[case(TargetFault::HeadersOnly, 504)]
+#[case(TargetFault::HalfBody, 504)]
+#[case(TargetFault::WrongId, 504)]
+#[case(TargetFault::NoId, 504)]
+#[case(TargetFault::NoLength, 504)]
+#[case(TargetFault::TooLarge, 504)]
+#[case(TargetFault::Late(Duration::from_mins(1)), 504)]
+#[case(TargetFault::RanAndFailed, 502)]
+#[case(TargetFault::Unproved, 504)]
+#[case(TargetFault::Full, 200)]
+#[case(TargetFault::Leaving, 200)]
+#[tokio::test]
+async fn target_fault(#[case] fault: TargetFault, #[case] once: u16) {
+    let test = async {
+        let script = TargetScript::default();
+        let addresses = [
+            script.start().await,
+            script.start().await,
+            script.start().await,
+        ];
+        let context = start_path(&addresses);
+        let is_slow = matches!(fault, TargetFault::Silent | TargetFault::Late(_));
+        let deadline = if is_slow { 400 } else { 20_000 };
+        let body = if fault == TargetFault::CutRequest {
+            HUGE_BODY
+        } else {
+            10
+        };
+
+        script.push(fault);
+        let response = serve_call(call("once", false, deadline, body), context.clone()).await;
+        let (status, text) = read(response).await;
+        assert_eq!(status, once, "{text}");
+        let answered = u32::from(once == 200);
+        assert_eq!(script.runs("once"), fault.runs() + answered);
+
+        script.push(fault);
+        let response = serve_call(call("again", true, deadline, body), context).await;
+        assert_eq!(read(response).await, (200, "answer to again".to_owned()));
+        assert_eq!(script.runs("again"), fault.runs() + 1);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+#[rstest]
+#[case(true)]
+#[case(false)]
+#[tokio::test]
+async fn target_unreachable(#[case] idempotent: bool) {
+    let test = async {
+        let script = TargetScript::default();
+        let dead = {
+            let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0))
+                .await
+                .unwrap();
+            listener.local_addr().unwrap()
+        };
+        let response = serve_call(call("x", idempotent, 5_000, 1), start_path(&[dead])).await;
+        assert_eq!(read(response).await.0, 503);
+        let context = start_path(&[dead, dead, script.start().await]);
+        for id in ["a", "b", "c", "d"] {
+            let response = serve_call(call(id, idempotent, 5_000, 1), context.clone()).await;
+            assert_eq!(read(response).await, (200, format!("answer to {id}")));
+            assert_eq!(script.runs(id), 1);
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+#[rstest]
+#[case(true)]
+#[case(false)]
+#[tokio::test]
+async fn kept_connection_silent(#[case] idempotent: bool) {
+    let test = async {
+        let script = TargetScript::default();
+        let context = start_path(&[script.start().await]);
+        let first = serve_call(call("first", idempotent, 2_000, 1), context.clone()).await;
+        assert_eq!(read(first).await.0, 200);
+        script.silence_connections();
+        let second = serve_call(call("second", idempotent, 2_000, 1), context).await;
+        assert_eq!(read(second).await, (200, "answer to second".to_owned()));
+        assert_eq!((script.runs("second"), script.accepted()), (1, 2));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test]
+async fn kept_connection_reused() {
+    let test = async {
+        let script = TargetScript::default();
+        let context = start_path(&[script.start().await]);
+        for number in 0..20 {
+            let id = format!("call-{number}");
+            let response = serve_call(call(&id, number % 2 == 0, 5_000, 1), context.clone()).await;
+            assert_eq!(read(response).await, (200, format!("answer to {id}")));
+        }
+        assert_eq!((script.accepted(), context.pool.idle_count()), (1, 1));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+#[rstest]
+#[case(true)]
+#[case(false)]
+#[tokio::test]
+async fn caller_gone_in_flight(#[case] idempotent: bool) {
+    let test = async {
+        let script = TargetScript::default();
+        let context = start_path(&[script.start().await]);
+        script.push(TargetFault::Held);
+        let caller = tokio::task::spawn_local(serve_call(
+            call("gone", idempotent, 9_000, 1),
+            context.clone(),
+        ));
+        script.began.notified().await;
+        caller.abort();
+        assert!(caller.await.unwrap_err().is_cancelled());
+        script.release.notify_one();
+        let next = serve_call(call("next", false, 9_000, 1), context).await;
+        assert_eq!(read(next).await, (200, "answer to next".to_owned()));
+        assert_eq!((script.runs("gone"), script.runs("next")), (1, 1));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+#[rstest]
+#[case("nowhere", "dock", 1, 404)]
+#[case("plan", "stranger", 1, 503)]
+#[case("plan", "dock", BODY_LIMIT as usize + 1, 413)]
+#[tokio::test]
+async fn refused_before_any_target(
+    #[case] service: &str,
+    #[case] customer: &str,
+    #[case] body: usize,
+    #[case] status: u16,
+) {
+    let test = async {
+        let script = TargetScript::default();
+        let context = start_path(&[script.start().await]);
+        let mut request = call("refused", false, 5_000, body);
+        request.service = service.into();
+        request.headers.customer = customer.into();
+        let (answered, text) = read(serve_call(request, context).await).await;
+        assert_eq!(answered, status, "{text}");
+        assert!(text.contains(r#""kind":"not-run""#), "{text}");
+        assert_eq!(script.accepted(), 0);
+    };
+    LocalSet::new().run_until(test).await;
+}
--- /dev/null
+++ b/crates/node/tests/support/faulty_target.rs
@@ -0,0 +1,243 @@
+//! A target that misbehaves by script: raw HTTP on a loopback port, one fault for
+//! each call request in turn, good answers after the last.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// What happens to one call request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TargetFault {
+    /// The connection ends with a part of the request read; nothing runs.
+    CutRequest,
+    /// The call runs; the connection ends without an answer.
+    NoAnswer,
+    /// The call runs; nothing more ever comes over the connection.
+    Silent,
+    /// The call runs; the answer ends after its headers.
+    HeadersOnly,
+    /// The call runs; the answer ends within its body.
+    HalfBody,
+    /// The call runs; the answer names another request.
+    WrongId,
+    /// The call runs; the answer names no request.
+    NoId,
+    /// The call runs; the answer's length is not declared.
+    NoLength,
+    /// The call runs; the answer is larger than allowed.
+    TooLarge,
+    /// The call runs; the answer comes after this time.
+    Late(Duration),
+    /// The call runs and answers only once the test says so.
+    Held,
+    /// The call runs and fails, with proof.
+    RanAndFailed,
+    /// The call runs; the answer is an error without proof.
+    Unproved,
+    /// Refused: full. Nothing runs.
+    Full,
+    /// Refused: leaving. Nothing runs.
+    Leaving,
+}
+
+impl TargetFault {
+    /// How often the call ran by this request.
+    pub fn runs(self) -> u32 {
+        u32::from(!matches!(
+            self,
+            Self::CutRequest | Self::Full | Self::Leaving
+        ))
+    }
+}
+
+/// What all targets of a test share.
+#[derive(Clone, Debug, Default)]
+pub struct TargetScript {
+    faults: Rc<RefCell<VecDeque<TargetFault>>>,
+    runs: Rc<RefCell<BTreeMap<String, u32>>>,
+    /// Connections accepted before this many go silent.
+    silent_below: Rc<RefCell<u32>>,
+    accepted: Rc<RefCell<u32>>,
+    /// Releases held answers.
+    pub release: Rc<Notify>,
+    /// Told whenever a call begins to run.
+    pub began: Rc<Notify>,
+}
+
+impl TargetScript {
+    /// Adds a fault for the next call request without one.
+    pub fn push(&self, fault: TargetFault) {
+        self.faults.borrow_mut().push_back(fault);
+    }
+
+    /// How often the call with this identifier ran.
+    pub fn runs(&self, id: &str) -> u32 {
+        self.runs.borrow().get(id).copied().unwrap_or_default()
+    }
+
+    /// Connections accepted so far.
+    pub fn accepted(&self) -> u32 {
+        *self.accepted.borrow()
+    }
+
+    /// Makes the connections that are open now silent for good.
+    pub fn silence_connections(&self) {
+        *self.silent_below.borrow_mut() = self.accepted();
+    }
+
+    /// Starts a target with this script.
+    pub async fn start(&self) -> SocketAddr {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let script = self.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let number = script.accepted();
+                *script.accepted.borrow_mut() += 1;
+                tokio::task::spawn_local(script.clone().serve(stream, number));
+            }
+        });
+        address
+    }
+
+    async fn serve(self, mut stream: TcpStream, number: u32) {
+        while let Some(head) = read_head(&mut stream).await {
+            if number < *self.silent_below.borrow() {
+                std::future::pending::<()>().await;
+            }
+            if head.text.starts_with("GET /v1/probe ") {
+                write(&mut stream, "HTTP/1.1 204 No Content\r\n\r\n").await;
+                continue;
+            }
+            let fault = self.faults.borrow_mut().pop_front();
+            if fault == Some(TargetFault::CutRequest) {
+                return;
+            }
+            if read_rest(&mut stream, &head).await.is_none() {
+                return;
+            }
+            if !self.answer(&mut stream, &head.request_id, fault).await {
+                return;
+            }
+        }
+    }
+
+    /// Runs the call and answers; false when the connection is to end.
+    async fn answer(&self, stream: &mut TcpStream, id: &str, fault: Option<TargetFault>) -> bool {
+        if fault.is_none_or(|fault| fault.runs() > 0) {
+            *self.runs.borrow_mut().entry(id.to_owned()).or_default() += 1;
+            self.began.notify_one();
+        }
+        let own = format!("flamingowalk-request-id: {id}\r\n");
+        let body = format!("answer to {id}");
+        let length = format!("content-length: {}\r\n", body.len());
+        let whole = format!("HTTP/1.1 200 OK\r\n{own}{length}\r\n{body}");
+        let refusal = |kind| {
+            let body = format!(r#"{{"kind":"{kind}","message":"use another worker"}}"#);
+            let length = body.len();
+            format!("HTTP/1.1 503 Refused\r\n{own}content-length: {length}\r\n\r\n{body}")
+        };
+        let text = match fault {
+            None => whole,
+            Some(TargetFault::CutRequest | TargetFault::NoAnswer) => return false,
+            Some(TargetFault::Silent) => std::future::pending().await,
+            Some(TargetFault::HeadersOnly) => format!("HTTP/1.1 200 OK\r\n{own}{length}\r\n"),
+            Some(TargetFault::HalfBody) => whole[..whole.len() - 3].to_owned(),
+            Some(TargetFault::WrongId) => whole.replacen(id, "another", 1),
+            Some(TargetFault::NoId) => format!("HTTP/1.1 200 OK\r\n{length}\r\n{body}"),
+            Some(TargetFault::NoLength) => format!("HTTP/1.1 200 OK\r\n{own}\r\n{body}"),
+            Some(TargetFault::TooLarge) => {
+                format!("HTTP/1.1 200 OK\r\n{own}content-length: 99000000\r\n\r\n{body}")
+            }
+            Some(TargetFault::Late(delay)) => {
+                tokio::time::sleep(delay).await;
+                whole
+            }
+            Some(TargetFault::Held) => {
+                self.release.notified().await;
+                whole
+            }
+            Some(TargetFault::RanAndFailed) => {
+                let ran = "flamingowalk-ran: true\r\n";
+                format!("HTTP/1.1 500 Failed\r\n{own}{ran}{length}\r\n{body}")
+            }
+            Some(TargetFault::Unproved) => {
+                format!("HTTP/1.1 500 Failed\r\n{own}{length}\r\n{body}")
+            }
+            Some(TargetFault::Full) => refusal("full"),
+            Some(TargetFault::Leaving) => refusal("leaving"),
+        };
+        write(stream, &text).await;
+        let keeps = [
+            TargetFault::RanAndFailed,
+            TargetFault::Unproved,
+            TargetFault::Full,
+            TargetFault::Leaving,
+            TargetFault::Held,
+        ];
+        fault.is_none_or(|fault| keeps.contains(&fault))
+    }
+}
+
+/// Head of a request as received, with the part of the body that came with it.
+struct RequestHead {
+    text: String,
+    request_id: String,
+    body_left: usize,
+}
+
+async fn read_head(stream: &mut TcpStream) -> Option<RequestHead> {
+    let mut bytes = Vec::new();
+    loop {
+        if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
+            let text = String::from_utf8_lossy(&bytes[..end]).into_owned();
+            let value = |name: &str| {
+                let line = text
+                    .lines()
+                    .find(|line| line.to_lowercase().starts_with(name));
+                line.map(|line| line[name.len()..].trim().to_owned())
+            };
+            let request_id = value("flamingowalk-request-id:").unwrap_or_default();
+            let declared: usize =
+                value("content-length:").map_or(0, |length| length.parse().unwrap());
+            let body_left = declared - (bytes.len() - end - 4);
+            return Some(RequestHead {
+                text,
+                request_id,
+                body_left,
+            });
+        }
+        let mut buffer = [0; 1024];
+        let count = stream
+            .read(&mut buffer)
+            .await
+            .ok()
+            .filter(|count| *count > 0)?;
+        bytes.extend_from_slice(&buffer[..count]);
+    }
+}
+
+async fn read_rest(stream: &mut TcpStream, head: &RequestHead) -> Option<()> {
+    let mut left = head.body_left;
+    let mut buffer = vec![0; 64 * 1024];
+    while left > 0 {
+        let count = stream
+            .read(&mut buffer)
+            .await
+            .ok()
+            .filter(|count| *count > 0)?;
+        left -= count;
+    }
+    Some(())
+}
+
+async fn write(stream: &mut TcpStream, text: &str) {
+    // A client that has gone away is part of the faults.
+    let _ = stream.write_all(text.as_bytes()).await;
+}
