--- a/crates/core/src/process/health.rs
+++ b/crates/core/src/process/health.rs
@@ -2,6 +2,8 @@
 //! shares with hysteresis, and the probing return. Caps and comparison with the
 //! rest of the zone are the target table's, since they need all targets.
 
+use std::fmt::{self, Display, Formatter};
+
 use crate::prelude::*;
 use crate::request::outcome::RepeatSafety;
 
@@ -73,6 +75,19 @@
     },
 }
 
+impl Display for HealthState {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Healthy => "healthy",
+            Self::Quarantined { cause, .. } => match cause {
+                QuarantineCause::Failing => "failing",
+                QuarantineCause::Slow => "slow",
+                QuarantineCause::Unreachable => "unreachable",
+            },
+        })
+    }
+}
+
 /// Recent outcomes of one target and the state that follows from them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetHealth {
--- a/crates/core/src/process/router/table.rs
+++ b/crates/core/src/process/router/table.rs
@@ -44,10 +44,17 @@
     pub services: BTreeSet<ServiceName>,
     /// Calls that the worker runs at once.
     pub slots: u32,
-    /// Connections that the worker takes from all entry hosts together.
+    /// Connections that this host may open to the worker; at least one.
     pub connections: u32,
 }
 
+impl TargetRecord {
+    /// Calls that this host may have at the worker at once.
+    fn ceiling(&self) -> u32 {
+        self.slots.min(self.connections)
+    }
+}
+
 /// One target and what this host has learned of it.
 #[derive(Clone, Debug)]
 pub struct TargetEntry {
@@ -72,7 +79,7 @@
 impl TargetEntry {
     fn new(record: TargetRecord, rules: &HealthRules) -> Self {
         Self {
-            limit: ConcurrencyLimit::new(record.slots),
+            limit: ConcurrencyLimit::new(record.ceiling()),
             record,
             listed: true,
             in_flight: 0,
@@ -210,8 +217,8 @@
             entry.in_flight = in_flight;
             return;
         }
-        if record.slots != entry.record.slots {
-            entry.limit = ConcurrencyLimit::new(record.slots);
+        if record.ceiling() != entry.record.ceiling() {
+            entry.limit = ConcurrencyLimit::new(record.ceiling());
         }
         entry.record = record;
     }
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -1,5 +1,6 @@
-//! What lives for one connection, to callers and to targets.
+//! What lives for one connection: HTTP clients and servers.
 
+pub mod http_client;
 pub mod http_server;
 pub mod target_answer;
 pub mod target_connection;
--- a/crates/node/src/process/call_port.rs
+++ b/crates/node/src/process/call_port.rs
@@ -20,9 +20,6 @@
 
 use crate::request::call_request::CallFault;
 
-/// Sends messages of calls to the loop.
-pub type CallSender = mpsc::UnboundedSender<CallMessage>;
-
 /// Sends orders to the task of one call.
 pub type OrderSender = mpsc::UnboundedSender<CallReply>;
 
@@ -147,9 +144,16 @@
         self.desk.table.apply_listing(records);
     }
 
-    /// Whether no call is open.
-    pub fn is_idle(&self) -> bool {
-        self.desk.open_calls() == 0
+    /// Calls that have not ended.
+    pub fn open_calls(&self) -> u32 {
+        u32::try_from(self.desk.open_calls()).unwrap_or(u32::MAX)
+    }
+
+    /// Address of a known worker.
+    pub fn target_address(&self, name: &WorkerName) -> Option<SocketAddr> {
+        let table = &self.desk.table;
+        let entry = table.find(name).and_then(|index| table.entry(index));
+        entry.map(|entry| entry.record.address)
     }
 
     /// Takes in a message of a task.
@@ -211,11 +215,18 @@
     }
 
     fn check(&self, call: ArrivedCall) -> Result<(CallArrival, u64), CallFault> {
+        if !self.system.customers.contains_key(&call.customer) {
+            let customer = &call.customer;
+            let text =
+                format!("customer {customer} is not declared; add it to the operator folder");
+            return Err(CallFault::Invalid(text));
+        }
         let service = self.system.services.get(&call.service);
         let service = service.ok_or_else(|| CallFault::UnknownService(call.service.clone()))?;
         if call.body_size > service.max_body_bytes {
-            let (size, limit) = (call.body_size, service.max_body_bytes);
-            return Err(CallFault::TooLarge { size, limit });
+            return Err(CallFault::TooLarge {
+                limit: service.max_body_bytes,
+            });
         }
         let allowed = call.allowed.unwrap_or(service.default_deadline);
         let arrival = CallArrival {
--- a/crates/node/src/request/call.rs
+++ b/crates/node/src/request/call.rs
@@ -22,18 +22,17 @@
 use crate::connection::target_connection::{ExchangeEnd, TargetConnection};
 use crate::connection::target_pool::TargetPool;
 use crate::connection::target_request::TargetRequest;
-use crate::process::call_port::{ArrivedCall, CallMessage, CallReply, CallSender};
+use crate::process::call_port::{ArrivedCall, CallMessage, CallReply};
+use crate::process::counters::CALLS_ENDED;
 use crate::process::host_clock::HostClock;
+use crate::process::host_event::{EventSender, HostEvent};
 use crate::request::call_request::{CallFault, CallRequest, answer_response, fault_response};
 
-/// Calls that ended, by `outcome`.
-const CALLS_ENDED: &str = "flamingowalk_calls_ended_total";
-
 /// What every call needs of its host.
 #[derive(Clone, Debug)]
 pub struct CallContext {
     /// Leads to the loop.
-    pub messages: CallSender,
+    pub events: EventSender,
     /// Kept connections.
     pub pool: TargetPool,
     /// Clock of the host.
@@ -106,8 +105,8 @@
         };
         let arrived = CallMessage::Arrived { call, orders };
         context
-            .messages
-            .send(arrived)
+            .events
+            .send(HostEvent::Call(arrived))
             .map_err(|_closed| CallFault::stopping())?;
         match inbox.recv().await {
             Some(CallReply::Opened {
@@ -253,7 +252,7 @@
             event,
         };
         // The loop ends only after every call; then nobody counts this one.
-        let _ = self.context.messages.send(message);
+        let _ = self.context.events.send(HostEvent::Call(message));
     }
 
     async fn next_order(&mut self) -> Option<CallOrder> {
--- a/crates/node/src/request/call_request.rs
+++ b/crates/node/src/request/call_request.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 
 use crate::border::caller::{CallHeaders, REQUEST_HEADER};
-use crate::connection::http_server::{WholeResponse, json_response, typed_response};
+use crate::connection::http_server::{BodyFault, WholeResponse, json_response, typed_response};
 
 /// Delay after which a call that met a lack of capacity may be sent again.
 const CAPACITY_RETRY: Duration = Duration::from_millis(200);
@@ -32,14 +32,15 @@
     #[error("{0}")]
     Invalid(String),
     /// The service is not declared; the call was not run.
-    #[error("service {0} is not declared; add it to the operator folder or correct the path")]
+    #[error("service {0} is not declared; check its name")]
     UnknownService(ServiceName),
+    /// The body is not there; the call was not run.
+    #[error("{0}")]
+    BadBody(BodyFault),
     /// The body is larger than the service allows; the call was not run.
-    #[error("the body has {size} bytes and the service allows {limit}; send less")]
+    #[error("the body exceeds {limit} bytes; send less")]
     TooLarge {
-        /// Size of the body in bytes.
-        size: u64,
-        /// Limit of the service in bytes.
+        /// Largest body in bytes that is taken.
         limit: u64,
     },
     /// It is proved that the call did not run.
@@ -86,7 +87,10 @@
     /// Value of the `outcome` label of the counter.
     pub const fn label(&self) -> &'static str {
         match self {
-            Self::Invalid(_) | Self::UnknownService(_) | Self::TooLarge { .. } => "invalid",
+            Self::Invalid(_)
+            | Self::UnknownService(_)
+            | Self::BadBody(_)
+            | Self::TooLarge { .. } => "invalid",
             Self::NotRun { .. } => "not-run",
             Self::Failed(_) => "failed",
             Self::OutcomeUnknown(_) => "outcome-unknown",
@@ -97,6 +101,7 @@
         match self {
             Self::Invalid(_) => StatusCode::BAD_REQUEST,
             Self::UnknownService(_) => StatusCode::NOT_FOUND,
+            Self::BadBody(fault) => fault.status(),
             Self::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::Failed(_) => StatusCode::BAD_GATEWAY,
