--- /dev/null
+++ b/crates/core/src/process/router.rs
@@ -0,0 +1,9 @@
+//! Routing of calls: which targets there are, which of them is chosen for a call,
+//! and how many repetitions the traffic may carry.
+
+pub mod budget;
+pub mod choice;
+pub mod desk;
+pub mod latency;
+pub mod limit;
+pub mod table;
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -2,3 +2,8 @@
 
 pub mod http_client;
 pub mod http_server;
+pub mod target_answer;
+pub mod target_connection;
+pub mod target_pool;
+pub mod target_request;
+pub mod target_stream;
--- a/crates/node/src/process/entry_host.rs
+++ b/crates/node/src/process/entry_host.rs
@@ -17,8 +17,9 @@
 
 use crate::border::hosts::HostListing;
 use crate::connection::http_client::HttpClient;
-use crate::connection::http_server::serve_connections;
-use crate::process::call_desk::CallDesk;
+use crate::connection::http_server::{ServePhase, serve_connections};
+use crate::connection::target_pool::TargetPool;
+use crate::process::call_port::CallPort;
 use crate::process::event_loop::run_loop;
 use crate::process::host_clock::HostClock;
 use crate::process::host_event::{EventSender, HostEvent, LogStream};
@@ -29,6 +30,7 @@
 use crate::process::log_reader::follow_stream;
 use crate::process::log_writer::write_stream;
 use crate::process::seat_port::SeatPort;
+use crate::request::call::CallContext;
 use crate::request::route::route_request;
 
 /// Interval between ticks of the loop.
@@ -55,6 +57,8 @@
     /// Incarnation of the process.
     pub incarnation: u64,
     events: EventSender,
+    /// Ends when the shutdown is over.
+    event_loop: JoinHandle<()>,
     server: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -65,14 +69,16 @@
         let _ = self.events.send(HostEvent::DrainAsked);
     }
 
-    /// Waits until the shutdown is over.
+    /// Waits until the shutdown is over: every connection of a caller and every
+    /// call has ended, or the limit of the drain has passed.
     pub async fn finished(mut self) {
-        let _ = (&mut self.server).await;
+        let _ = (&mut self.event_loop).await;
     }
 }
 
 impl Drop for EntryHandle {
     fn drop(&mut self) {
+        self.event_loop.abort();
         self.server.abort();
         for task in &self.tasks {
             task.abort();
@@ -94,8 +100,8 @@
     let clock = HostClock::start();
     let client = HttpClient::default();
     let (events, arrivals) = mpsc::unbounded_channel();
-    let (drained, drained_watch) = watch::channel(false);
-    let mut state = new_state(settings, incarnation, clock, drained);
+    let (phase, phase_watch) = watch::channel(ServePhase::default());
+    let mut state = new_state(settings, incarnation, clock, phase);
     let mut tasks = start_streams(&mut state, &client, &events);
     let interval = state.settings.list_interval;
     let list_address = state.settings.list_address;
@@ -106,20 +112,27 @@
         events.clone(),
     )));
     tasks.push(spawn_local(send_ticks(events.clone())));
-    let loop_events = events.clone();
-    tasks.push(spawn_local(run_loop(state, client, loop_events, arrivals)));
-    let handler_events = events.clone();
-    let server = spawn_local(serve_connections(
-        listener,
-        drained_watch,
-        move |request, remote| {
-            route_request(request, remote, handler_events.clone(), recorder.clone())
-        },
-    ));
+    let pool = TargetPool::default();
+    let calls = CallContext {
+        events: events.clone(),
+        pool,
+        clock,
+    };
+    let event_loop = spawn_local(run_loop(state, client, calls.clone(), arrivals));
+    let server_events = events.clone();
+    let serving = serve_connections(listener, phase_watch, move |request, remote| {
+        route_request(request, remote, calls.clone(), recorder.clone())
+    });
+    let server = spawn_local(async move {
+        serving.await;
+        // A loop that has ended needs no word.
+        let _ = server_events.send(HostEvent::ServerEnded);
+    });
     Ok(EntryHandle {
         address,
         incarnation,
         events,
+        event_loop,
         server,
         tasks,
     })
@@ -134,26 +147,25 @@
     settings: HostSettings,
     incarnation: u64,
     clock: HostClock,
-    drained: watch::Sender<bool>,
+    phase: watch::Sender<ServePhase>,
 ) -> HostState {
     let zone = settings.zone.clone();
     let seat = SeatPort::new(new_seat(&settings, incarnation), zone.clone());
     HostState {
         incarnation,
         clock,
-        rng: ChaCha8Rng::seed_from_u64(incarnation),
         config_version: ConfigVersion(0),
         system: Arc::new(SystemSettings::default()),
         streams: BTreeMap::new(),
         writers: BTreeMap::new(),
         listing: HostListing::default(),
-        calls: CallDesk::new(zone),
+        calls: CallPort::new(zone, ChaCha8Rng::seed_from_u64(incarnation), clock.now()),
         jobs: JobDesk::default(),
         seat,
         planner: None,
         drain_since: None,
-        drained,
-        call_count: 0,
+        phase,
+        server_ended: false,
         settings,
     }
 }
--- a/crates/node/src/request/route.rs
+++ b/crates/node/src/request/route.rs
@@ -12,7 +12,7 @@
     WholeRequest, WholeResponse, json_response, text_response, typed_response,
 };
 use crate::process::host_event::{EventSender, HostEvent};
-use crate::request::call::serve_call;
+use crate::request::call::{CallContext, serve_call};
 use crate::request::call_request::{CallFault, CallRequest, fault_response};
 use crate::request::job_request::{cancel_job, show_job, submit_job};
 
@@ -20,13 +20,14 @@
 pub async fn route_request(
     request: WholeRequest,
     _remote: SocketAddr,
-    events: EventSender,
+    calls: CallContext,
     recorder: Option<PrometheusHandle>,
 ) -> WholeResponse {
+    let events = calls.events.clone();
     let path = request.uri().path().to_owned();
     let method = request.method().clone();
     if let Some(service) = path.strip_prefix("/v1/call/") {
-        return route_call(request, service, &method, events).await;
+        return route_call(request, service, &method, calls).await;
     }
     if let Some(id) = path.strip_prefix("/v1/jobs/") {
         return match method {
@@ -36,7 +37,13 @@
         };
     }
     match (method, path.as_str()) {
-        (Method::POST, "/v1/jobs") => submit_job(request.into_body(), events).await,
+        (Method::POST, "/v1/jobs") => match request.into_body() {
+            Ok(body) => submit_job(body, events).await,
+            Err(fault) => {
+                let text = format!("{fault}. The request was not run");
+                text_response(fault.status(), text)
+            }
+        },
         (Method::GET, "/v1/status") => {
             reply_with(&events, |reply| HostEvent::StatusAsked { reply }).await
         }
@@ -67,35 +74,35 @@
     request: WholeRequest,
     service: &str,
     method: &Method,
-    events: EventSender,
+    calls: CallContext,
 ) -> WholeResponse {
     if method != Method::POST {
         return wrong_method("POST");
     }
-    let headers = CallHeaders::parse(request.headers());
-    match headers {
-        Ok(headers) => {
+    let (head, body) = request.into_parts();
+    let id = head
+        .headers
+        .get(REQUEST_HEADER)
+        .and_then(|value| value.to_str().ok());
+    let refuse = |fault| fault_response(id.unwrap_or_default(), &fault);
+    let headers = match CallHeaders::parse(&head.headers) {
+        Ok(headers) => headers,
+        Err(fault) => return refuse(CallFault::Invalid(fault.to_string())),
+    };
+    match body {
+        Ok(body) => {
             let service = service.into();
             serve_call(
                 CallRequest {
                     service,
                     headers,
-                    body: request.into_body(),
+                    body,
                 },
-                events,
+                calls,
             )
             .await
         }
-        Err(fault) => {
-            let id = request
-                .headers()
-                .get(REQUEST_HEADER)
-                .and_then(|value| value.to_str().ok());
-            fault_response(
-                id.unwrap_or_default(),
-                &CallFault::Invalid(fault.to_string()),
-            )
-        }
+        Err(fault) => refuse(CallFault::BadBody(fault)),
     }
 }
 
