--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -1,8 +1,10 @@
 //! What lives for the process: planner, seat, followed records and health.
 
+pub mod admission;
 pub mod config_book;
 pub mod config_history;
 pub mod estimate;
+pub mod health;
 pub mod job_book;
 pub mod log_appender;
 pub mod log_follower;
@@ -10,10 +12,6 @@
 pub mod record;
 pub mod record_books;
 pub mod retry_backoff;
-pub mod admission;
-pub mod estimate;
-pub mod health;
-pub mod planner;
 pub mod router;
 pub mod seat;
 pub mod snapshot;
