--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod host_verbs;
 pub mod output;
 pub mod publish;
+pub mod standin_settings;
 pub mod try_platform;
 pub mod try_report;
 pub mod try_run;
--- /dev/null
+++ b/crates/cli/src/standin_settings.rs
@@ -0,0 +1,52 @@
+//! Settings files of the entry hosts of a trial whose parts run as processes of
+//! their own. Each host takes two ports, one for callers and one for peers.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use flamingowalk_core::version::settings::SystemSettings;
+
+use crate::exit::CommandFault;
+use crate::try_platform::{HOSTS_PER_ZONE, TrialPlatform, entry_listing, host_settings};
+
+/// Writes one file per entry host and adds the hosts to the platform's list.
+///
+/// # Errors
+/// [`CommandFault::Refused`] when a file cannot be written or the ports run out.
+pub fn write_settings(
+    platform: &TrialPlatform,
+    settings: &SystemSettings,
+    folder: &Path,
+    first_port: u16,
+) -> Result<Vec<PathBuf>, CommandFault> {
+    let unwritable = |error: std::io::Error| {
+        let text = format!(
+            "{}: cannot be written ({error}); check the path",
+            folder.display()
+        );
+        CommandFault::Refused(text)
+    };
+    fs::create_dir_all(folder).map_err(unwritable)?;
+    let mut files = Vec::new();
+    let mut port = first_port;
+    for (zone, declared) in &settings.zones {
+        for number in 0..HOSTS_PER_ZONE {
+            let name = format!("{zone}-entry{number}");
+            let caller = SocketAddr::from(([127, 0, 0, 1], port));
+            let peer = SocketAddr::from(([127, 0, 0, 1], port + 1));
+            port = port.checked_add(2).ok_or_else(|| {
+                CommandFault::Refused("the ports run out; lower --first-port".to_owned())
+            })?;
+            let text = host_settings(platform, &name, zone, &declared.region, caller, peer);
+            let file = folder.join(&name).with_extension("ini");
+            fs::write(&file, text).map_err(unwritable)?;
+            // The platform does not know the run of a process before it starts.
+            platform
+                .hosts
+                .add(entry_listing(&name, zone, &declared.region, peer, 0));
+            files.push(file);
+        }
+    }
+    Ok(files)
+}
--- a/crates/cli/src/try_platform.rs
+++ b/crates/cli/src/try_platform.rs
@@ -20,7 +20,7 @@
 use crate::exit::CommandFault;
 
 /// Entry hosts in each zone.
-const HOSTS_PER_ZONE: u32 = 2;
+pub const HOSTS_PER_ZONE: u32 = 2;
 /// Longest time for the hosts to become ready and for a job to finish.
 const TRIAL_LIMIT: Duration = Duration::from_secs(30);
 /// Pause between two questions for a state.
@@ -147,6 +147,18 @@
     /// # Errors
     /// [`CommandFault::Refused`] when a port cannot be bound.
     pub async fn start(settings: &SystemSettings) -> Result<Self, CommandFault> {
+        let mut platform = Self::start_platform(settings).await?;
+        for (zone, declared) in &settings.zones {
+            platform.start_entries(zone, declared).await?;
+        }
+        Ok(platform)
+    }
+
+    /// Starts the stand-ins alone.
+    ///
+    /// # Errors
+    /// [`CommandFault::Refused`] when a port cannot be bound.
+    pub async fn start_platform(settings: &SystemSettings) -> Result<Self, CommandFault> {
         let log = LogStandin::start().await.map_err(refused)?;
         let hosts = HostsStandin::start().await.map_err(refused)?;
         let mut platform = Self {
@@ -158,9 +170,6 @@
         for (zone, declared) in &settings.zones {
             platform.start_workers(zone, declared, settings).await?;
         }
-        for (zone, declared) in &settings.zones {
-            platform.start_entries(zone, declared).await?;
-        }
         Ok(platform)
     }
 
@@ -204,12 +213,14 @@
     ) -> Result<(), CommandFault> {
         for number in 0..HOSTS_PER_ZONE {
             let name = format!("{zone}-entry{number}");
-            let text = self.host_settings(&name, zone, &declared.region);
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            let text = host_settings(self, &name, zone, &declared.region, any, any);
             let settings = HostSettings::parse(&name, &text)
                 .map_err(|faults| CommandFault::Refused(faults.to_string()))?;
             let handle = start_host(settings, None).await.map_err(refused)?;
+            let (address, run) = (handle.address, handle.incarnation);
             self.hosts
-                .add(entry_listing(&name, zone, &declared.region, &handle));
+                .add(entry_listing(&name, zone, &declared.region, address, run));
             self.entries.push(TrialHost {
                 name,
                 zone: zone.clone(),
@@ -219,16 +230,6 @@
         Ok(())
     }
 
-    fn host_settings(&self, name: &str, zone: &ZoneName, region: &RegionName) -> String {
-        let (log, hosts) = (self.log.address(), self.hosts.address());
-        format!(
-            "[host]\nname = {name}\nzone = {zone}\nregion = {region}\n\
-             [listen]\ncaller = 127.0.0.1:0\npeer = 127.0.0.1:0\n\
-             [platform]\nlog = {log}\nhosts = {hosts}\nhosts-interval-ms = 200\n\
-             [peer]\nsecret = {TRIAL_SECRET}\n[drain]\nwait-ms = 100\nlimit-ms = 5000\n"
-        )
-    }
-
     /// Appends an example to the log as the first configuration.
     pub fn publish(&self, example: &ExampleFolder) {
         let settings = example.merged.to_string();
@@ -306,16 +307,36 @@
     }
 }
 
-fn entry_listing(
+/// Settings of an entry host of a trial as INI text.
+pub fn host_settings(
+    platform: &TrialPlatform,
+    name: &str,
+    zone: &ZoneName,
+    region: &RegionName,
+    caller: SocketAddr,
+    peer: SocketAddr,
+) -> String {
+    let (log, hosts) = (platform.log.address(), platform.hosts.address());
+    format!(
+        "[host]\nname = {name}\nzone = {zone}\nregion = {region}\n\
+         [listen]\ncaller = {caller}\npeer = {peer}\n\
+         [platform]\nlog = {log}\nhosts = {hosts}\nhosts-interval-ms = 200\n\
+         [peer]\nsecret = {TRIAL_SECRET}\n[drain]\nwait-ms = 100\nlimit-ms = 5000\n"
+    )
+}
+
+/// An entry host as the platform lists it; run zero means unknown.
+pub fn entry_listing(
     name: &str,
     zone: &ZoneName,
     region: &RegionName,
-    handle: &EntryHandle,
+    address: SocketAddr,
+    incarnation: u64,
 ) -> HostEntry {
     HostEntry {
-        address: handle.address.to_string(),
+        address: address.to_string(),
         capacity: None,
-        incarnation: handle.incarnation,
+        incarnation,
         name: name.to_owned(),
         region: region.to_string(),
         role: HostRole::Entry,
