Links between entry hosts carry promises, digests and configurations

Cause: without peers, a host judged the holder of the seat by the run that the host list gives; with a list that does not know runs, both hosts of a zone claimed in turn (terms 1, 5 and 8 within 50 s). Ruled out: slow reads of the log. Change: WebSocket links with proof of the shared secret, heartbeats, reopened after silence; members are seen by their proved run; configurations reach hosts that are cut off from the log; such hosts are ready for calls. Conclusion: the list is a seed only.

--- a/crates/cli/src/try_platform.rs
+++ b/crates/cli/src/try_platform.rs
@@ -218,7 +218,7 @@
             let settings = HostSettings::parse(&name, &text)
                 .map_err(|faults| CommandFault::Refused(faults.to_string()))?;
             let handle = start_host(settings, None).await.map_err(refused)?;
-            let (address, run) = (handle.address, handle.incarnation);
+            let (address, run) = (handle.peer_address, handle.incarnation);
             self.hosts
                 .add(entry_listing(&name, zone, &declared.region, address, run));
             self.entries.push(TrialHost {
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -2,6 +2,7 @@
 
 pub mod http_client;
 pub mod http_server;
+pub mod peer_link;
 pub mod target_answer;
 pub mod target_connection;
 pub mod target_pool;
--- /dev/null
+++ b/crates/node/src/connection/peer_link.rs
@@ -0,0 +1,208 @@
+//! One WebSocket connection between two entry hosts, after both sides have
+//! proved that they know the shared secret. Bytes are counted on both ways.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flamingowalk_wire::peer::PeerProof;
+use futures_util::{SinkExt, StreamExt};
+use metrics::counter;
+use rand::Rng;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+
+use crate::border::peer::{
+    LinkSide, MESSAGE_LIMIT, PROTOCOL_VERSION, PeerHello, PeerMessage, decode_message,
+    encode_message, sign_hello, verify_proof,
+};
+use crate::process::counters::{PEER_BYTES, PEER_MESSAGES_SKIPPED};
+
+/// Time for connecting, upgrading and proving.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+/// Random bytes of a nonce, as hexadecimal digits.
+const NONCE_DIGITS: usize = 32;
+
+/// Who this process is towards its peers.
+#[derive(Clone, Debug)]
+pub struct LinkIdentity {
+    /// Host name.
+    pub host: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Incarnation of the process.
+    pub incarnation: u64,
+    /// Secret shared by all entry hosts.
+    pub secret: String,
+}
+
+/// Why a link did not open or ended.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum LinkFault {
+    /// No connection or no upgrade in time.
+    #[error("no link to the peer; check that it runs and that no partition is between")]
+    Unreachable,
+    /// The peer does not know the shared secret.
+    #[error("the peer gave no valid proof; set the same [peer] secret on all entry hosts")]
+    Unproved,
+    /// The connection ended.
+    #[error("the link ended; it is opened again")]
+    Closed,
+}
+
+/// A proved link.
+#[derive(Debug)]
+pub struct PeerLink {
+    socket: WebSocketStream<TcpStream>,
+    /// The other side.
+    pub peer: PeerHello,
+}
+
+impl PeerLink {
+    /// Connects to a peer.
+    ///
+    /// # Errors
+    /// A [`LinkFault`]; nothing but hello and proof was sent.
+    pub async fn connect(address: SocketAddr, identity: &LinkIdentity) -> Result<Self, LinkFault> {
+        let opening = async {
+            let stream = TcpStream::connect(address)
+                .await
+                .map_err(|_error| LinkFault::Unreachable)?;
+            let _ = stream.set_nodelay(true);
+            let url = format!("ws://{address}/peer");
+            let upgraded =
+                tokio_tungstenite::client_async_with_config(url, stream, Some(socket_config()))
+                    .await;
+            let (socket, _) = upgraded.map_err(|_error| LinkFault::Unreachable)?;
+            prove(socket, LinkSide::Caller, identity).await
+        };
+        let opened = tokio::time::timeout(OPEN_TIMEOUT, opening).await;
+        opened.unwrap_or(Err(LinkFault::Unreachable))
+    }
+
+    /// Takes over an accepted connection.
+    ///
+    /// # Errors
+    /// A [`LinkFault`]; nothing but hello and proof was sent.
+    pub async fn accept(stream: TcpStream, identity: &LinkIdentity) -> Result<Self, LinkFault> {
+        let opening = async {
+            let _ = stream.set_nodelay(true);
+            let upgraded =
+                tokio_tungstenite::accept_async_with_config(stream, Some(socket_config())).await;
+            let socket = upgraded.map_err(|_error| LinkFault::Unreachable)?;
+            prove(socket, LinkSide::Answerer, identity).await
+        };
+        let opened = tokio::time::timeout(OPEN_TIMEOUT, opening).await;
+        opened.unwrap_or(Err(LinkFault::Unreachable))
+    }
+
+    /// Sends a message.
+    ///
+    /// # Errors
+    /// [`LinkFault::Closed`] when the connection has ended.
+    pub async fn send(&mut self, message: &PeerMessage) -> Result<(), LinkFault> {
+        send_message(&mut self.socket, message).await
+    }
+
+    /// Receives the next message; messages of unknown kinds are counted and skipped.
+    ///
+    /// # Errors
+    /// [`LinkFault::Closed`] when the connection has ended.
+    pub async fn receive(&mut self) -> Result<PeerMessage, LinkFault> {
+        receive_message(&mut self.socket).await
+    }
+}
+
+fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MESSAGE_LIMIT))
+        .max_frame_size(Some(MESSAGE_LIMIT))
+}
+
+/// Exchanges hello and proof. The caller proves itself first, so that a stranger
+/// who connects learns nothing but names.
+async fn prove(
+    mut socket: WebSocketStream<TcpStream>,
+    side: LinkSide,
+    identity: &LinkIdentity,
+) -> Result<PeerLink, LinkFault> {
+    let own = new_hello(identity);
+    send_message(&mut socket, &PeerMessage::PeerHello(own.clone())).await?;
+    let PeerMessage::PeerHello(peer) = receive_message(&mut socket).await? else {
+        return Err(LinkFault::Unproved);
+    };
+    let mac = sign_hello(&identity.secret, side, &own, &peer);
+    let proof = PeerMessage::PeerProof(PeerProof { mac });
+    match side {
+        LinkSide::Caller => {
+            send_message(&mut socket, &proof).await?;
+            check_proof(&mut socket, LinkSide::Answerer, identity, &peer, &own).await?;
+        }
+        LinkSide::Answerer => {
+            check_proof(&mut socket, LinkSide::Caller, identity, &peer, &own).await?;
+            send_message(&mut socket, &proof).await?;
+        }
+    }
+    Ok(PeerLink { socket, peer })
+}
+
+async fn check_proof(
+    socket: &mut WebSocketStream<TcpStream>,
+    side: LinkSide,
+    identity: &LinkIdentity,
+    peer: &PeerHello,
+    own: &PeerHello,
+) -> Result<(), LinkFault> {
+    let PeerMessage::PeerProof(proof) = receive_message(socket).await? else {
+        return Err(LinkFault::Unproved);
+    };
+    let valid = verify_proof(&identity.secret, side, peer, own, &proof.mac);
+    valid.then_some(()).ok_or(LinkFault::Unproved)
+}
+
+fn new_hello(identity: &LinkIdentity) -> PeerHello {
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
+    let mut rng = rand::rng();
+    let digit = |_| char::from(DIGITS[rng.random_range(0..DIGITS.len())]);
+    PeerHello {
+        host: identity.host.clone(),
+        zone: identity.zone.clone(),
+        incarnation: identity.incarnation,
+        protocol: PROTOCOL_VERSION,
+        nonce: (0..NONCE_DIGITS).map(digit).collect(),
+    }
+}
+
+async fn send_message(
+    socket: &mut WebSocketStream<TcpStream>,
+    message: &PeerMessage,
+) -> Result<(), LinkFault> {
+    let bytes = encode_message(message).map_err(|_unknown| LinkFault::Closed)?;
+    counter!(PEER_BYTES, "way" => "sent").increment(bytes.len() as u64);
+    let sent = socket.send(Message::binary(bytes)).await;
+    sent.map_err(|_error| LinkFault::Closed)
+}
+
+async fn receive_message(
+    socket: &mut WebSocketStream<TcpStream>,
+) -> Result<PeerMessage, LinkFault> {
+    loop {
+        let frame = socket
+            .next()
+            .await
+            .and_then(Result::ok)
+            .ok_or(LinkFault::Closed)?;
+        let bytes = match frame {
+            Message::Binary(bytes) => bytes,
+            Message::Close(_) => return Err(LinkFault::Closed),
+            _ => continue,
+        };
+        counter!(PEER_BYTES, "way" => "received").increment(bytes.len() as u64);
+        match decode_message(&bytes) {
+            Ok(message) => return Ok(message),
+            Err(_unknown) => counter!(PEER_MESSAGES_SKIPPED).increment(1),
+        }
+    }
+}
--- a/crates/node/src/process/counters.rs
+++ b/crates/node/src/process/counters.rs
@@ -18,6 +18,12 @@
 pub const LIST_READS: &str = "flamingowalk_host_list_reads_total";
 /// Requests to workers, by `verb` and `outcome`.
 pub const TASK_REQUESTS: &str = "flamingowalk_task_requests_total";
+/// Bytes of peer messages, by `way`.
+pub const PEER_BYTES: &str = "flamingowalk_peer_bytes_total";
+/// Peer messages of unknown kinds.
+pub const PEER_MESSAGES_SKIPPED: &str = "flamingowalk_peer_messages_skipped_total";
+/// Links refused, by `cause`.
+pub const PEERS_REFUSED: &str = "flamingowalk_peers_refused_total";
 /// Configuration version in force.
 pub const CONFIG_VERSION: &str = "flamingowalk_config_version";
 /// One while this host holds its zone's planner seat.
@@ -39,6 +45,9 @@
     );
     describe_counter!(LIST_READS, "Readings of the host list, by outcome");
     describe_counter!(TASK_REQUESTS, "Requests to workers, by verb and outcome");
+    describe_counter!(PEER_BYTES, "Bytes of peer messages, by way");
+    describe_counter!(PEER_MESSAGES_SKIPPED, "Peer messages of unknown kinds");
+    describe_counter!(PEERS_REFUSED, "Links refused, by cause");
     describe_gauge!(CONFIG_VERSION, "Configuration version in force");
     describe_gauge!(
         SEAT_HELD,
--- a/crates/node/src/process/entry_host.rs
+++ b/crates/node/src/process/entry_host.rs
@@ -18,6 +18,7 @@
 use crate::border::hosts::HostListing;
 use crate::connection::http_client::HttpClient;
 use crate::connection::http_server::{ServePhase, serve_connections};
+use crate::connection::peer_link::LinkIdentity;
 use crate::connection::target_pool::TargetPool;
 use crate::process::call_port::CallPort;
 use crate::process::event_loop::run_loop;
@@ -29,6 +30,8 @@
 use crate::process::job_desk::JobDesk;
 use crate::process::log_reader::follow_stream;
 use crate::process::log_writer::write_stream;
+use crate::process::peer_port::PeerPort;
+use crate::process::peer_server::serve_peers;
 use crate::process::seat_port::SeatPort;
 use crate::request::call::CallContext;
 use crate::request::route::route_request;
@@ -40,10 +43,12 @@
 #[derive(Debug, Error)]
 pub enum StartFault {
     /// An address of the settings cannot be listened on.
-    #[error("cannot listen on {address} ({error}); free the port or change [listen] caller")]
+    #[error("cannot listen on {address} ({error}); free the port or change [listen] {key}")]
     Listen {
         /// The address.
         address: SocketAddr,
+        /// Key of the setting.
+        key: &'static str,
         /// What the system said.
         error: io::Error,
     },
@@ -54,6 +59,8 @@
 pub struct EntryHandle {
     /// Address for callers, with the port that the system picked.
     pub address: SocketAddr,
+    /// Address for peers, with the port that the system picked.
+    pub peer_address: SocketAddr,
     /// Incarnation of the process.
     pub incarnation: u64,
     events: EventSender,
@@ -94,14 +101,27 @@
     settings: HostSettings,
     recorder: Option<PrometheusHandle>,
 ) -> Result<EntryHandle, StartFault> {
-    let listener = bind_listener(settings.caller_address).await?;
+    let peer_listener = bind_listener(settings.peer_address, "peer").await?;
+    let peer_address = peer_listener.local_addr().unwrap_or(settings.peer_address);
+    let settings = HostSettings {
+        peer_address,
+        ..settings
+    };
+    let listener = bind_listener(settings.caller_address, "caller").await?;
     let address = listener.local_addr().unwrap_or(settings.caller_address);
     let incarnation = HostClock::wall().0;
     let clock = HostClock::start();
     let client = HttpClient::default();
     let (events, arrivals) = mpsc::unbounded_channel();
     let (phase, phase_watch) = watch::channel(ServePhase::default());
-    let mut state = new_state(settings, incarnation, clock, phase);
+    let identity = LinkIdentity {
+        host: settings.name.to_string(),
+        zone: settings.zone.to_string(),
+        incarnation,
+        secret: settings.peer_secret.clone(),
+    };
+    let peers = PeerPort::new(identity.clone(), events.clone());
+    let mut state = new_state(settings, incarnation, clock, phase, peers);
     let mut tasks = start_streams(&mut state, &client, &events);
     let interval = state.settings.list_interval;
     let list_address = state.settings.list_address;
@@ -112,6 +132,11 @@
         events.clone(),
     )));
     tasks.push(spawn_local(send_ticks(events.clone())));
+    tasks.push(spawn_local(serve_peers(
+        peer_listener,
+        identity,
+        events.clone(),
+    )));
     let pool = TargetPool::default();
     let calls = CallContext {
         events: events.clone(),
@@ -130,6 +155,7 @@
     });
     Ok(EntryHandle {
         address,
+        peer_address,
         incarnation,
         events,
         event_loop,
@@ -138,9 +164,13 @@
     })
 }
 
-async fn bind_listener(address: SocketAddr) -> Result<TcpListener, StartFault> {
+async fn bind_listener(address: SocketAddr, key: &'static str) -> Result<TcpListener, StartFault> {
     let bound = TcpListener::bind(address).await;
-    bound.map_err(|error| StartFault::Listen { address, error })
+    bound.map_err(|error| StartFault::Listen {
+        address,
+        key,
+        error,
+    })
 }
 
 fn new_state(
@@ -148,6 +178,7 @@
     incarnation: u64,
     clock: HostClock,
     phase: watch::Sender<ServePhase>,
+    peers: PeerPort,
 ) -> HostState {
     let zone = settings.zone.clone();
     let seat = SeatPort::new(new_seat(&settings, incarnation), zone.clone());
@@ -156,6 +187,8 @@
         clock,
         config_version: ConfigVersion(0),
         system: Arc::new(SystemSettings::default()),
+        config_record: None,
+        peers,
         streams: BTreeMap::new(),
         writers: BTreeMap::new(),
         listing: HostListing::default(),
--- a/crates/node/src/process/event_loop.rs
+++ b/crates/node/src/process/event_loop.rs
@@ -28,7 +28,9 @@
 use crate::process::job_desk::{
     JobChange, acceptance_record, cancellation_record, ending_record, start_record,
 };
+use crate::process::peer_exchange::{answer_peer, own_digest, take_report};
 use crate::process::planner_port::PlannerPort;
+use crate::process::seat_port::SeatOutput;
 use crate::request::call::CallContext;
 
 /// Time a caller of a job request waits for the log.
@@ -123,9 +125,19 @@
                 plan(state, event, actions);
             }
         }
+        HostEvent::PeerReported { host, report } => take_report(state, &host, report, actions),
+        HostEvent::PeerAsked {
+            peer,
+            message,
+            reply,
+        } => {
+            if let Some(answer) = answer_peer(state, &peer, message) {
+                let _ = reply.send(answer);
+            }
+        }
         HostEvent::Ticked => tick(state, client, calls, actions),
     }
-    append_seat_records(state);
+    carry_out_seat(state);
     carry_out(state, actions);
 }
 
@@ -161,6 +173,14 @@
             retry_after: Some(RETRY_AFTER),
         });
     }
+    if !state.is_caught_up() {
+        let message = "the host has not read the log; use another host".to_owned();
+        let retry_after = Some(RETRY_AFTER);
+        return Err(JobFault::NotRun {
+            message,
+            retry_after,
+        });
+    }
     let invalid = |text: String| Err(JobFault::Invalid(text));
     let customer = CustomerName::from(submission.customer.as_str());
     if !state.system.customers.contains_key(&customer) {
@@ -233,6 +253,8 @@
 ) {
     let outcome = if result.is_ok() { "done" } else { "failed" };
     counter!(LOG_READS, "stream" => stream.name(), "outcome" => outcome).increment(1);
+    let position = state.streams.entry(stream.clone()).or_default();
+    position.is_failing = result.is_err();
     let Ok(page) = result else {
         if matches!(stream, LogStream::Seat(_)) {
             state.seat.handle(state.clock.now(), SeatEvent::LogFailed);
@@ -261,31 +283,43 @@
 }
 
 fn take_config(state: &mut HostState, stored: &StoredRecord, actions: &mut Vec<PlannerAction>) {
-    let skip = |cause: &'static str| {
-        counter!(RECORDS_SKIPPED, "stream" => "config", "cause" => cause).increment(1);
-    };
     if stored.record.kind != "config" {
-        return skip("kind");
+        return skip_config("kind");
     }
     let Ok(record) = serde_json::from_value::<ConfigRecord>(stored.record.body.clone()) else {
-        return skip("malformed");
+        return skip_config("malformed");
     };
     if record.base_version != state.config_version.0 {
-        return skip("base");
+        return skip_config("base");
+    }
+    adopt_config(state, stored.offset + 1, record, actions);
+}
+
+fn skip_config(cause: &'static str) {
+    counter!(RECORDS_SKIPPED, "stream" => "config", "cause" => cause).increment(1);
+}
+
+/// Brings a configuration into force unless it is not newer than the present one
+/// or its settings cannot be read.
+pub fn adopt_config(
+    state: &mut HostState,
+    version: u64,
+    record: ConfigRecord,
+    actions: &mut Vec<PlannerAction>,
+) {
+    let version = ConfigVersion(version);
+    if version <= state.config_version {
+        return skip_config("old");
     }
     let Ok(settings) = parse_canonical(&record.settings) else {
-        return skip("settings");
+        return skip_config("settings");
     };
-    let version = ConfigVersion(stored.offset + 1);
-    debug_assert!(
-        version > state.config_version,
-        "configuration versions increase"
-    );
     state.config_version = version;
+    state.config_record = Some(record);
     state.system = Arc::new(settings);
+    state.calls.adopt(Arc::clone(&state.system));
     gauge!(CONFIG_VERSION).set(version.0 as f64);
     log::info!(host = state.settings.name.as_str(), version = version.0; "configuration adopted");
-    state.calls.adopt(Arc::clone(&state.system));
     let settings = Arc::clone(&state.system);
     plan(
         state,
@@ -339,10 +373,8 @@
     let hosts = listing.hosts.iter().filter(|host| !host.leaving).count() as u32;
     let records = listing.workers.iter().map(target_record).collect();
     state.calls.update(records, hosts);
-    let now = state.clock.now();
     let before = std::mem::replace(&mut state.listing, listing);
-    let peers = state.zone_hosts();
-    state.seat.update_peers(now, peers);
+    state.peers.update(&state.listing.hosts);
     let zone = state.settings.zone.clone();
     let own = |listing: &HostListing| -> BTreeMap<WorkerName, _> {
         let workers = listing.workers.iter().filter(|worker| worker.zone == zone);
@@ -398,7 +430,7 @@
     state.jobs.answer_waiters(now);
     let may_start = state.seat.may_start(now);
     gauge!(SEAT_HELD).set(f64::from(u8::from(may_start)));
-    if may_start && state.planner.is_none() && state.is_ready() {
+    if may_start && state.planner.is_none() && state.is_ready() && state.is_caught_up() {
         gain_seat(state, client, &calls.events, actions);
     } else if !may_start && state.planner.is_some() {
         log::info!(host = state.settings.name.as_str(); "planner seat lost");
@@ -406,6 +438,7 @@
     }
     plan(state, PlannerEvent::Tick, actions);
     state.seat.handle(now, SeatEvent::Tick);
+    state.peers.publish_digest(own_digest(state));
 }
 
 fn probe_targets(state: &mut HostState, calls: &CallContext, now: MonotonicTime) {
@@ -427,11 +460,21 @@
     }
 }
 
-fn append_seat_records(state: &mut HostState) {
-    let records = state.seat.take_records();
-    let stream = LogStream::Seat(state.settings.zone.clone());
-    for record in records {
-        state.append(&stream, record);
+fn carry_out_seat(state: &mut HostState) {
+    let zone = state.settings.zone.clone();
+    for output in state.seat.take_outputs() {
+        let now = state.clock.now();
+        match output {
+            SeatOutput::Append(record) => state.append(&LogStream::Seat(zone.clone()), record),
+            SeatOutput::AskPromise { to, term } => {
+                state
+                    .peers
+                    .ask_promise(now, &to.host, to.incarnation, &zone, term);
+            }
+            SeatOutput::AskRefusal { to, term } => {
+                state.peers.ask_refusal(&to.host, &zone, term);
+            }
+        }
     }
 }
 
--- a/crates/node/src/process/host_event.rs
+++ b/crates/node/src/process/host_event.rs
@@ -8,8 +8,11 @@
 use crate::border::caller::JobFault;
 use crate::border::hosts::HostListing;
 use crate::border::log::LogPage;
+use crate::border::peer::PeerMessage;
 use crate::connection::http_client::ExchangeFault;
 use crate::process::call_port::CallMessage;
+use crate::process::peer_client::PeerReport;
+use crate::process::peer_server::AskingPeer;
 use crate::process::state_dump::StateDump;
 
 /// Sends events to the loop.
@@ -103,6 +106,22 @@
         /// The answer.
         event: PlannerEvent,
     },
+    /// A link to a peer has news.
+    PeerReported {
+        /// The peer.
+        host: HostName,
+        /// The news.
+        report: PeerReport,
+    },
+    /// A peer asks something; no reply means that there is no answer.
+    PeerAsked {
+        /// The peer.
+        peer: AskingPeer,
+        /// The question.
+        message: PeerMessage,
+        /// Where the answer goes.
+        reply: oneshot::Sender<PeerMessage>,
+    },
     /// Time passed.
     Ticked,
 }
--- a/crates/node/src/process/host_state.rs
+++ b/crates/node/src/process/host_state.rs
@@ -4,9 +4,9 @@
 
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::planner::state::PlannerState;
-use flamingowalk_core::process::seat::RosterMember;
 use flamingowalk_core::version::settings::{ConfigVersion, SystemSettings};
 use flamingowalk_wire::caller::HostStatus;
+use flamingowalk_wire::records::ConfigRecord;
 use tokio::sync::{mpsc, watch};
 
 use crate::border::hosts::{HostListing, ListedHost};
@@ -17,6 +17,7 @@
 use crate::process::host_event::LogStream;
 use crate::process::host_settings::HostSettings;
 use crate::process::job_desk::JobDesk;
+use crate::process::peer_port::PeerPort;
 use crate::process::planner_port::PlannerPort;
 use crate::process::seat_port::SeatPort;
 use crate::process::state_dump::{
@@ -30,6 +31,8 @@
     pub next: u64,
     /// When the newest read that reached the tail was sent.
     pub tail_read_at: Option<MonotonicTime>,
+    /// Whether the newest read failed.
+    pub is_failing: bool,
 }
 
 /// The planner while this host holds the seat.
@@ -54,6 +57,10 @@
     pub config_version: ConfigVersion,
     /// Settings of the version in force.
     pub system: Arc<SystemSettings>,
+    /// Record of the version in force, for peers that are cut off from the log.
+    pub config_record: Option<ConfigRecord>,
+    /// Links to other entry hosts.
+    pub peers: PeerPort,
     /// Positions of the followed streams.
     pub streams: BTreeMap<LogStream, StreamPosition>,
     /// Writers of the streams.
@@ -78,16 +85,23 @@
 
 impl HostState {
     /// Whether the host takes requests: a configuration is in force, the host
-    /// list and the jobs have been read, and no drain has begun.
+    /// list has been read, and no drain has begun. A log that answers has been read
+    /// to its tail; one that does not is not waited for, since calls do without.
     pub fn is_ready(&self) -> bool {
-        let caught_up = self
-            .streams
-            .values()
-            .all(|position| position.tail_read_at.is_some());
+        let is_settled =
+            |position: &StreamPosition| position.tail_read_at.is_some() || position.is_failing;
         self.config_version > ConfigVersion(0)
             && !self.listing.workers.is_empty()
-            && caught_up
             && self.drain_since.is_none()
+            && self.streams.values().all(is_settled)
+    }
+
+    /// Whether every stream has been read to its tail once, which job requests
+    /// and the planner need.
+    pub fn is_caught_up(&self) -> bool {
+        self.streams
+            .values()
+            .all(|position| position.tail_read_at.is_some())
     }
 
     /// Appends a record through its stream's writer.
@@ -101,18 +115,6 @@
         self.calls.target_address(name)
     }
 
-    /// Listed entry hosts of this zone that are not leaving.
-    pub fn zone_hosts(&self) -> Vec<RosterMember> {
-        let own_zone = |host: &&ListedHost| host.zone == self.settings.zone && !host.leaving;
-        let hosts = self.listing.hosts.iter().filter(own_zone);
-        let member = |host: &ListedHost| RosterMember {
-            host: host.name.clone(),
-            incarnation: host.incarnation,
-            address: host.address,
-        };
-        hosts.map(member).collect()
-    }
-
     /// Summary for callers and operators.
     pub fn status(&self) -> HostStatus {
         HostStatus {
@@ -143,7 +145,7 @@
                 may_start: self.seat.may_start(now),
             },
             streams: self.stream_sections(now),
-            members: self.listing.hosts.iter().map(member_section).collect(),
+            members: self.member_sections(),
             targets: self.target_sections(),
             jobs: self.job_sections(),
             planner: self
@@ -188,6 +190,20 @@
         sections.collect()
     }
 
+    fn member_sections(&self) -> Vec<MemberSection> {
+        let section = |host: &ListedHost| {
+            let entry = self.peers.peers.get(&host.name);
+            MemberSection {
+                name: host.name.to_string(),
+                zone: host.zone.to_string(),
+                incarnation: entry.and_then(|entry| entry.incarnation),
+                linked: entry.is_some(),
+                leaving: host.leaving,
+            }
+        };
+        self.listing.hosts.iter().map(section).collect()
+    }
+
     fn job_sections(&self) -> Vec<JobSection> {
         let open = self
             .jobs
@@ -204,12 +220,3 @@
         sections.collect()
     }
 }
-
-fn member_section(host: &ListedHost) -> MemberSection {
-    MemberSection {
-        name: host.name.to_string(),
-        zone: host.zone.to_string(),
-        incarnation: host.incarnation,
-        leaving: host.leaving,
-    }
-}
--- a/crates/node/src/process/seat_port.rs
+++ b/crates/node/src/process/seat_port.rs
@@ -1,18 +1,42 @@
-//! Connects the seat's state machine with the log: records in, appends out.
+//! Connects the seat's state machine with the log and the peers: records and
+//! answers in, appends and questions out.
 
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::planner::event::SeatTerm;
 use flamingowalk_core::process::seat::{RosterMember, SeatAction, SeatEvent, SeatState};
+use flamingowalk_wire::peer::{PromiseAnswer, RefusalAnswer};
 use flamingowalk_wire::records as wire;
 use metrics::counter;
 
 use crate::border::log::{NewRecord, StoredRecord};
+use crate::border::peer::PeerMessage;
 use crate::border::seat::{read_seat_record, write_member};
 use crate::process::counters::RECORDS_SKIPPED;
 use crate::process::host_clock::HostClock;
 use crate::process::job_desk::new_record;
 
-/// The seat of the zone and its way to the log.
+/// What the seat asks of the node.
+#[derive(Clone, Debug)]
+pub enum SeatOutput {
+    /// Append a record to the zone's seat stream.
+    Append(NewRecord),
+    /// Ask a member for a promise.
+    AskPromise {
+        /// Member to ask.
+        to: RosterMember,
+        /// Term of this host.
+        term: SeatTerm,
+    },
+    /// Ask a member to promise nothing to a term any more.
+    AskRefusal {
+        /// Member to ask.
+        to: RosterMember,
+        /// Term that is to lose its promises.
+        term: SeatTerm,
+    },
+}
+
+/// The seat of the zone and its way to the log and the peers.
 #[derive(Debug)]
 pub struct SeatPort {
     /// Decisions.
@@ -20,8 +44,6 @@
     zone: ZoneName,
     /// Actions that wait to be carried out; kept to save allocation.
     actions: Vec<SeatAction>,
-    /// Peers last told to the state machine.
-    peers: BTreeMap<HostName, RosterMember>,
 }
 
 impl SeatPort {
@@ -31,7 +53,6 @@
             state,
             zone,
             actions: Vec::new(),
-            peers: BTreeMap::new(),
         }
     }
 
@@ -73,31 +94,77 @@
         self.state.handle(now, event, &mut self.actions);
     }
 
-    /// Passes on which hosts of the zone are listed.
-    pub fn update_peers(&mut self, now: MonotonicTime, peers: Vec<RosterMember>) {
-        let newer: BTreeMap<_, _> = peers
-            .into_iter()
-            .map(|peer| (peer.host.clone(), peer))
-            .collect();
-        let older = std::mem::replace(&mut self.peers, newer.clone());
-        for host in older.into_keys().filter(|host| !newer.contains_key(host)) {
-            self.handle(now, SeatEvent::MemberGone { host });
-        }
-        for member in newer.into_values() {
-            self.handle(now, SeatEvent::MemberSeen { member });
-        }
-    }
-
-    /// Records to append for the actions so far. Messages to other hosts wait for
-    /// the peer links and are dropped; the seat then rests on the log alone.
-    pub fn take_records(&mut self) -> Vec<NewRecord> {
+    /// What the actions so far ask of the node.
+    pub fn take_outputs(&mut self) -> Vec<SeatOutput> {
         let actions = std::mem::take(&mut self.actions);
         actions
             .into_iter()
-            .filter_map(|action| self.seat_record(action))
+            .filter_map(|action| self.seat_output(action))
             .collect()
     }
 
+    /// Answer to the peer's question that was just handled.
+    pub fn take_answer(&mut self) -> Option<PeerMessage> {
+        let is_answer = |action: &SeatAction| {
+            matches!(
+                action,
+                SeatAction::AnswerPromise { .. } | SeatAction::AnswerRefusal { .. }
+            )
+        };
+        let place = self.actions.iter().position(is_answer)?;
+        let action = self.actions.remove(place);
+        self.answer_message(&action)
+    }
+
+    fn answer_message(&self, action: &SeatAction) -> Option<PeerMessage> {
+        let zone = self.zone.to_string();
+        match action {
+            SeatAction::AnswerPromise {
+                term,
+                request,
+                granted,
+                incarnation,
+                ..
+            } => {
+                let (term, request) = (term.0, *request);
+                let answer = PromiseAnswer {
+                    granted: *granted,
+                    incarnation: *incarnation,
+                    request,
+                    term,
+                    zone,
+                };
+                Some(PeerMessage::PromiseAnswer(answer))
+            }
+            SeatAction::AnswerRefusal {
+                term,
+                request,
+                refused,
+                incarnation,
+                ..
+            } => {
+                let (term, request) = (term.0, *request);
+                let answer = RefusalAnswer {
+                    incarnation: *incarnation,
+                    refused: *refused,
+                    request,
+                    term,
+                    zone,
+                };
+                Some(PeerMessage::RefusalAnswer(answer))
+            }
+            _ => None,
+        }
+    }
+
+    fn seat_output(&self, action: SeatAction) -> Option<SeatOutput> {
+        match action {
+            SeatAction::AskPromise { to, term } => Some(SeatOutput::AskPromise { to, term }),
+            SeatAction::AskRefusal { to, term } => Some(SeatOutput::AskRefusal { to, term }),
+            other => self.seat_record(other).map(SeatOutput::Append),
+        }
+    }
+
     fn seat_record(&self, action: SeatAction) -> Option<NewRecord> {
         let zone = self.zone.to_string();
         let own = self.state.own();
--- a/crates/node/src/process/state_dump.rs
+++ b/crates/node/src/process/state_dump.rs
@@ -72,8 +72,10 @@
     pub name: String,
     /// Availability zone.
     pub zone: String,
-    /// Incarnation.
-    pub incarnation: u64,
+    /// Proved incarnation while a link is open.
+    pub incarnation: Option<u64>,
+    /// Whether this host keeps a link to it.
+    pub linked: bool,
     /// Whether it is shutting down.
     pub leaving: bool,
 }
@@ -139,11 +141,12 @@
         for member in &self.members {
             let leaving = if member.leaving { " leaving" } else { "" };
             let (name, zone) = (&member.name, &member.zone);
-            writeln!(
-                f,
-                "member {name} zone {zone} incarnation {}{leaving}",
-                member.incarnation
-            )?;
+            let link = match (member.linked, member.incarnation) {
+                (_, Some(incarnation)) => format!("linked incarnation {incarnation}"),
+                (true, None) => "no link".to_owned(),
+                (false, None) => "not linked by this host".to_owned(),
+            };
+            writeln!(f, "member {name} zone {zone} {link}{leaving}")?;
         }
         for target in &self.targets {
             let leaving = if target.leaving { " leaving" } else { "" };
