Measure the placement policy on a virtual clock

Beside strict first-come-first-served first fit and the first version of the planner. One command writes docs/measurements/POLICY.md with its plots; no figures yet.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,1 +1,6 @@
-//! Seeded measurements of policy, calls, recovery and capacity.
+//! Seeded measurements. Each runs by one command, prints Markdown and plots, and
+//! gives the same decisions for the same seed.
+
+pub mod error;
+pub mod plot;
+pub mod policy;
--- /dev/null
+++ b/crates/measure/src/policy/fragmentation.rs
@@ -0,0 +1,63 @@
+//! How much adjacent room is left in a zone.
+
+use std::collections::BTreeMap;
+
+use super::job_outcome::ZoneSample;
+
+/// Accelerators of one worker at one moment.
+#[derive(Clone, Debug)]
+pub(super) struct WorkerRoom {
+    /// Rack of the worker.
+    pub rack: String,
+    /// Accelerators of the worker.
+    pub total: u32,
+    /// Numbers that are held.
+    pub held: Vec<u32>,
+    /// How many of them run a task.
+    pub running: u32,
+}
+
+impl WorkerRoom {
+    fn free(&self) -> u32 {
+        self.total - self.held.len() as u32
+    }
+
+    fn longest_run(&self) -> u32 {
+        let free: Vec<u32> = (0..self.total).filter(|n| !self.held.contains(n)).collect();
+        let runs = free.chunk_by(|left, right| left + 1 == *right);
+        runs.map(|run| run.len() as u32).max().unwrap_or(0)
+    }
+}
+
+/// Measures the room of all workers that are up. All workers are of one size.
+pub(super) fn measure_room(workers: &[WorkerRoom]) -> ZoneSample {
+    let mut whole_by_rack: BTreeMap<&str, u32> = BTreeMap::new();
+    let mut size_by_rack: BTreeMap<&str, u32> = BTreeMap::new();
+    for worker in workers {
+        *size_by_rack.entry(&worker.rack).or_default() += worker.total;
+        if worker.held.is_empty() {
+            *whole_by_rack.entry(&worker.rack).or_default() += worker.total;
+        }
+    }
+    let largest_run = workers.iter().map(WorkerRoom::longest_run).max();
+    let largest_whole = whole_by_rack.values().copied().max();
+    let free = workers.iter().map(WorkerRoom::free).sum();
+    let worker_size = workers.iter().map(|worker| worker.total).max().unwrap_or(0);
+    let rack_size = size_by_rack.values().copied().max().unwrap_or(0);
+    ZoneSample {
+        total: workers.iter().map(|worker| worker.total).sum(),
+        running: workers.iter().map(|worker| worker.running).sum(),
+        free,
+        largest_block: largest_run.max(largest_whole).unwrap_or(0),
+        best_block: best_block(free, worker_size, rack_size),
+        partial_gangs: 0,
+    }
+}
+
+/// Largest adjacent block if all free accelerators were packed together.
+fn best_block(free: u32, worker_size: u32, rack_size: u32) -> u32 {
+    if free < worker_size || worker_size == 0 {
+        return free;
+    }
+    (free / worker_size * worker_size).min(rack_size)
+}
--- /dev/null
+++ b/crates/measure/src/policy/tests.rs
@@ -0,0 +1,117 @@
+//! Tests of the policy measurement.
+
+use rstest::rstest;
+
+use std::path::Path;
+
+use flamingowalk_core::prelude::*;
+
+use super::case_run::{CaseKey, PlannerVariant, run_case};
+use super::fragmentation::{WorkerRoom, measure_room};
+use super::guaranteed_claim::fits_blocks;
+use super::read_example;
+use super::workload::{SizeClass, capacity, draw_workload};
+use super::zone_run::RunLength;
+
+/// An example cut to one zone of one rack.
+fn tiny_case(variant: PlannerVariant) -> CaseKey {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/podlaga");
+    let mut settings = read_example(&root).unwrap();
+    settings
+        .zones
+        .retain(|name, _| name.as_str() == "maribor-a");
+    for zone in settings.zones.values_mut() {
+        zone.racks = 1;
+    }
+    CaseKey {
+        example: "podlaga",
+        settings,
+        load: 0.8,
+        variant,
+        seed: 7,
+        days: 1,
+    }
+}
+
+/// A part of the morning.
+const SHORT_RUN: RunLength = RunLength {
+    arrivals: Duration::from_hours(1),
+    drain: Duration::from_mins(30),
+};
+
+#[test]
+fn run_case_repeats_for_seed() {
+    let case = tiny_case(PlannerVariant::Current);
+    assert_eq!(run_case(&case, SHORT_RUN), run_case(&case, SHORT_RUN));
+}
+
+#[rstest]
+#[case::strict(PlannerVariant::FirstComeFirstServed)]
+#[case::first(PlannerVariant::FirstVersion)]
+#[case::current(PlannerVariant::Current)]
+fn run_case_keeps_invariants(#[case] variant: PlannerVariant) {
+    let outcomes = run_case(&tiny_case(variant), SHORT_RUN);
+    let outcome = &outcomes[0];
+    assert!(outcome.jobs.iter().any(|job| job.end.is_some()));
+    assert_eq!((outcome.repeated_ends, outcome.repeated_starts), (0, 0));
+    assert!(
+        outcome
+            .samples
+            .iter()
+            .all(|sample| sample.partial_gangs == 0)
+    );
+}
+
+#[test]
+fn draw_workload_offers_load() {
+    let case = tiny_case(PlannerVariant::Current);
+    let workload = draw_workload(&case.settings, 0.8, 4, 7);
+    let work: f64 = workload
+        .arrivals
+        .iter()
+        .map(|job| f64::from(job.accelerators) * job.run_time.as_secs_f64())
+        .sum();
+    let offered = f64::from(capacity(&case.settings)) * 4.0 * 24.0 * 3_600.0;
+    let load = work / offered;
+    assert!((0.7..0.9).contains(&load), "load {load}");
+}
+
+#[rstest]
+#[case::empty(&[8], &[], true)]
+#[case::exact(&[8, 32], &[32, 4, 4], true)]
+#[case::too_many(&[8, 32], &[32, 4, 5], false)]
+#[case::too_large(&[8, 8], &[16], false)]
+fn fits_blocks_table(#[case] blocks: &[u32], #[case] gangs: &[u32], #[case] fits: bool) {
+    assert_eq!(fits_blocks(blocks, gangs), fits);
+}
+
+fn room(rack: &str, held: &[u32]) -> WorkerRoom {
+    WorkerRoom {
+        rack: rack.into(),
+        total: 8,
+        held: held.to_vec(),
+        running: 0,
+    }
+}
+
+#[rstest]
+#[case::all_free(&[room("a", &[]), room("a", &[]), room("b", &[])], 16, 16)]
+#[case::spread(&[room("a", &[3]), room("a", &[4]), room("b", &[0])], 7, 16)]
+#[case::across_racks(&[room("a", &[]), room("b", &[])], 8, 8)]
+#[case::small_rest(&[room("a", &[0, 1, 2, 3, 4, 6])], 1, 2)]
+fn measure_room_table(#[case] workers: &[WorkerRoom], #[case] largest: u32, #[case] best: u32) {
+    let sample = measure_room(workers);
+    assert_eq!((sample.largest_block, sample.best_block), (largest, best));
+}
+
+#[test]
+fn size_class_covers_all() {
+    let sizes = [0, 1, 3, 9, 17].map(SizeClass::of);
+    assert_eq!(sizes, SizeClass::ALL);
+}
+
+#[test]
+fn read_example_missing_folder() {
+    let error = read_example(Path::new("no-such-folder")).unwrap_err();
+    assert!(error.to_string().contains("run from the root"));
+}
--- /dev/null
+++ b/crates/measure/src/policy/zone_view.rs
@@ -0,0 +1,89 @@
+//! A look at all workers of a zone, apart from what the planner believes.
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_wire::target::{TaskState, TaskStatus};
+
+use super::fragmentation::{WorkerRoom, measure_room};
+use super::job_outcome::ZoneSample;
+use super::virtual_worker::VirtualWorker;
+
+/// A gang of which not all members run or have finished.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct GangCount {
+    /// The job.
+    pub job: String,
+    /// Its attempt.
+    pub attempt: u32,
+}
+
+/// What the workers of a zone hold.
+#[derive(Clone, Debug)]
+pub(super) struct ZoneView {
+    /// Room and use.
+    pub room: ZoneSample,
+    /// Incomplete gangs.
+    pub partial: BTreeSet<GangCount>,
+}
+
+/// Looks at all workers that are up.
+pub(super) fn look(
+    now: MonotonicTime,
+    workers: &mut BTreeMap<WorkerName, VirtualWorker>,
+) -> ZoneView {
+    let mut rooms = Vec::new();
+    let mut gangs: BTreeMap<GangCount, MemberCount> = BTreeMap::new();
+    for worker in workers.values_mut().filter(|worker| worker.is_up) {
+        let tasks = worker.statuses(now);
+        for task in &tasks {
+            count_member(task, &mut gangs);
+        }
+        rooms.push(room_of(worker, &tasks));
+    }
+    let incomplete = gangs.into_iter().filter(|(_, count)| count.is_partial());
+    ZoneView {
+        room: measure_room(&rooms),
+        partial: incomplete.map(|(gang, _)| gang).collect(),
+    }
+}
+
+/// Members of one attempt.
+#[derive(Clone, Copy, Debug, Default)]
+struct MemberCount {
+    running: u32,
+    finished: u32,
+    members: u32,
+}
+
+impl MemberCount {
+    fn is_partial(self) -> bool {
+        self.running > 0 && self.running + self.finished < self.members
+    }
+}
+
+fn count_member(task: &TaskStatus, gangs: &mut BTreeMap<GangCount, MemberCount>) {
+    let Some(payload) = &task.payload else {
+        return;
+    };
+    let gang = GangCount {
+        job: payload.job_id.clone(),
+        attempt: payload.attempt,
+    };
+    let count = gangs.entry(gang).or_default();
+    count.members = payload.members;
+    count.running += u32::from(task.state == TaskState::Running);
+    count.finished += u32::from(task.state == TaskState::Finished);
+}
+
+fn room_of(worker: &VirtualWorker, tasks: &[TaskStatus]) -> WorkerRoom {
+    let running = tasks.iter().filter(|task| task.state == TaskState::Running);
+    let record = worker.record();
+    WorkerRoom {
+        rack: record.rack.to_string(),
+        total: record.accelerators,
+        running: running.map(|task| task.accelerators.len() as u32).sum(),
+        held: tasks
+            .iter()
+            .flat_map(|task| task.accelerators.clone())
+            .collect(),
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,4 +14,4 @@
 pub use fault::FaultSwitches;
 pub use hosts::HostsStandin;
 pub use log::LogStandin;
-pub use worker::{RunTime, WorkerOptions, WorkerStandin};
+pub use worker::{RunTime, TaskTest, WorkerOptions, WorkerStandin, WorkerState};
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -17,8 +17,8 @@
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
-pub use self::options::{RunTime, WorkerOptions};
-use self::state::WorkerState;
+pub use self::options::{RunTime, TaskTest, WorkerOptions};
+pub use self::state::WorkerState;
 use crate::error::StandinError;
 use crate::fault::{FaultSwitches, lock};
 use crate::reply::{self, Reply};
--- a/crates/standin/src/worker/options.rs
+++ b/crates/standin/src/worker/options.rs
@@ -11,6 +11,9 @@
 /// Real run time of a task, from what it runs.
 pub type RunTime = Arc<dyn Fn(&TaskPayload) -> Duration + Send + Sync>;
 
+/// Whether a task has some property, from what it runs.
+pub type TaskTest = Arc<dyn Fn(&TaskPayload) -> bool + Send + Sync>;
+
 /// Run time of a task when nothing else is set.
 const DEFAULT_RUN_TIME: Duration = Duration::from_millis(300);
 /// Time that a call takes when nothing else is set.
@@ -43,6 +46,8 @@
     pub accelerators: u32,
     /// Real run time of each task.
     pub run_time: RunTime,
+    /// Tasks that fail at once wherever they start.
+    pub always_fails: TaskTest,
     /// Time that a call takes.
     pub call_time: Duration,
 }
@@ -62,6 +67,7 @@
             memory_mb: 65_536,
             accelerators: 8,
             run_time: Arc::new(|_| DEFAULT_RUN_TIME),
+            always_fails: Arc::new(|_| false),
             call_time: DEFAULT_CALL_TIME,
         }
     }
--- a/crates/standin/src/worker/state.rs
+++ b/crates/standin/src/worker/state.rs
@@ -1,5 +1,6 @@
 //! Tasks and resources of a stand-in worker. Terms fence, leases lapse, and a
-//! task that has started once never starts again.
+//! task that has started once never starts again. Time is an argument, so that
+//! measurements can drive it on a virtual clock.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -21,7 +22,7 @@
 
 /// All that a worker knows.
 #[derive(Debug)]
-pub(super) struct WorkerState {
+pub struct WorkerState {
     /// How the worker is set up.
     pub options: Arc<WorkerOptions>,
     /// Whether new work is refused.
@@ -85,7 +86,7 @@
 
 impl WorkerState {
     /// A worker without tasks.
-    pub(super) fn new(options: Arc<WorkerOptions>) -> Self {
+    pub fn new(options: Arc<WorkerOptions>) -> Self {
         Self {
             options,
             leaving: false,
@@ -103,7 +104,7 @@
     }
 
     /// Brings every task up to `now` and forgets those that ended long ago.
-    pub(super) fn advance(&mut self, now: Duration) {
+    pub fn advance(&mut self, now: Duration) {
         debug_assert!(now >= self.now, "time of a worker went back");
         self.now = now;
         for task in self.tasks.values_mut() {
@@ -163,10 +164,11 @@
     }
 
     /// Holds resources under a lease; the same request again gives the same answer.
-    pub(super) fn reserve(
-        &mut self,
-        request: &ReserveRequest,
-    ) -> Result<Reservation, TargetRefusal> {
+    ///
+    /// # Errors
+    ///
+    /// A refusal, after which nothing has changed but the highest term.
+    pub fn reserve(&mut self, request: &ReserveRequest) -> Result<Reservation, TargetRefusal> {
         self.check_term(request.term)?;
         if let Some(task) = self
             .tasks
@@ -196,11 +198,15 @@
     }
 
     /// Starts a reserved task; a task that started before keeps its state.
-    pub(super) fn start(&mut self, request: StartRequest) -> Result<TaskStatus, TargetRefusal> {
+    ///
+    /// # Errors
+    ///
+    /// A refusal, after which nothing has changed but the highest term.
+    pub fn start(&mut self, request: StartRequest) -> Result<TaskStatus, TargetRefusal> {
         self.check_term(request.term)?;
         let now = self.now;
         let work = self.run_time(&request.payload);
-        let failing = self.failing_starts;
+        let failing = self.failing_starts || (self.options.always_fails)(&request.payload);
         let leaving = self.leaving;
         let task = self
             .tasks
@@ -237,7 +243,11 @@
     }
 
     /// Extends leases that still hold.
-    pub(super) fn renew(&mut self, request: &RenewRequest) -> Result<RenewResponse, TargetRefusal> {
+    ///
+    /// # Errors
+    ///
+    /// A refusal, after which nothing has changed but the highest term.
+    pub fn renew(&mut self, request: &RenewRequest) -> Result<RenewResponse, TargetRefusal> {
         self.check_term(request.term)?;
         let until = self.now + Duration::from_millis(request.lease_ms);
         let mut response = RenewResponse::default();
@@ -255,7 +265,11 @@
     }
 
     /// Gives a reservation back; one that is unknown is free already.
-    pub(super) fn release(&mut self, request: &TaskRequest) -> Result<(), TargetRefusal> {
+    ///
+    /// # Errors
+    ///
+    /// A refusal, after which nothing has changed but the highest term.
+    pub fn release(&mut self, request: &TaskRequest) -> Result<(), TargetRefusal> {
         self.check_term(request.term)?;
         let held = self.tasks.get(&request.task_id);
         let Some(task) = held.filter(|task| task.request.lease_id == request.lease_id) else {
@@ -283,10 +297,11 @@
     }
 
     /// Saves the state of a running task and ends it.
-    pub(super) fn checkpoint(
-        &mut self,
-        request: &TaskRequest,
-    ) -> Result<TaskStatus, TargetRefusal> {
+    ///
+    /// # Errors
+    ///
+    /// A refusal, after which nothing has changed but the highest term.
+    pub fn checkpoint(&mut self, request: &TaskRequest) -> Result<TaskStatus, TargetRefusal> {
         let now = self.now;
         let task = self.find(request)?;
         let able = task
@@ -307,7 +322,11 @@
     }
 
     /// Limits the processor share of a running task; zero suspends it.
-    pub(super) fn throttle(&mut self, request: &TaskRequest) -> Result<TaskStatus, TargetRefusal> {
+    ///
+    /// # Errors
+    ///
+    /// A refusal, after which nothing has changed but the highest term.
+    pub fn throttle(&mut self, request: &TaskRequest) -> Result<TaskStatus, TargetRefusal> {
         let now = self.now;
         let task = self.find(request)?;
         let Some(percent) = request.throttle_percent else {
@@ -319,7 +338,11 @@
     }
 
     /// Ends a task or reservation.
-    pub(super) fn stop(&mut self, request: &TaskRequest) -> Result<TaskStatus, TargetRefusal> {
+    ///
+    /// # Errors
+    ///
+    /// A refusal, after which nothing has changed but the highest term.
+    pub fn stop(&mut self, request: &TaskRequest) -> Result<TaskStatus, TargetRefusal> {
         let now = self.now;
         let task = self.find(request)?;
         if task.is_live() {
@@ -329,7 +352,7 @@
     }
 
     /// All tasks, ended ones included for a while.
-    pub(super) fn list(&self) -> TaskList {
+    pub fn list(&self) -> TaskList {
         TaskList {
             highest_term: self.highest_term,
             incarnation: self.options.incarnation,
@@ -344,7 +367,7 @@
     }
 
     /// Use of the running tasks.
-    pub(super) fn usage(&self) -> UsageReport {
+    pub fn usage(&self) -> UsageReport {
         let running = self.live().filter(|task| task.payload.is_some());
         let tasks = running.map(|task| TaskUsage {
             cpu_percent: task.request.cores * task.share,
