--- /dev/null
+++ b/crates/node/src/connection.rs
@@ -0,0 +1,9 @@
+//! What lives for one connection: HTTP clients and servers.
+
+pub mod http_client;
+pub mod http_server;
+pub mod target_answer;
+pub mod target_connection;
+pub mod target_pool;
+pub mod target_request;
+pub mod target_stream;
