--- a/crates/core/src/process/planner.rs
+++ b/crates/core/src/process/planner.rs
@@ -12,4 +12,5 @@
 pub mod placement;
 pub mod rebuild;
 pub mod state;
+pub mod verifier;
 pub mod worker_entry;
--- a/crates/core/src/process/planner/ledger.rs
+++ b/crates/core/src/process/planner/ledger.rs
@@ -120,6 +120,9 @@
     pub demand: TaskDemand,
     /// Accelerators held: predicted until the worker answers, then as it says.
     pub accelerators: AcceleratorSet,
+    /// Whether the worker named the accelerators, and has not named one of them
+    /// for a later task since.
+    pub granted: bool,
     /// Order in which the ledger took the holding on; never used twice.
     pub generation: u64,
 }
@@ -133,8 +136,8 @@
     pub holdings: BTreeMap<TaskKey, TaskHolding>,
     /// Accelerators that no holding has; always equal to a recount.
     pub free: AcceleratorSet,
-    /// Slots, cores and memory that no holding has, zero where more is held than
-    /// there is; `free.accelerators` counts the set above. Always equal to a recount.
+    /// Resources that no holding has, zero where more is held than there is.
+    /// Never more accelerators than are in `free`. Always equal to a recount.
     pub spare: TaskDemand,
 }
 
@@ -175,10 +178,52 @@
         for holding in self.holdings.values() {
             spare = subtract(spare, holding.demand);
         }
-        spare.accelerators = self.recounted_free().count();
+        spare.accelerators = spare.accelerators.min(self.recounted_free().count());
         spare
     }
 
+    /// Doubts older grants that overlap the one of `key`: the worker has ended
+    /// those tasks, and its list will say so.
+    fn doubt_others(&mut self, key: &TaskKey, accelerators: AcceleratorSet) {
+        let others = self.holdings.iter_mut().filter(|(other, _)| *other != key);
+        for (_, holding) in others {
+            if !holding.accelerators.intersection(accelerators).is_empty() {
+                holding.granted = false;
+            }
+        }
+    }
+
+    /// Predicts again what unanswered reservations will get, after the worker
+    /// named other accelerators than were predicted for some task.
+    fn predict(&mut self) {
+        let all = AcceleratorSet::block(0, self.total().accelerators);
+        let mut free = self
+            .holdings
+            .values()
+            .filter(|holding| holding.granted)
+            .fold(all, |free, holding| free.difference(holding.accelerators));
+        let mut displaced = Vec::new();
+        for (key, holding) in self.holdings.iter().filter(|(_, holding)| !holding.granted) {
+            let is_free = holding.accelerators.difference(free).is_empty();
+            let is_counted = holding.accelerators.count() == holding.demand.accelerators;
+            if is_free && is_counted {
+                free = free.difference(holding.accelerators);
+            } else {
+                displaced.push(key.clone());
+            }
+        }
+        for key in displaced {
+            let Some(holding) = self.holdings.get_mut(&key) else {
+                continue;
+            };
+            if let Some(block) = free.best_block(holding.demand.accelerators) {
+                holding.accelerators = block;
+                free = free.difference(block);
+            }
+        }
+        self.recount();
+    }
+
     fn recount(&mut self) {
         self.free = self.recounted_free();
         self.spare = self.recounted_spare();
@@ -283,7 +328,7 @@
         let Some(accelerators) = capacity.free.best_block(demand.accelerators) else {
             return false;
         };
-        self.insert(worker, key, demand, accelerators);
+        self.insert(worker, key, demand, accelerators, false);
         true
     }
 
@@ -296,7 +341,7 @@
         accelerators: AcceleratorSet,
     ) {
         self.release(key);
-        self.insert(worker, key, demand, accelerators);
+        self.insert(worker, key, demand, accelerators, true);
     }
 
     /// Takes over the accelerators that the worker granted to a held task.
@@ -309,8 +354,10 @@
         };
         if let Some(holding) = capacity.holdings.get_mut(key) {
             holding.accelerators = accelerators;
+            holding.granted = true;
         }
-        capacity.recount();
+        capacity.doubt_others(key, accelerators);
+        capacity.predict();
     }
 
     /// Drops the holding of a task, if any.
@@ -330,6 +377,7 @@
         key: &TaskKey,
         demand: TaskDemand,
         accelerators: AcceleratorSet,
+        granted: bool,
     ) {
         let Some(capacity) = self.workers.get_mut(worker) else {
             return;
@@ -338,10 +386,14 @@
         let holding = TaskHolding {
             demand,
             accelerators,
+            granted,
             generation: self.generation,
         };
         capacity.holdings.insert(key.clone(), holding);
-        capacity.recount();
+        if granted {
+            capacity.doubt_others(key, accelerators);
+        }
+        capacity.predict();
         self.holders.insert(key.clone(), worker.clone());
     }
 }
--- a/crates/core/src/process/planner/placement.rs
+++ b/crates/core/src/process/planner/placement.rs
@@ -97,6 +97,12 @@
         .checked_div(demand.memory_mb)
         .unwrap_or(u64::from(u32::MAX));
     blocks
+        .min(
+            spare
+                .accelerators
+                .checked_div(demand.accelerators)
+                .unwrap_or(u32::MAX),
+        )
         .min(spare.slots.checked_div(demand.slots).unwrap_or(u32::MAX))
         .min(spare.cores.checked_div(demand.cores).unwrap_or(u32::MAX))
         .min(u32::try_from(memory).unwrap_or(u32::MAX))
--- a/crates/core/src/process/planner/rebuild.rs
+++ b/crates/core/src/process/planner/rebuild.rs
@@ -75,14 +75,14 @@
         if seat.rebuilt && !(has_doubt && is_certain) {
             return;
         }
-        self.adopt_jobs(now, is_certain, actions);
         if !seat.rebuilt {
+            self.record_again(actions);
             self.seat = Some(SeatHold {
                 rebuilt: true,
                 ..seat
             });
-            self.record_again(actions);
         }
+        self.adopt_jobs(now, is_certain, actions);
         self.stop_strays(now, actions);
     }
 
@@ -133,7 +133,6 @@
             return;
         };
         let highest = tasks.iter().map(|found| found.task.key.attempt).max();
-        let attempt = highest.unwrap_or(0).max(entry.attempt);
         let size = entry.class.as_ref().map_or(0, |class| class.tasks) as usize;
         let mut current: Vec<Option<FoundTask>> = vec![None; size];
         for found in tasks {
@@ -146,15 +145,19 @@
         if !is_complete && entry.starts > 0 && !is_certain {
             return;
         }
-        entry.attempt = attempt;
         if current.iter().all(Option::is_none) {
             self.settle_unfound(now, id, actions);
             return;
         }
-        entry.starts = entry.starts.max(1);
+        entry.listed_attempt = entry.listed_attempt.max(entry.attempt);
+        entry.attempt = highest.unwrap_or(entry.attempt);
+        if !current.iter().flatten().all(is_reserved) {
+            entry.starts = entry.starts.max(1);
+        }
+        let may_have_started = entry.starts > 0;
         entry.members = current
             .iter()
-            .map(|found| found_member(found.as_ref(), now, lease))
+            .map(|found| found_member(found.as_ref(), may_have_started, now, lease))
             .collect();
         for found in current.iter().flatten() {
             self.take_found(found);
@@ -286,6 +289,10 @@
     entry.delayed_until = None;
 }
 
+fn is_reserved(found: &FoundTask) -> bool {
+    found.task.state == ListedState::Reserved
+}
+
 fn failed_reason(found: &FoundTask) -> Option<String> {
     match &found.task.state {
         ListedState::Failed(reason) => Some(reason.clone()),
@@ -293,7 +300,12 @@
     }
 }
 
-fn found_member(found: Option<&FoundTask>, now: MonotonicTime, lease: Duration) -> GangMember {
+fn found_member(
+    found: Option<&FoundTask>,
+    may_have_started: bool,
+    now: MonotonicTime,
+    lease: Duration,
+) -> GangMember {
     let state = match found.map(|found| &found.task.state) {
         Some(ListedState::Reserved) => MemberState::Held,
         Some(ListedState::Running) => MemberState::Running,
@@ -308,6 +320,6 @@
         valid_until: now + lease_left,
         lapse_by: now + lease_left.max(lease) + LAPSE_MARGIN,
         due_at: now,
-        may_have_started: state != MemberState::Held,
+        may_have_started,
     }
 }
--- a/crates/core/src/process/planner/state.rs
+++ b/crates/core/src/process/planner/state.rs
@@ -12,6 +12,7 @@
 use crate::process::planner::job_entry::{JobEntry, JobPhase, JobStage, JobView, StopPurpose};
 use crate::process::planner::job_queue::{DelayedJob, JobKind, JobQueue, QueuedJob};
 use crate::process::planner::ledger::CapacityLedger;
+use crate::process::planner::verifier::verify_state;
 use crate::process::planner::worker_entry::WorkerEntry;
 use crate::version::settings::{ConfigVersion, SystemSettings};
 
@@ -100,6 +101,11 @@
         self.apply(now, event, actions);
         self.rebuild(now, actions);
         self.schedule(now, actions);
+        debug_assert_eq!(
+            verify_state(self),
+            Vec::new(),
+            "broken invariants in\n{self}"
+        );
     }
 
     fn apply(&mut self, now: MonotonicTime, event: PlannerEvent, actions: &mut Vec<PlannerAction>) {
@@ -238,6 +244,7 @@
             if entry.stage == JobStage::Unsettled {
                 entry.starts = entry.starts.max(job.attempts_started);
                 entry.attempt = entry.attempt.max(job.attempts_started);
+                entry.job.attempts_started = entry.job.attempts_started.max(job.attempts_started);
             }
             return;
         }
--- /dev/null
+++ b/crates/core/src/process/planner/verifier.rs
@@ -0,0 +1,155 @@
+//! Checks of the planner's state, apart from the code that changes it. It reports
+//! every broken invariant; debug builds call it after each event.
+
+use thiserror::Error;
+
+use crate::prelude::*;
+use crate::process::planner::event::TaskKey;
+use crate::process::planner::job_entry::{JobEntry, JobStage, MemberState};
+use crate::process::planner::ledger::{AcceleratorSet, CapacityLedger, WorkerCapacity};
+use crate::process::planner::state::PlannerState;
+
+/// One broken invariant.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum PlannerFault {
+    /// The free or spare resources of a worker differ from a recount.
+    #[error("free resources of {0} differ from a recount of its holdings; recount after changes")]
+    Miscounted(WorkerName),
+    /// The index of holdings disagrees with the workers.
+    #[error("holding of {0} is not indexed by its worker; change both together")]
+    Misindexed(TaskKey),
+    /// Two tasks were granted one accelerator.
+    #[error("{first} and {second} were granted the same accelerator of {worker}; list its tasks")]
+    GrantedTwice {
+        /// The worker.
+        worker: WorkerName,
+        /// One task.
+        first: TaskKey,
+        /// The other task.
+        second: TaskKey,
+    },
+    /// A member that may hold something is not in the ledger.
+    #[error("{0} may hold resources that the ledger counts as free; hold them until it is over")]
+    Unheld(TaskKey),
+    /// A job is queued but not in the queue, or the other way round.
+    #[error("{0} queued jobs but {1} in the queue; change stage and queue together")]
+    Misqueued(usize, usize),
+    /// The members of a job do not match its stage.
+    #[error("{0} has members that do not match stage {1}; stop the gang as a whole")]
+    Mismatched(JobId, String),
+    /// A job that may run once was started again.
+    #[error("{0} may run once and was started {1} times; end it as failed instead")]
+    Restarted(JobId, u32),
+    /// Work is placed without a seat.
+    #[error("{0} has members although the seat is not held; drop them with the seat")]
+    Unseated(JobId),
+}
+
+/// Every broken invariant of a planner's state; empty when all hold.
+pub fn verify_state(state: &PlannerState) -> Vec<PlannerFault> {
+    let mut faults = verify_ledger(&state.ledger);
+    for (id, entry) in &state.jobs {
+        verify_job(state, id, entry, &mut faults);
+    }
+    let queued = state
+        .jobs
+        .values()
+        .filter(|entry| entry.stage == JobStage::Queued)
+        .count();
+    if queued != state.queue.len() {
+        faults.push(PlannerFault::Misqueued(queued, state.queue.len()));
+    }
+    faults
+}
+
+/// Every broken invariant of a ledger.
+pub fn verify_ledger(ledger: &CapacityLedger) -> Vec<PlannerFault> {
+    let mut faults = Vec::new();
+    for (name, capacity) in ledger.workers() {
+        let is_exact = capacity.free == capacity.recounted_free()
+            && capacity.spare == capacity.recounted_spare();
+        if !is_exact {
+            faults.push(PlannerFault::Miscounted(name.clone()));
+        }
+        verify_grants(name, capacity, &mut faults);
+        for key in capacity.holdings.keys() {
+            if ledger.holders().get(key) != Some(name) {
+                faults.push(PlannerFault::Misindexed(key.clone()));
+            }
+        }
+    }
+    for (key, worker) in ledger.holders() {
+        let is_held = ledger
+            .worker(worker)
+            .is_some_and(|w| w.holdings.contains_key(key));
+        if !is_held {
+            faults.push(PlannerFault::Misindexed(key.clone()));
+        }
+    }
+    faults
+}
+
+fn verify_grants(name: &WorkerName, capacity: &WorkerCapacity, faults: &mut Vec<PlannerFault>) {
+    let granted: Vec<(&TaskKey, AcceleratorSet)> = capacity
+        .holdings
+        .iter()
+        .filter(|(_, holding)| holding.granted)
+        .map(|(key, holding)| (key, holding.accelerators))
+        .collect();
+    for (index, (first, accelerators)) in granted.iter().enumerate() {
+        for (second, others) in &granted[index + 1..] {
+            if !accelerators.intersection(*others).is_empty() {
+                faults.push(PlannerFault::GrantedTwice {
+                    worker: name.clone(),
+                    first: (*first).clone(),
+                    second: (*second).clone(),
+                });
+            }
+        }
+    }
+}
+
+fn verify_job(state: &PlannerState, id: &JobId, entry: &JobEntry, faults: &mut Vec<PlannerFault>) {
+    if state.seat.is_none() && !entry.members.is_empty() {
+        faults.push(PlannerFault::Unseated(id.clone()));
+    }
+    if !matches_stage(entry) {
+        let text = format!("{:?}", entry.stage);
+        faults.push(PlannerFault::Mismatched(id.clone(), text));
+    }
+    let may_repeat = entry.is_idempotent() || !entry.checkpoints.is_empty();
+    if entry.starts > 1 && entry.job.attempts_started <= 1 && !may_repeat {
+        faults.push(PlannerFault::Restarted(id.clone(), entry.starts));
+    }
+    for (index, member) in entry.members.iter().enumerate() {
+        let key = entry.key(index);
+        let is_known = state.ledger.worker(&member.worker).is_some();
+        let holder = state.ledger.holders().get(&key);
+        if is_known && !member.is_over() && holder != Some(&member.worker) {
+            faults.push(PlannerFault::Unheld(key));
+        }
+    }
+}
+
+/// Whether a job has the members that its stage calls for.
+fn matches_stage(entry: &JobEntry) -> bool {
+    let size = entry.class.as_ref().map_or(0, |class| class.tasks) as usize;
+    let is_whole = entry.members.len() == size;
+    let all = |states: &[MemberState]| entry.members.iter().all(|m| states.contains(&m.state));
+    match &entry.stage {
+        JobStage::Unsettled | JobStage::Queued | JobStage::Ending(_) => entry.members.is_empty(),
+        JobStage::Reserving => is_whole && all(&[MemberState::ReserveAsked, MemberState::Held]),
+        JobStage::Recording => is_whole && all(&[MemberState::Held]),
+        JobStage::Starting => {
+            is_whole
+                && all(&[
+                    MemberState::StartAsked,
+                    MemberState::StartUnknown,
+                    MemberState::Running,
+                    MemberState::Finished,
+                ])
+        }
+        JobStage::Running => is_whole && all(&[MemberState::Running, MemberState::Finished]),
+        JobStage::Stopping(_) => is_whole,
+    }
+}
