--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -1,7 +1,7 @@
 //! What lives for the process: the event loop, its state and the tasks that
 //! follow the log and the host list.
 
-pub mod call_desk;
+pub mod call_port;
 pub mod counters;
 pub mod entry_host;
 pub mod event_loop;
--- a/crates/node/src/process/state_dump.rs
+++ b/crates/node/src/process/state_dump.rs
@@ -91,6 +91,8 @@
     pub slots: u32,
     /// Whether it receives no new work.
     pub leaving: bool,
+    /// Whether it is in quarantine, and why.
+    pub health: String,
 }
 
 /// One open job.
@@ -149,7 +151,8 @@
             let (calls, slots) = (target.in_flight, target.slots);
             writeln!(
                 f,
-                "target {name} zone {zone} calls {calls}/{slots}{leaving}"
+                "target {name} zone {zone} calls {calls}/{slots} {}{leaving}",
+                target.health
             )?;
         }
         for job in &self.jobs {
