--- /dev/null
+++ b/crates/core/src/process/planner/admission.rs
@@ -0,0 +1,267 @@
+//! Jobs that are refused early and truthfully: those that no shape of the empty
+//! zone could hold, those beyond their customer's queue, and those whose time to
+//! start has passed. A refused job has not run.
+
+use crate::prelude::*;
+use crate::process::planner::action::{JobEnding, PlannerAction, TaskDemand};
+use crate::process::planner::guarantee::{GuaranteePlan, PinnedUse, ZoneView, add};
+use crate::process::planner::job_entry::{JobStage, task_demand};
+use crate::process::planner::job_queue::{DelayedJob, JobKind};
+use crate::process::planner::ledger::{AcceleratorSet, WorkerCapacity};
+use crate::process::planner::room::count_fitting;
+use crate::process::planner::schedule::JobNeed;
+use crate::process::planner::state::{PlannerPolicy, PlannerState};
+use crate::version::settings::{BlockAdjacency, JobClass, ZoneSettings};
+
+/// Time after which a start deadline is looked at again while the job reserves.
+const DEADLINE_RETRY: Duration = Duration::from_secs(1);
+/// Shortest wait that a refusal names.
+const RETRY_MIN: Duration = Duration::from_secs(1);
+
+impl PlannerState {
+    /// Refuses a new job that cannot be queued. Whether it was refused.
+    pub(super) fn refuse_new(
+        &mut self,
+        now: MonotonicTime,
+        id: &JobId,
+        actions: &mut Vec<PlannerAction>,
+    ) -> bool {
+        let reason = self.impossible(now, id).or_else(|| self.queue_full(id));
+        let Some(reason) = reason else {
+            return false;
+        };
+        self.end_job(now, id, JobEnding::Refused(reason), actions);
+        true
+    }
+
+    /// Refuses a job that could never run. Whether it was refused.
+    pub(super) fn refuse_impossible_job(
+        &mut self,
+        now: MonotonicTime,
+        id: &JobId,
+        actions: &mut Vec<PlannerAction>,
+    ) -> bool {
+        let Some(reason) = self.impossible(now, id) else {
+            return false;
+        };
+        self.end_job(now, id, JobEnding::Refused(reason), actions);
+        true
+    }
+
+    /// Refuses queued jobs that new settings or workers have made impossible.
+    pub(super) fn refuse_impossible(
+        &mut self,
+        now: MonotonicTime,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let kinds: Vec<JobKind> = self.queue.kinds().keys().cloned().collect();
+        for kind in kinds {
+            let jobs = self.queue.kinds().get(&kind).cloned().unwrap_or_default();
+            for job in jobs {
+                let is_new = self
+                    .jobs
+                    .get(&job.id)
+                    .is_some_and(|entry| entry.starts == 0);
+                let Some(reason) = self.impossible(now, &job.id).filter(|_| is_new) else {
+                    break;
+                };
+                self.dequeue(&job.id);
+                self.end_job(now, &job.id, JobEnding::Refused(reason), actions);
+            }
+        }
+    }
+
+    /// Refuses jobs that have not started in time.
+    pub(super) fn refuse_late(&mut self, now: MonotonicTime, actions: &mut Vec<PlannerAction>) {
+        while let Some(due) = self.queue.pop_deadline(now) {
+            let Some(entry) = self.jobs.get(&due.id) else {
+                continue;
+            };
+            if entry.starts > 0 || entry.start_by.is_none() {
+                continue;
+            }
+            match entry.stage {
+                JobStage::Queued => {
+                    self.dequeue(&due.id);
+                    let reason = "it could not start within the time asked for; allow more time";
+                    self.end_job(now, &due.id, JobEnding::Refused(reason.into()), actions);
+                }
+                JobStage::Reserving | JobStage::Recording | JobStage::Stopping(_) => {
+                    let until = now + DEADLINE_RETRY;
+                    self.queue.add_deadline(DelayedJob { until, id: due.id });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Why a job could never run in this zone, if so.
+    fn impossible(&self, now: MonotonicTime, id: &JobId) -> Option<String> {
+        let entry = self.jobs.get(id)?;
+        let Some(class) = entry.class.clone() else {
+            let class = &entry.job.class;
+            return Some(format!(
+                "class {class} is not declared; publish it or use another"
+            ));
+        };
+        let demand = task_demand(&class);
+        let declared = self.settings.zones.get(&self.zone);
+        let has_seen = !self.ledger.workers().is_empty();
+        if declared.is_none() && !has_seen {
+            return None;
+        }
+        if !declared.is_some_and(|zone| fits_declared(zone, &class)) && !self.fits_seen(&class) {
+            return Some(format!(
+                "no shape of zone {} holds {} tasks with {} accelerators, {} cores and {} MiB \
+                 each, even when it is empty; ask for less",
+                self.zone, class.tasks, demand.accelerators, demand.cores, demand.memory_mb
+            ));
+        }
+        if self.policy == PlannerPolicy::FirstFit || self.is_reclaimable(&class) {
+            return None;
+        }
+        let need = self.need(now, entry)?;
+        if self.is_complete(declared) && !self.fits_beside_guarantees(&need) {
+            return Some(format!(
+                "it may not run twice or save its state, and beside the guarantees of others \
+                 zone {} has no room for its {} tasks, even when it is empty; ask for a guarantee",
+                self.zone, class.tasks
+            ));
+        }
+        None
+    }
+
+    /// Whether at least the declared workers are there.
+    fn is_complete(&self, declared: Option<&ZoneSettings>) -> bool {
+        let workers = declared.map_or(1, |zone| zone.racks * zone.workers_per_rack);
+        self.zone_view().len() >= workers as usize
+    }
+
+    /// Whether a class fits the workers seen, if they were empty.
+    fn fits_seen(&self, class: &JobClass) -> bool {
+        let demand = task_demand(class);
+        let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
+        for (name, capacity) in self.ledger.workers() {
+            let domain = match class.adjacency {
+                BlockAdjacency::Worker => name.as_str(),
+                BlockAdjacency::Rack => capacity.record.rack.as_str(),
+                BlockAdjacency::Zone => "",
+            };
+            *counts.entry(domain).or_default() += empty_count(capacity.total(), &demand);
+        }
+        counts.into_values().any(|count| count >= class.tasks)
+    }
+
+    /// Whether a job that cannot be taken back leaves room for all guarantees in
+    /// the empty zone.
+    fn fits_beside_guarantees(&self, need: &JobNeed) -> bool {
+        let empty: BTreeMap<WorkerName, WorkerCapacity> = self
+            .zone_view()
+            .keys()
+            .filter_map(|name| self.ledger.worker(name))
+            .map(|capacity| (capacity.record.name.clone(), capacity.record.clone()))
+            .map(|(name, record)| (name, WorkerCapacity::new(record)))
+            .collect();
+        let view = empty
+            .iter()
+            .map(|(name, capacity)| (name.clone(), self.worker_view(capacity)))
+            .collect();
+        if self.empty_room(need, &empty).is_some() {
+            return true;
+        }
+        self.moved_plan(need, &empty, &view).is_some()
+    }
+
+    /// Places for a job that cannot be taken back, with the guarantee plan that
+    /// makes way for it; nothing if some guarantee would lose its place.
+    pub(super) fn moved_plan(
+        &self,
+        need: &JobNeed,
+        capacities: &BTreeMap<WorkerName, WorkerCapacity>,
+        view: &ZoneView,
+    ) -> Option<MovedPlan> {
+        let workers = self.choose_any(need, capacities)?;
+        let mut view = view.clone();
+        let mut free: BTreeMap<&WorkerName, AcceleratorSet> = BTreeMap::new();
+        for worker in &workers {
+            let free = free
+                .entry(worker)
+                .or_insert_with(|| capacities[worker].free);
+            let block = free.best_block(need.demand.accelerators)?;
+            *free = free.difference(block);
+            let pinned = view
+                .get_mut(worker)?
+                .pinned
+                .entry(need.customer.clone())
+                .or_default();
+            *pinned = PinnedUse {
+                accelerators: pinned.accelerators.union(block),
+                demand: add(pinned.demand, need.demand),
+            };
+        }
+        let mut plan = self.plan.clone();
+        plan.repair(&view);
+        let has_shares = workers
+            .iter()
+            .all(|name| plan.leaves_shares(name, &view[name], None));
+        let keeps = plan.unbound() <= self.plan.unbound() && has_shares;
+        keeps.then_some(MovedPlan { workers, plan })
+    }
+
+    /// Why a customer may not queue another job, if so.
+    fn queue_full(&self, id: &JobId) -> Option<String> {
+        let entry = self.jobs.get(id)?;
+        let customer = &entry.job.customer;
+        let most = self.settings.customers.get(customer)?.max_queued_jobs;
+        let mut waiting = 0;
+        let mut work = 0.0;
+        for (kind, jobs) in self.queue.kinds_of(customer) {
+            waiting += jobs.len();
+            let Some(class) = self.settings.classes.get(&kind.class) else {
+                continue;
+            };
+            let run = self
+                .estimates
+                .estimate(customer, &kind.class, class.run_time)
+                .median;
+            let size = f64::from(class.tasks * class.accelerators.max(1));
+            work += run.as_secs_f64() * size * jobs.len() as f64;
+        }
+        if waiting < most as usize {
+            return None;
+        }
+        let capacity = f64::from(self.total.accelerators.max(1));
+        let each = work / capacity / waiting.max(1) as f64;
+        let wait = Duration::from_secs_f64(each).max(RETRY_MIN).as_secs();
+        Some(format!(
+            "customer {customer} has {waiting} jobs waiting, the most allowed; retry in {wait} s"
+        ))
+    }
+}
+
+/// Places of a job and the guarantee plan beside it.
+pub(super) struct MovedPlan {
+    pub workers: Vec<WorkerName>,
+    pub plan: GuaranteePlan,
+}
+
+/// Whether a class fits the declared zone when it is empty.
+fn fits_declared(zone: &ZoneSettings, class: &JobClass) -> bool {
+    let worker = TaskDemand {
+        slots: zone.slots_per_worker,
+        accelerators: zone.accelerators_per_worker,
+        cores: zone.cores_per_worker,
+        memory_mb: zone.memory_mb_per_worker,
+    };
+    let workers = match class.adjacency {
+        BlockAdjacency::Worker => 1,
+        BlockAdjacency::Rack => zone.workers_per_rack,
+        BlockAdjacency::Zone => zone.racks * zone.workers_per_rack,
+    };
+    empty_count(worker, &task_demand(class)).saturating_mul(workers) >= class.tasks
+}
+
+/// How many tasks an empty worker takes.
+fn empty_count(total: TaskDemand, demand: &TaskDemand) -> u32 {
+    count_fitting(AcceleratorSet::block(0, total.accelerators), &total, demand)
+}
--- a/crates/core/src/process/planner/gang.rs
+++ b/crates/core/src/process/planner/gang.rs
@@ -11,6 +11,7 @@
 };
 use crate::process::planner::ledger::AcceleratorSet;
 use crate::process::planner::state::PlannerState;
+use crate::process::planner::tenure::save_time;
 
 /// Backoff after the first refusal of a job; it doubles with each further one.
 const BACKOFF_BASE: Duration = Duration::from_millis(200);
@@ -91,6 +92,8 @@
                     .grant(task, AcceleratorSet::from_numbers(&numbers));
                 if is_stopping {
                     self.stop_members(now, &task.job, actions);
+                } else if !self.keeps_guarantees(task) {
+                    self.begin_stop(now, &task.job, StopPurpose::Retry, actions);
                 } else {
                     self.record_if_held(now, &task.job, actions);
                 }
@@ -260,6 +263,11 @@
         let is_started = matches!(entry.stage, JobStage::Starting | JobStage::Running);
         let finished = |m: &GangMember| m.state == MemberState::Finished;
         if is_started && entry.members.iter().all(finished) {
+            let run = now.since(entry.since);
+            let memory_mb = entry.peak_memory_mb;
+            self.estimates
+                .observe(&entry.job.customer, &entry.job.class, run, memory_mb);
+            self.note_success(now, id);
             self.end_job(now, id, JobEnding::Finished, actions);
         }
     }
@@ -311,18 +319,24 @@
         let Some(entry) = self.jobs.get_mut(id) else {
             return;
         };
+        let allowed = save_time(&self.settings.policy);
         let saves = entry.class.as_ref().is_some_and(|class| class.checkpoint)
-            && entry.stage == JobStage::Stopping(StopPurpose::Retry);
+            && entry.stage == JobStage::Stopping(StopPurpose::Retry)
+            && !allowed.is_zero();
         for index in 0..entry.members.len() {
             let task = entry.key(index);
             let member = &mut entry.members[index];
             let worker = member.worker.clone();
             let action = match member.state {
-                MemberState::Held => PlannerAction::Release { worker, task },
                 MemberState::StartUnknown | MemberState::Running if saves => {
-                    PlannerAction::Checkpoint { worker, task }
+                    member.enter(MemberState::SaveAsked, now);
+                    member.save_until = now + allowed;
+                    actions.push(PlannerAction::Checkpoint { worker, task });
+                    continue;
                 }
-                MemberState::StartUnknown | MemberState::Running => {
+                MemberState::Held => PlannerAction::Release { worker, task },
+                MemberState::SaveAsked if saves && member.save_until > now => continue,
+                MemberState::StartUnknown | MemberState::Running | MemberState::SaveAsked => {
                     PlannerAction::Stop { worker, task }
                 }
                 _ => continue,
@@ -365,20 +379,22 @@
             return;
         };
         let member = &mut entry.members[index];
-        if member.state != MemberState::StopAsked {
+        if !matches!(
+            member.state,
+            MemberState::SaveAsked | MemberState::StopAsked
+        ) {
             return;
         }
-        match result {
-            Ok(name) => {
-                member.enter(MemberState::Gone, now);
-                entry.saved.insert(task.member, name);
-                self.ledger.release(task);
-                self.settle_stop(now, &task.job, actions);
-            }
-            Err(_) => actions.push(PlannerAction::Stop {
-                worker: member.worker.clone(),
-                task: task.clone(),
-            }),
+        if let Ok(name) = result {
+            member.enter(MemberState::Gone, now);
+            entry.saved.insert(task.member, name);
+            self.ledger.release(task);
+            self.settle_stop(now, &task.job, actions);
+            return;
+        }
+        if member.state == MemberState::SaveAsked {
+            member.save_until = now;
+            self.stop_members(now, &task.job, actions);
         }
     }
 
@@ -401,7 +417,12 @@
         let next = next_step(entry, purpose);
         match next {
             NextStep::Drop => self.drop_job(id),
-            NextStep::End(ending) => self.end_job(now, id, ending, actions),
+            NextStep::End(ending) => {
+                if matches!(ending, JobEnding::Failed(_)) {
+                    self.note_bad_job(id);
+                }
+                self.end_job(now, id, ending, actions);
+            }
             NextStep::TryAgain { counted } => self.try_again(now, id, counted),
         }
     }
@@ -449,6 +470,7 @@
 }
 
 impl GangMember {
+    /// A member whose reservation is asked for.
     fn asked(worker: WorkerName, now: MonotonicTime, lease: Duration) -> Self {
         Self {
             worker,
@@ -457,6 +479,8 @@
             valid_until: now,
             lapse_by: now + lease + LAPSE_MARGIN,
             due_at: now + lease / 3,
+            save_until: now,
+            throttled: false,
             may_have_started: false,
         }
     }
@@ -477,6 +501,9 @@
     match after {
         StopPurpose::Close => true,
         StopPurpose::Cancel => !matches!(before, StopPurpose::Close),
+        StopPurpose::Exceed(_) => {
+            matches!(before, StopPurpose::Retry | StopPurpose::Fail(_))
+        }
         StopPurpose::Retry | StopPurpose::Fail(_) => false,
     }
 }
@@ -509,6 +536,8 @@
         }
         StopPurpose::Fail(_) if entry.may_start_again() => NextStep::TryAgain { counted: true },
         StopPurpose::Fail(reason) if !ran => NextStep::End(JobEnding::Refused(reason.clone())),
-        StopPurpose::Fail(reason) => NextStep::End(JobEnding::Failed(reason.clone())),
+        StopPurpose::Exceed(reason) | StopPurpose::Fail(reason) => {
+            NextStep::End(JobEnding::Failed(reason.clone()))
+        }
     }
 }
--- a/crates/core/src/process/planner/job_entry.rs
+++ b/crates/core/src/process/planner/job_entry.rs
@@ -15,6 +15,8 @@
     Retry,
     /// The attempt failed for this reason: try again if the job may.
     Fail(String),
+    /// The job exceeded what it declared by far: it fails for this reason.
+    Exceed(String),
     /// The caller cancelled the job.
     Cancel,
     /// A record closed the job elsewhere; no ending is to be recorded.
@@ -56,6 +58,8 @@
     StartUnknown,
     /// The worker runs it.
     Running,
+    /// It was asked to save its state and end. Its lease is kept alive meanwhile.
+    SaveAsked,
     /// Its end or release is asked for.
     StopAsked,
     /// It finished; the worker holds nothing for it.
@@ -80,6 +84,10 @@
     pub lapse_by: MonotonicTime,
     /// When the lease is next to be renewed, or the stop asked for again.
     pub due_at: MonotonicTime,
+    /// When a member that saves its state is stopped instead.
+    pub save_until: MonotonicTime,
+    /// Whether its processor share was limited.
+    pub throttled: bool,
     /// Whether the worker may have started it. Set before `Start` is sent,
     /// cleared only when the worker says that nothing was started.
     pub may_have_started: bool,
@@ -105,6 +113,7 @@
                 | MemberState::StartAsked
                 | MemberState::StartUnknown
                 | MemberState::Running
+                | MemberState::SaveAsked
         )
     }
 }
@@ -134,6 +143,18 @@
     pub saved: BTreeMap<u32, String>,
     /// Reservations that were given back since the job last ran.
     pub refusals: u32,
+    /// Workers on which capacity for it is being cleared; empty without a claim.
+    pub claimed: BTreeSet<WorkerName>,
+    /// Workers on which space was last kept for it.
+    pub drained: BTreeSet<WorkerName>,
+    /// Workers on which an attempt failed; others are tried next.
+    pub failed_on: BTreeSet<WorkerName>,
+    /// When an attempt failed last.
+    pub failed_at: MonotonicTime,
+    /// When the planner learned of it; its age counts from here.
+    pub accepted_at: MonotonicTime,
+    /// Highest memory use that a member reported, in mebibytes.
+    pub peak_memory_mb: u64,
     /// Earliest time of the next try; set while the job is delayed.
     pub delayed_until: Option<MonotonicTime>,
     /// Latest time by which it must have started, if any.
@@ -159,6 +180,12 @@
             checkpoints: BTreeMap::new(),
             saved: BTreeMap::new(),
             refusals: 0,
+            claimed: BTreeSet::new(),
+            drained: BTreeSet::new(),
+            failed_on: BTreeSet::new(),
+            failed_at: now,
+            accepted_at: now,
+            peak_memory_mb: 0,
             delayed_until: None,
             start_by,
             since: now,
--- a/crates/core/src/process/planner/job_queue.rs
+++ b/crates/core/src/process/planner/job_queue.rs
@@ -38,6 +38,10 @@
     kinds: BTreeMap<JobKind, BTreeSet<QueuedJob>>,
     /// Jobs that wait for a time; none of them is in `kinds`.
     delayed: BTreeSet<DelayedJob>,
+    /// Latest start times of jobs; also of some that no longer wait.
+    deadlines: BTreeSet<DelayedJob>,
+    /// Jobs added so far.
+    changes: u64,
 }
 
 impl JobQueue {
@@ -46,8 +50,14 @@
         &self.kinds
     }
 
+    /// Jobs added so far.
+    pub const fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Adds a job that may be tried now.
     pub fn push(&mut self, kind: JobKind, job: QueuedJob) {
+        self.changes += 1;
         self.kinds.entry(kind).or_default().insert(job);
     }
 
@@ -81,10 +91,39 @@
         self.delayed.pop_first()
     }
 
+    /// Jobs of one customer that may be tried now, by kind.
+    pub fn kinds_of<'a>(
+        &'a self,
+        customer: &'a CustomerName,
+    ) -> impl Iterator<Item = (&'a JobKind, &'a BTreeSet<QueuedJob>)> {
+        let first = JobKind {
+            customer: customer.clone(),
+            class: ClassName::from(""),
+        };
+        self.kinds
+            .range(first..)
+            .take_while(move |(kind, _)| kind.customer == *customer)
+    }
+
+    /// Adds the latest start time of a job.
+    pub fn add_deadline(&mut self, job: DelayedJob) {
+        self.deadlines.insert(job);
+    }
+
+    /// Takes out one job whose latest start time has come.
+    pub fn pop_deadline(&mut self, now: MonotonicTime) -> Option<DelayedJob> {
+        let first = self.deadlines.first()?;
+        if first.until > now {
+            return None;
+        }
+        self.deadlines.pop_first()
+    }
+
     /// Removes every job.
     pub fn clear(&mut self) {
         self.kinds.clear();
         self.delayed.clear();
+        self.deadlines.clear();
     }
 
     /// How many jobs wait.
--- a/crates/core/src/process/planner/lease.rs
+++ b/crates/core/src/process/planner/lease.rs
@@ -21,9 +21,13 @@
         if self.seat.is_none() {
             return;
         }
+        self.passed = None;
         self.poll_lists(now, actions);
         self.lapse_members(now, actions);
         self.stop_again(now, actions);
+        self.end_saves(now, actions);
+        self.end_quarantines(now);
+        self.stop_overruns(now, actions);
         self.renew_leases(now, actions);
     }
 
@@ -153,6 +157,20 @@
         }
     }
 
+    /// Stops members that take too long to save their state.
+    fn end_saves(&mut self, now: MonotonicTime, actions: &mut Vec<PlannerAction>) {
+        let is_late = |m: &GangMember| m.state == MemberState::SaveAsked && m.save_until <= now;
+        let late: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, entry)| entry.members.iter().any(is_late))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in late {
+            self.stop_members(now, &id, actions);
+        }
+    }
+
     /// Renews the leases that are due, one request for each worker.
     fn renew_leases(&mut self, now: MonotonicTime, actions: &mut Vec<PlannerAction>) {
         let lease = self.lease();
--- a/crates/core/src/process/planner/ledger.rs
+++ b/crates/core/src/process/planner/ledger.rs
@@ -262,9 +262,16 @@
     holders: BTreeMap<TaskKey, WorkerName>,
     /// Generation of the newest holding.
     generation: u64,
+    /// Changes so far.
+    changes: u64,
 }
 
 impl CapacityLedger {
+    /// Changes so far; equal numbers mean equal contents.
+    pub const fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Workers by name.
     pub const fn workers(&self) -> &BTreeMap<WorkerName, WorkerCapacity> {
         &self.workers
@@ -288,6 +295,7 @@
 
     /// Adds a worker or takes over its changed resources; holdings stay.
     pub fn see_worker(&mut self, record: WorkerRecord) {
+        self.changes += 1;
         if let Some(capacity) = self.workers.get_mut(&record.name) {
             capacity.record = record;
             capacity.recount();
@@ -299,6 +307,7 @@
 
     /// Removes a worker with all its holdings.
     pub fn remove_worker(&mut self, name: &WorkerName) {
+        self.changes += 1;
         let Some(capacity) = self.workers.remove(name) else {
             return;
         };
@@ -309,6 +318,7 @@
 
     /// Drops every holding, as after the loss of the seat.
     pub fn clear_holdings(&mut self) {
+        self.changes += 1;
         self.holders.clear();
         for capacity in self.workers.values_mut() {
             capacity.holdings.clear();
@@ -352,6 +362,7 @@
         let Some(capacity) = self.workers.get_mut(worker) else {
             return;
         };
+        self.changes += 1;
         if let Some(holding) = capacity.holdings.get_mut(key) {
             holding.accelerators = accelerators;
             holding.granted = true;
@@ -365,6 +376,7 @@
         let Some(worker) = self.holders.remove(key) else {
             return;
         };
+        self.changes += 1;
         if let Some(capacity) = self.workers.get_mut(&worker) {
             capacity.holdings.remove(key);
             capacity.recount();
@@ -383,6 +395,7 @@
             return;
         };
         self.generation += 1;
+        self.changes += 1;
         let holding = TaskHolding {
             demand,
             accelerators,
--- a/crates/core/src/process/planner/listing.rs
+++ b/crates/core/src/process/planner/listing.rs
@@ -126,6 +126,9 @@
             }
         }
         self.ledger.release(&task.key);
+        if matches!(task.state, ListedState::Failed(_)) {
+            self.note_failure(now, &worker, &id);
+        }
         if let Some(reason) = failure(&task.state, &worker) {
             self.begin_stop(now, &id, StopPurpose::Fail(reason), actions);
         }
--- /dev/null
+++ b/crates/core/src/process/planner/overrun.rs
@@ -0,0 +1,92 @@
+//! Jobs that exceed what they declared by far. Memory: beyond a quarter more the
+//! task is throttled, beyond twice as much the job fails. Time: once a run has
+//! taken far longer than few runs do and others wait, the job saves its state and
+//! queues again, or fails if it cannot.
+
+use crate::prelude::*;
+use crate::process::planner::action::PlannerAction;
+use crate::process::planner::event::TaskKey;
+use crate::process::planner::gang::find_member;
+use crate::process::planner::job_entry::{JobEntry, JobStage, MemberState, StopPurpose};
+use crate::process::planner::state::PlannerState;
+
+/// Memory use at which a task is throttled, in percent of the declared memory.
+const THROTTLE_PERCENT: u64 = 125;
+/// Memory use at which a job fails, in percent of the declared memory.
+const FAIL_PERCENT: u64 = 200;
+/// Processor share of a throttled task, in percent.
+const THROTTLED_SHARE: u32 = 50;
+/// Times the run time that few runs exceed before a run counts as overrun.
+const OVERRUN_FACTOR: u32 = 3;
+
+impl PlannerState {
+    /// Takes in the memory use of a running task.
+    pub(super) fn note_usage(
+        &mut self,
+        now: MonotonicTime,
+        task: &TaskKey,
+        memory_mb: u64,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let Some((entry, index)) = find_member(&mut self.jobs, task) else {
+            return;
+        };
+        entry.peak_memory_mb = entry.peak_memory_mb.max(memory_mb);
+        let declared = entry.class.as_ref().map_or(0, |class| class.memory_mb);
+        let member = &mut entry.members[index];
+        if declared == 0 || member.state != MemberState::Running {
+            return;
+        }
+        let percent = memory_mb * 100 / declared;
+        if percent >= FAIL_PERCENT {
+            let reason =
+                format!("a task used {memory_mb} MiB of {declared} declared; declare more");
+            self.begin_stop(now, &task.job, StopPurpose::Exceed(reason), actions);
+        } else if percent >= THROTTLE_PERCENT && !member.throttled {
+            member.throttled = true;
+            actions.push(PlannerAction::Throttle {
+                worker: member.worker.clone(),
+                task: task.clone(),
+                percent: THROTTLED_SHARE,
+            });
+        }
+    }
+
+    /// Stops overrun jobs while others wait.
+    pub(super) fn stop_overruns(&mut self, now: MonotonicTime, actions: &mut Vec<PlannerAction>) {
+        if self.queue.kinds().is_empty() {
+            return;
+        }
+        let overrun: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, entry)| self.is_overrun(now, entry))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in overrun {
+            let saves = self.jobs[&id]
+                .class
+                .as_ref()
+                .is_some_and(|class| class.checkpoint);
+            let purpose = if saves {
+                StopPurpose::Retry
+            } else {
+                let reason = "it ran far longer than declared and others wait; declare more";
+                StopPurpose::Exceed(reason.into())
+            };
+            self.begin_stop(now, &id, purpose, actions);
+        }
+    }
+
+    fn is_overrun(&self, now: MonotonicTime, entry: &JobEntry) -> bool {
+        let Some(class) = &entry.class else {
+            return false;
+        };
+        let customer = &entry.job.customer;
+        let estimate = self
+            .estimates
+            .estimate(customer, &entry.job.class, class.run_time);
+        let limit = estimate.high.max(class.run_time) * OVERRUN_FACTOR;
+        entry.stage == JobStage::Running && now.since(entry.since) > limit
+    }
+}
--- a/crates/core/src/process/planner/placement.rs
+++ b/crates/core/src/process/planner/placement.rs
@@ -5,6 +5,7 @@
 use crate::process::planner::job_entry::task_demand;
 use crate::process::planner::job_queue::{JobKind, QueuedJob};
 use crate::process::planner::ledger::WorkerCapacity;
+use crate::process::planner::room::count_fitting;
 use crate::process::planner::state::{PlannerPolicy, PlannerState};
 use crate::process::planner::worker_entry::WorkerEntry;
 use crate::version::settings::{BlockAdjacency, JobClass};
@@ -20,9 +21,28 @@
         }
         match self.policy {
             PlannerPolicy::FirstFit => self.schedule_first_fit(now, actions),
+            PlannerPolicy::Guarantees => self.schedule_if_changed(now, actions),
         }
     }
 
+    /// Runs a pass if queue or ledger changed since the last one, or time passed.
+    fn schedule_if_changed(&mut self, now: MonotonicTime, actions: &mut Vec<PlannerAction>) {
+        self.refuse_late(now, actions);
+        if self.plan_stale || (self.passed.is_none() && !self.plan.is_whole()) {
+            self.repair_plan();
+            self.refuse_impossible(now, actions);
+            self.plan_stale = false;
+            self.passed = None;
+        }
+        let changes = self.ledger.changes() + self.queue.changes();
+        if self.passed == Some(changes) || self.queue.kinds().is_empty() {
+            return;
+        }
+        self.recount_use();
+        self.schedule_guarantees(now, actions);
+        self.passed = Some(self.ledger.changes() + self.queue.changes());
+    }
+
     /// Takes waiting jobs in order of arrival and passes over those that do not
     /// fit; one that does not fit speaks for all of its kind.
     fn schedule_first_fit(&mut self, now: MonotonicTime, actions: &mut Vec<PlannerAction>) {
@@ -83,27 +103,5 @@
 
 /// How many tasks with this demand fit into what is free on a worker.
 pub fn fit_count(capacity: &WorkerCapacity, demand: &TaskDemand) -> u32 {
-    let spare = &capacity.spare;
-    let blocks = if demand.accelerators == 0 {
-        u32::MAX
-    } else {
-        let runs = capacity.free.runs();
-        runs.iter()
-            .map(|run| run.length / demand.accelerators)
-            .sum()
-    };
-    let memory = spare
-        .memory_mb
-        .checked_div(demand.memory_mb)
-        .unwrap_or(u64::from(u32::MAX));
-    blocks
-        .min(
-            spare
-                .accelerators
-                .checked_div(demand.accelerators)
-                .unwrap_or(u32::MAX),
-        )
-        .min(spare.slots.checked_div(demand.slots).unwrap_or(u32::MAX))
-        .min(spare.cores.checked_div(demand.cores).unwrap_or(u32::MAX))
-        .min(u32::try_from(memory).unwrap_or(u32::MAX))
+    count_fitting(capacity.free, &capacity.spare, demand)
 }
--- a/crates/core/src/process/planner/rebuild.rs
+++ b/crates/core/src/process/planner/rebuild.rs
@@ -83,6 +83,7 @@
             });
         }
         self.adopt_jobs(now, is_certain, actions);
+        self.plan_stale = true;
         self.stop_strays(now, actions);
     }
 
@@ -191,7 +192,10 @@
         if entry.cancelled {
             self.end_job(now, id, JobEnding::Cancelled, actions);
         } else if entry.may_start_again() {
-            self.enqueue(now, id);
+            let is_refused = entry.starts == 0 && self.refuse_impossible_job(now, id, actions);
+            if !is_refused {
+                self.enqueue(now, id);
+            }
         } else {
             let reason = "may have started before a change of planner; no worker knows it";
             self.end_job(now, id, JobEnding::Failed(reason.into()), actions);
@@ -287,6 +291,8 @@
     entry.members.clear();
     entry.saved.clear();
     entry.delayed_until = None;
+    entry.claimed.clear();
+    entry.drained.clear();
 }
 
 fn is_reserved(found: &FoundTask) -> bool {
@@ -320,6 +326,8 @@
         valid_until: now + lease_left,
         lapse_by: now + lease_left.max(lease) + LAPSE_MARGIN,
         due_at: now,
+        save_until: now,
+        throttled: false,
         may_have_started,
     }
 }
--- a/crates/core/src/process/planner/state.rs
+++ b/crates/core/src/process/planner/state.rs
@@ -7,8 +7,10 @@
 use rand_chacha::rand_core::SeedableRng;
 
 use crate::prelude::*;
-use crate::process::planner::action::PlannerAction;
+use crate::process::estimate::EstimateTable;
+use crate::process::planner::action::{PlannerAction, TaskDemand};
 use crate::process::planner::event::{AcceptedJob, PlannerEvent, SeatTerm, WorkerRecord};
+use crate::process::planner::guarantee::GuaranteePlan;
 use crate::process::planner::job_entry::{JobEntry, JobPhase, JobStage, JobView, StopPurpose};
 use crate::process::planner::job_queue::{DelayedJob, JobKind, JobQueue, QueuedJob};
 use crate::process::planner::ledger::CapacityLedger;
@@ -22,8 +24,11 @@
 /// Rules by which waiting jobs are placed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PlannerPolicy {
-    /// In order of arrival, on the first workers that have room.
+    /// In order of arrival, on the first workers that have room. It knows no
+    /// guarantees; measurements compare against it.
     FirstFit,
+    /// Guarantees, fair shares, kept space and placement by block.
+    Guarantees,
 }
 
 /// The seat while it is held.
@@ -63,6 +68,21 @@
     pub(super) closed: BTreeSet<JobId>,
     /// The same jobs in the order of closing.
     closed_order: std::collections::VecDeque<JobId>,
+    /// Places of all guaranteed blocks.
+    pub(super) plan: GuaranteePlan,
+    /// Whether workers or settings changed since the plan was repaired.
+    pub(super) plan_stale: bool,
+    /// What each customer held at the start of the newest pass, and was given since.
+    pub(super) used: BTreeMap<CustomerName, TaskDemand>,
+    /// Everything that the workers of the zone have.
+    pub(super) total: TaskDemand,
+    /// Learned run times and sizes.
+    pub(super) estimates: EstimateTable,
+    /// Changes of queue and ledger that the newest pass has seen; nothing if one
+    /// is due in any case.
+    pub(super) passed: Option<u64>,
+    /// Steps of placement decisions so far.
+    pub(super) work: u64,
     /// Source of randomness for backoff.
     pub(super) random: ChaCha8Rng,
 }
@@ -70,7 +90,7 @@
 impl PlannerState {
     /// A planner that knows nothing yet.
     pub fn new(zone: ZoneName, seed: u64) -> Self {
-        Self::with_policy(zone, seed, PlannerPolicy::FirstFit)
+        Self::with_policy(zone, seed, PlannerPolicy::Guarantees)
     }
 
     /// A planner with chosen placement rules.
@@ -87,6 +107,13 @@
             queue: JobQueue::default(),
             closed: BTreeSet::new(),
             closed_order: std::collections::VecDeque::new(),
+            plan: GuaranteePlan::default(),
+            plan_stale: true,
+            used: BTreeMap::new(),
+            total: TaskDemand::default(),
+            estimates: EstimateTable::default(),
+            passed: None,
+            work: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -123,7 +150,7 @@
                 tasks,
             } => self.take_list(now, &worker, incarnation, &tasks, actions),
             PlannerEvent::ListFailed { worker } => self.fail_list(now, &worker),
-            PlannerEvent::JobAccepted { job } => self.accept_job(now, job),
+            PlannerEvent::JobAccepted { job } => self.accept_job(now, job, actions),
             PlannerEvent::JobCancelled { job } => {
                 self.begin_stop(now, &job, StopPurpose::Cancel, actions);
             }
@@ -148,7 +175,9 @@
             PlannerEvent::StopAnswered { task, result } => {
                 self.take_stop(now, &task, result, actions);
             }
-            PlannerEvent::UsageReported { .. } => {}
+            PlannerEvent::UsageReported { task, memory_mb } => {
+                self.note_usage(now, &task, memory_mb, actions);
+            }
             PlannerEvent::Tick => self.pass_time(now, actions),
         }
     }
@@ -168,6 +197,31 @@
             .collect()
     }
 
+    /// Learned run times and sizes, to be kept over a change of planner.
+    pub const fn estimates(&self) -> &EstimateTable {
+        &self.estimates
+    }
+
+    /// Takes over run times and sizes that an earlier planner learned.
+    pub fn restore_estimates(&mut self, estimates: EstimateTable) {
+        self.estimates = estimates;
+    }
+
+    /// Places of all guaranteed blocks.
+    pub const fn plan(&self) -> &GuaranteePlan {
+        &self.plan
+    }
+
+    /// Capacity of the workers.
+    pub const fn ledger(&self) -> &CapacityLedger {
+        &self.ledger
+    }
+
+    /// Steps of placement decisions so far: jobs and workers that were looked at.
+    pub const fn work(&self) -> u64 {
+        self.work
+    }
+
     /// Whether the seat is held and the state of the workers is known.
     pub fn is_active(&self) -> bool {
         self.seat.is_some_and(|seat| seat.rebuilt)
@@ -179,6 +233,8 @@
         }
         self.version = version;
         self.settings = settings;
+        self.plan.adopt(&self.zone, &self.settings);
+        self.plan_stale = true;
         for entry in self.jobs.values_mut() {
             if entry.class.is_none() {
                 entry.class = self
@@ -210,6 +266,7 @@
             entry.list_asked = None;
         }
         let name = record.name.clone();
+        self.plan_stale = true;
         self.ledger.see_worker(record);
         if restarted {
             self.ask_list(now, &name, actions);
@@ -219,6 +276,7 @@
     fn lose_worker(&mut self, name: &WorkerName) {
         if let Some(entry) = self.workers.get_mut(name) {
             entry.gone = true;
+            self.plan_stale = true;
         }
         self.forget_worker(name);
     }
@@ -236,7 +294,12 @@
         }
     }
 
-    fn accept_job(&mut self, now: MonotonicTime, job: AcceptedJob) {
+    fn accept_job(
+        &mut self,
+        now: MonotonicTime,
+        job: AcceptedJob,
+        actions: &mut Vec<PlannerAction>,
+    ) {
         if self.closed.contains(&job.id) || job.zone != self.zone {
             return;
         }
@@ -252,7 +315,7 @@
         let id = job.id.clone();
         let is_new = job.attempts_started == 0;
         self.jobs.insert(id.clone(), JobEntry::new(job, class, now));
-        if is_new && self.is_active() {
+        if is_new && self.is_active() && !self.refuse_new(now, &id, actions) {
             self.enqueue(now, &id);
         }
     }
@@ -265,6 +328,10 @@
         entry.enter(JobStage::Queued, now);
         entry.delayed_until = None;
         let (kind, job) = queue_place(entry);
+        if let Some(until) = entry.start_by.filter(|_| entry.starts == 0) {
+            let id = id.clone();
+            self.queue.add_deadline(DelayedJob { until, id });
+        }
         self.queue.push(kind, job);
     }
 
@@ -338,7 +405,7 @@
                 entry.incarnation, entry.listed, entry.leaving, entry.gone
             )?;
         }
-        write!(f, "{}", self.ledger)?;
+        write!(f, "{}{}", self.ledger, self.plan)?;
         for (id, entry) in &self.jobs {
             writeln!(
                 f,
--- a/crates/core/src/process/planner/verifier.rs
+++ b/crates/core/src/process/planner/verifier.rs
@@ -5,9 +5,11 @@
 
 use crate::prelude::*;
 use crate::process::planner::event::TaskKey;
+use crate::process::planner::guarantee::GuaranteedBlock;
 use crate::process::planner::job_entry::{JobEntry, JobStage, MemberState};
 use crate::process::planner::ledger::{AcceleratorSet, CapacityLedger, WorkerCapacity};
-use crate::process::planner::state::PlannerState;
+use crate::process::planner::state::{PlannerPolicy, PlannerState};
+use crate::version::settings::BlockAdjacency;
 
 /// One broken invariant.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
@@ -40,6 +42,18 @@
     /// A job that may run once was started again.
     #[error("{0} may run once and was started {1} times; end it as failed instead")]
     Restarted(JobId, u32),
+    /// Two guaranteed blocks are on one accelerator.
+    #[error("guaranteed blocks on {0} overlap; bind each accelerator once")]
+    BoundTwice(WorkerName),
+    /// A guaranteed block is not of the shape that was declared.
+    #[error("a block of {0} with {1} accelerators has another shape; bind it anew")]
+    Misshapen(CustomerName, u32),
+    /// Work that cannot be taken back is on a block of another customer.
+    #[error("{0} cannot be taken back and sits on the block of {1}; place it elsewhere")]
+    Unreclaimable(TaskKey, CustomerName),
+    /// Work that cannot be taken back leaves a block without its other resources.
+    #[error("slots, cores or memory of {0} do not reach for its blocks; place less there")]
+    Starved(WorkerName),
     /// Work is placed without a seat.
     #[error("{0} has members although the seat is not held; drop them with the seat")]
     Unseated(JobId),
@@ -51,6 +65,9 @@
     for (id, entry) in &state.jobs {
         verify_job(state, id, entry, &mut faults);
     }
+    if state.policy == PlannerPolicy::Guarantees && state.is_active() && !state.plan_stale {
+        verify_plan(state, &mut faults);
+    }
     let queued = state
         .jobs
         .values()
@@ -131,6 +148,88 @@
     }
 }
 
+/// Checks that all guaranteed shapes fit at the same time into what is free or can
+/// be taken back. It counts from the blocks and holdings alone.
+fn verify_plan(state: &PlannerState, faults: &mut Vec<PlannerFault>) {
+    let mut bound: BTreeMap<&WorkerName, AcceleratorSet> = BTreeMap::new();
+    for block in state.plan.blocks().iter().filter(|block| block.is_bound()) {
+        if !is_shaped(state, block) {
+            faults.push(PlannerFault::Misshapen(block.customer.clone(), block.size));
+        }
+        for part in &block.parts {
+            let before = bound.entry(&part.worker).or_default();
+            if !before.intersection(part.accelerators).is_empty() {
+                faults.push(PlannerFault::BoundTwice(part.worker.clone()));
+            }
+            *before = before.union(part.accelerators);
+            verify_part(state, block, &part.worker, part.accelerators, faults);
+        }
+    }
+    for name in bound.keys() {
+        let Some(capacity) = state.ledger.worker(name) else {
+            continue;
+        };
+        if !state
+            .plan
+            .leaves_shares(name, &state.worker_view(capacity), None)
+        {
+            faults.push(PlannerFault::Starved((*name).clone()));
+        }
+    }
+}
+
+fn verify_part(
+    state: &PlannerState,
+    block: &GuaranteedBlock,
+    worker: &WorkerName,
+    accelerators: AcceleratorSet,
+    faults: &mut Vec<PlannerFault>,
+) {
+    let holdings = state
+        .ledger
+        .worker(worker)
+        .map(|capacity| &capacity.holdings);
+    for (key, holding) in holdings.into_iter().flatten() {
+        let overlaps = !holding.accelerators.intersection(accelerators).is_empty();
+        let is_pinned = state
+            .job_of(key)
+            .is_some_and(|entry| entry.job.customer != block.customer && state.is_pinned(entry));
+        if holding.granted && overlaps && is_pinned {
+            faults.push(PlannerFault::Unreclaimable(
+                key.clone(),
+                block.customer.clone(),
+            ));
+        }
+    }
+}
+
+/// Whether a block has its size and is as close as declared.
+fn is_shaped(state: &PlannerState, block: &GuaranteedBlock) -> bool {
+    let size: u32 = block
+        .parts
+        .iter()
+        .map(|part| part.accelerators.count())
+        .sum();
+    let racks: BTreeSet<Option<&RackName>> = block
+        .parts
+        .iter()
+        .map(|part| {
+            state
+                .ledger
+                .worker(&part.worker)
+                .map(|capacity| &capacity.record.rack)
+        })
+        .collect();
+    let is_close = match block.adjacency {
+        BlockAdjacency::Worker => {
+            block.parts.len() == 1 && block.parts[0].accelerators.longest_run() == block.size
+        }
+        BlockAdjacency::Rack => racks.len() == 1,
+        BlockAdjacency::Zone => true,
+    };
+    size == block.size && is_close && !racks.contains(&None)
+}
+
 /// Whether a job has the members that its stage calls for.
 fn matches_stage(entry: &JobEntry) -> bool {
     let size = entry.class.as_ref().map_or(0, |class| class.tasks) as usize;
--- a/crates/core/src/process/planner/worker_entry.rs
+++ b/crates/core/src/process/planner/worker_entry.rs
@@ -3,6 +3,7 @@
 
 use crate::prelude::*;
 use crate::process::planner::event::{ListedTask, TaskKey};
+use crate::process::planner::failure::FailureRecord;
 
 /// An outstanding renewal of leases.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -36,6 +37,8 @@
     pub next_list: MonotonicTime,
     /// Outstanding renewal.
     pub renewal: Option<RenewRequest>,
+    /// Its failures, and its quarantine if any.
+    pub failures: FailureRecord,
     /// Its tasks as listed before the planner had rebuilt its state.
     pub found: Vec<ListedTask>,
 }
@@ -43,7 +46,7 @@
 impl WorkerEntry {
     /// Whether new work may be placed on it.
     pub const fn is_usable(&self) -> bool {
-        self.listed && !self.leaving && !self.gone
+        self.listed && !self.leaving && !self.gone && self.failures.until.is_none()
     }
 
     /// Forgets what belongs to a seat that is lost.
--- /dev/null
+++ b/crates/core/tests/planner_guarantee.rs
@@ -0,0 +1,178 @@
+//! Guarantees can always be claimed, by whom they belong to and nobody else.
+
+#[path = "support/planner_zone.rs"]
+#[allow(
+    dead_code,
+    reason = "each test file uses its own part of the fake zone"
+)]
+mod planner_zone;
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::planner::action::{JobEnding, PlannerAction};
+use flamingowalk_core::process::planner::event::ListedState;
+use flamingowalk_core::process::planner::job_entry::JobPhase;
+use flamingowalk_core::process::planner::state::PlannerPolicy;
+use planner_zone::{FakeZone, RequestFate};
+use rstest::rstest;
+
+/// Two racks of two workers; north is owed one worker, south one rack.
+fn open_zone() -> FakeZone {
+    let mut zone = FakeZone::new(2, 2, PlannerPolicy::Guarantees);
+    zone.run_time = Duration::from_hours(2);
+    zone.open();
+    zone
+}
+
+fn running(zone: &FakeZone) -> usize {
+    let views = zone.state.job_views();
+    views
+        .iter()
+        .filter(|view| view.phase == JobPhase::Running)
+        .count()
+}
+
+#[test]
+fn plan_binds_all_shapes() {
+    let zone = open_zone();
+    insta::assert_snapshot!(zone.state.plan().to_string(), @r"
+    block north 8 Worker w02[0,1,2,3,4,5,6,7]
+    block south 16 Rack w00[0,1,2,3,4,5,6,7] w01[0,1,2,3,4,5,6,7]
+    ");
+}
+
+#[rstest]
+#[case::whole_worker("north", "whole")]
+#[case::rack("south", "gang")]
+#[case::saved_lender("south", "lent")]
+fn claim_reclaims_borrowed(#[case] customer: &str, #[case] class: &str) {
+    let mut zone = open_zone();
+    for index in 0..4 {
+        zone.submit_for("west", &format!("b{index}"), "whole");
+    }
+    zone.run();
+    assert_eq!(running(&zone), 4, "idle capacity is lent");
+    zone.submit_for(customer, "claim", class);
+    zone.run();
+    assert_eq!(zone.phase("claim"), Some(JobPhase::Running));
+    assert!(zone.endings.is_empty(), "lenders wait and run again");
+}
+
+#[rstest]
+#[case::no_guarantee("west")]
+#[case::guarantee_of_others("south")]
+fn claim_beyond_guarantee_waits(#[case] customer: &str) {
+    let mut zone = open_zone();
+    zone.submit_for("north", "n0", "whole");
+    zone.submit_for("south", "s0", "gang");
+    zone.submit_for("west", "b0", "whole");
+    zone.run();
+    assert_eq!(running(&zone), 3);
+    zone.submit_for(customer, "more", "whole");
+    zone.run();
+    zone.pass(5);
+    assert_eq!(zone.phase("more"), Some(JobPhase::Queued));
+    assert_eq!(running(&zone), 3, "nobody is stopped for it");
+}
+
+#[test]
+fn pinned_work_keeps_off_guarantees() {
+    let mut zone = open_zone();
+    for index in 0..40 {
+        zone.submit_for("west", &format!("once{index:02}"), "light");
+    }
+    zone.submit_for("west", "pair", "once");
+    zone.run();
+    let ending = zone.ending("pair");
+    assert!(
+        matches!(ending, Some(JobEnding::Refused(_))),
+        "it needs two workers: {ending:?}"
+    );
+    for key in &zone.start_orders {
+        let holder = zone
+            .workers
+            .iter()
+            .find(|(_, worker)| worker.tasks.contains_key(key));
+        let (name, _) = holder.unwrap();
+        assert_eq!(name.as_str(), "w03", "{key} sits on a guaranteed worker");
+    }
+    zone.submit_for("south", "claim", "gang");
+    zone.run();
+    assert_eq!(zone.phase("claim"), Some(JobPhase::Running));
+}
+
+#[test]
+fn pinned_work_on_own_block() {
+    let mut zone = open_zone();
+    zone.submit_for("south", "pair", "once");
+    zone.run();
+    assert_eq!(zone.phase("pair"), Some(JobPhase::Running));
+}
+
+#[rstest]
+#[case::saves(RequestFate::Answered, 0)]
+#[case::answer_lost(RequestFate::AnswerLost, 2)]
+#[case::never_saves(RequestFate::Delayed, 30)]
+fn reclaim_within_bound(#[case] fate: RequestFate, #[case] seconds: u64) {
+    let mut zone = open_zone();
+    zone.submit_for("west", "b0", "lent");
+    zone.submit_for("west", "b1", "lent");
+    zone.run();
+    zone.submit_for("south", "claim", "gang");
+    while let Some(action) = zone.pending.pop_front() {
+        let is_save = matches!(action, PlannerAction::Checkpoint { .. });
+        let fate = if is_save { fate } else { RequestFate::Answered };
+        zone.carry_out(action, fate);
+    }
+    zone.pass(seconds);
+    assert_eq!(zone.phase("claim"), Some(JobPhase::Running));
+}
+
+#[test]
+fn reclaim_saved_job_resumes() {
+    let mut zone = open_zone();
+    zone.submit_for("west", "b0", "lent");
+    zone.submit_for("west", "b1", "lent");
+    zone.run();
+    zone.submit_for("south", "claim", "gang");
+    zone.run();
+    let saved = zone
+        .workers
+        .values()
+        .flat_map(|worker| worker.tasks.values());
+    let count = saved
+        .filter(|task| matches!(task.state, ListedState::Checkpointed(_)))
+        .count();
+    assert_eq!(count, 2, "one lender saved its state");
+    zone.run_time = Duration::from_secs(5);
+    zone.pass(60);
+    for job in ["b0", "b1", "claim"] {
+        assert_eq!(zone.ending(job), Some(&JobEnding::Finished), "{job}");
+    }
+}
+
+/// The lender that lost least work goes first, then the newest.
+#[test]
+fn reclaim_victim_order() {
+    let mut zone = open_zone();
+    zone.submit_for("west", "old", "gang");
+    zone.run();
+    zone.pass(60);
+    zone.submit_for("west", "new", "gang");
+    zone.run();
+    assert_eq!(running(&zone), 2);
+    zone.submit_for("north", "urgent", "urgent");
+    zone.run();
+    assert_eq!(zone.phase("urgent"), Some(JobPhase::Running));
+    assert_eq!(zone.phase("old"), Some(JobPhase::Running));
+    assert_eq!(zone.phase("new"), Some(JobPhase::Queued));
+}
+
+#[test]
+fn worker_lost_blocks_move() {
+    let mut zone = open_zone();
+    zone.leave("w02");
+    zone.pass(1);
+    assert_eq!(zone.state.plan().unbound(), 0);
+    let plan = zone.state.plan().to_string();
+    assert!(plan.contains("block north 8 Worker w03"), "{plan}");
+}
--- a/crates/core/tests/planner_property.rs
+++ b/crates/core/tests/planner_property.rs
@@ -32,7 +32,10 @@
     LogUp(bool),
 }
 
-const CLASSES: [&str; 6] = ["small", "gang", "once", "saved", "light", "urgent"];
+const CLASSES: [&str; 8] = [
+    "small", "gang", "once", "saved", "light", "urgent", "lent", "half",
+];
+const CUSTOMERS: [&str; 3] = ["north", "south", "west"];
 const WORKERS: usize = 4;
 
 fn fates() -> impl Strategy<Value = RequestFate> {
@@ -117,7 +120,8 @@
 
     fn submit(&mut self, class: &'static str) {
         let id = format!("j{:02}", self.jobs.len());
-        self.zone.submit(&id, class);
+        let customer = CUSTOMERS[self.jobs.len() % CUSTOMERS.len()];
+        self.zone.submit_for(customer, &id, class);
         self.jobs.push((JobId::from(id), class));
     }
 
@@ -138,6 +142,7 @@
             return;
         };
         let mut job = self.zone.accepted(id.as_str(), class);
+        job.customer = CUSTOMERS[index % CUSTOMERS.len()].into();
         let starts = self.zone.recorded_starts.get(&id);
         job.attempts_started = starts.copied().unwrap_or(0);
         if !self.zone.endings.contains_key(&id) {
@@ -203,6 +208,16 @@
         ..ProptestConfig::default()
     })]
 
+    #[test]
+    fn random_events_guarantees(steps in prop::collection::vec(steps(), 1..150)) {
+        let mut run = PropertyRun::new(PlannerPolicy::Guarantees);
+        for step in &steps {
+            run.apply(step);
+        }
+        run.drain();
+        run.check();
+    }
+
     #[test]
     fn random_events_first_fit(steps in prop::collection::vec(steps(), 1..150)) {
         let mut run = PropertyRun::new(PlannerPolicy::FirstFit);
--- a/crates/core/tests/support/planner_zone.rs
+++ b/crates/core/tests/support/planner_zone.rs
@@ -12,8 +12,8 @@
 use flamingowalk_core::process::planner::job_entry::{JobPhase, JobView};
 use flamingowalk_core::process::planner::state::{PlannerPolicy, PlannerState};
 use flamingowalk_core::version::settings::{
-    BlockAdjacency, ConfigVersion, JobClass, JobPriority, PolicySettings, SystemSettings,
-    ZoneSettings,
+    BlockAdjacency, ConfigVersion, CustomerSettings, GuaranteedShape, JobClass, JobPriority,
+    PolicySettings, SystemSettings, ZoneSettings,
 };
 
 /// What becomes of one request to a worker.
@@ -135,7 +135,12 @@
     }
 
     pub fn submit(&mut self, id: &str, class: &str) {
-        let job = self.accepted(id, class);
+        self.submit_for("north", id, class);
+    }
+
+    pub fn submit_for(&mut self, customer: &str, id: &str, class: &str) {
+        let mut job = self.accepted(id, class);
+        job.customer = customer.into();
         self.send(PlannerEvent::JobAccepted { job });
     }
 
@@ -574,6 +579,20 @@
     }
 }
 
+pub fn customer(blocks: u32, size: u32, adjacency: BlockAdjacency) -> CustomerSettings {
+    CustomerSettings {
+        weight: 1,
+        max_calls: 0,
+        max_queued_jobs: 1_000,
+        guarantees: vec![GuaranteedShape {
+            zone: "zone-a".into(),
+            blocks,
+            size,
+            adjacency,
+        }],
+    }
+}
+
 fn settings(racks: u32, workers_per_rack: u32) -> SystemSettings {
     let zone = ZoneSettings {
         region: "region".into(),
@@ -601,6 +620,10 @@
         attempts: 1,
         ..class(1, 0)
     };
+    let lent = JobClass {
+        checkpoint: true,
+        ..class(2, 8)
+    };
     let urgent = JobClass {
         priority: JobPriority::Urgent,
         ..class(1, 4)
@@ -614,8 +637,19 @@
             ("saved".into(), saved),
             ("light".into(), light),
             ("urgent".into(), urgent),
+            ("lent".into(), lent),
+            ("half".into(), class(1, 4)),
+            ("whole".into(), class(1, 8)),
+            ("wide".into(), class(4, 8)),
         ]),
-        policy: PolicySettings::default(),
+        customers: BTreeMap::from([
+            ("north".into(), customer(1, 8, BlockAdjacency::Worker)),
+            ("south".into(), customer(1, 16, BlockAdjacency::Rack)),
+        ]),
+        policy: PolicySettings {
+            weight: 1.0,
+            ..PolicySettings::default()
+        },
         ..SystemSettings::default()
     }
 }
