--- a/crates/core/src/process/planner/ledger.rs
+++ b/crates/core/src/process/planner/ledger.rs
@@ -120,6 +120,9 @@
     pub demand: TaskDemand,
     /// Accelerators held: predicted until the worker answers, then as it says.
     pub accelerators: AcceleratorSet,
+    /// Whether the worker named the accelerators, and has not named one of them
+    /// for a later task since.
+    pub granted: bool,
     /// Order in which the ledger took the holding on; never used twice.
     pub generation: u64,
 }
@@ -133,8 +136,8 @@
     pub holdings: BTreeMap<TaskKey, TaskHolding>,
     /// Accelerators that no holding has; always equal to a recount.
     pub free: AcceleratorSet,
-    /// Slots, cores and memory that no holding has, zero where more is held than
-    /// there is; `free.accelerators` counts the set above. Always equal to a recount.
+    /// Resources that no holding has, zero where more is held than there is.
+    /// Never more accelerators than are in `free`. Always equal to a recount.
     pub spare: TaskDemand,
 }
 
@@ -175,10 +178,52 @@
         for holding in self.holdings.values() {
             spare = subtract(spare, holding.demand);
         }
-        spare.accelerators = self.recounted_free().count();
+        spare.accelerators = spare.accelerators.min(self.recounted_free().count());
         spare
     }
 
+    /// Doubts older grants that overlap the one of `key`: the worker has ended
+    /// those tasks, and its list will say so.
+    fn doubt_others(&mut self, key: &TaskKey, accelerators: AcceleratorSet) {
+        let others = self.holdings.iter_mut().filter(|(other, _)| *other != key);
+        for (_, holding) in others {
+            if !holding.accelerators.intersection(accelerators).is_empty() {
+                holding.granted = false;
+            }
+        }
+    }
+
+    /// Predicts again what unanswered reservations will get, after the worker
+    /// named other accelerators than were predicted for some task.
+    fn predict(&mut self) {
+        let all = AcceleratorSet::block(0, self.total().accelerators);
+        let mut free = self
+            .holdings
+            .values()
+            .filter(|holding| holding.granted)
+            .fold(all, |free, holding| free.difference(holding.accelerators));
+        let mut displaced = Vec::new();
+        for (key, holding) in self.holdings.iter().filter(|(_, holding)| !holding.granted) {
+            let is_free = holding.accelerators.difference(free).is_empty();
+            let is_counted = holding.accelerators.count() == holding.demand.accelerators;
+            if is_free && is_counted {
+                free = free.difference(holding.accelerators);
+            } else {
+                displaced.push(key.clone());
+            }
+        }
+        for key in displaced {
+            let Some(holding) = self.holdings.get_mut(&key) else {
+                continue;
+            };
+            if let Some(block) = free.best_block(holding.demand.accelerators) {
+                holding.accelerators = block;
+                free = free.difference(block);
+            }
+        }
+        self.recount();
+    }
+
     fn recount(&mut self) {
         self.free = self.recounted_free();
         self.spare = self.recounted_spare();
@@ -217,9 +262,16 @@
     holders: BTreeMap<TaskKey, WorkerName>,
     /// Generation of the newest holding.
     generation: u64,
+    /// Changes so far.
+    changes: u64,
 }
 
 impl CapacityLedger {
+    /// Changes so far; equal numbers mean equal contents.
+    pub const fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Workers by name.
     pub const fn workers(&self) -> &BTreeMap<WorkerName, WorkerCapacity> {
         &self.workers
@@ -243,6 +295,7 @@
 
     /// Adds a worker or takes over its changed resources; holdings stay.
     pub fn see_worker(&mut self, record: WorkerRecord) {
+        self.changes += 1;
         if let Some(capacity) = self.workers.get_mut(&record.name) {
             capacity.record = record;
             capacity.recount();
@@ -254,6 +307,7 @@
 
     /// Removes a worker with all its holdings.
     pub fn remove_worker(&mut self, name: &WorkerName) {
+        self.changes += 1;
         let Some(capacity) = self.workers.remove(name) else {
             return;
         };
@@ -264,6 +318,7 @@
 
     /// Drops every holding, as after the loss of the seat.
     pub fn clear_holdings(&mut self) {
+        self.changes += 1;
         self.holders.clear();
         for capacity in self.workers.values_mut() {
             capacity.holdings.clear();
@@ -283,7 +338,7 @@
         let Some(accelerators) = capacity.free.best_block(demand.accelerators) else {
             return false;
         };
-        self.insert(worker, key, demand, accelerators);
+        self.insert(worker, key, demand, accelerators, false);
         true
     }
 
@@ -296,7 +351,7 @@
         accelerators: AcceleratorSet,
     ) {
         self.release(key);
-        self.insert(worker, key, demand, accelerators);
+        self.insert(worker, key, demand, accelerators, true);
     }
 
     /// Takes over the accelerators that the worker granted to a held task.
@@ -307,10 +362,13 @@
         let Some(capacity) = self.workers.get_mut(worker) else {
             return;
         };
+        self.changes += 1;
         if let Some(holding) = capacity.holdings.get_mut(key) {
             holding.accelerators = accelerators;
+            holding.granted = true;
         }
-        capacity.recount();
+        capacity.doubt_others(key, accelerators);
+        capacity.predict();
     }
 
     /// Drops the holding of a task, if any.
@@ -318,6 +376,7 @@
         let Some(worker) = self.holders.remove(key) else {
             return;
         };
+        self.changes += 1;
         if let Some(capacity) = self.workers.get_mut(&worker) {
             capacity.holdings.remove(key);
             capacity.recount();
@@ -330,18 +389,24 @@
         key: &TaskKey,
         demand: TaskDemand,
         accelerators: AcceleratorSet,
+        granted: bool,
     ) {
         let Some(capacity) = self.workers.get_mut(worker) else {
             return;
         };
         self.generation += 1;
+        self.changes += 1;
         let holding = TaskHolding {
             demand,
             accelerators,
+            granted,
             generation: self.generation,
         };
         capacity.holdings.insert(key.clone(), holding);
-        capacity.recount();
+        if granted {
+            capacity.doubt_others(key, accelerators);
+        }
+        capacity.predict();
         self.holders.insert(key.clone(), worker.clone());
     }
 }
