--- a/crates/node/tests/call_faults.rs
+++ b/crates/node/tests/calls/call_faults.rs
@@ -1,13 +1,9 @@
 //! The fault table of calls over real connections: each point of failure,
 //! idempotent or not, against the answer to the caller and the number of runs.
 
-#[path = "support/faulty_target.rs"]
-mod faulty_target;
-
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use faulty_target::{TargetFault, TargetScript};
 use flamingowalk_core::connection::liveness::LivenessRules;
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::router::table::TargetRecord;
@@ -27,6 +23,8 @@
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
+use crate::faulty_target::{TargetFault, TargetScript};
+
 const BODY_LIMIT: u64 = 32 * 1024 * 1024;
 
 /// Larger than what the system takes over for sending while nobody reads.
--- a/crates/standin/src/worker/calls.rs
+++ b/crates/standin/src/worker/calls.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use flamingowalk_wire::target::TargetRefusal;
 use http_body_util::Full;
-use hyper::header::HeaderName;
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
 use tokio::time::sleep;
 
@@ -16,6 +16,8 @@
 use crate::server::WholeRequest;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("flamingowalk-request-id");
+/// Proves that a call which failed had run.
+const RAN: HeaderName = HeaderName::from_static("flamingowalk-ran");
 
 /// Frees the slot of a call, also when its connection breaks off.
 struct CallSlot<'a> {
@@ -35,26 +37,35 @@
     worker: String,
 }
 
-/// Runs a call on its slot, or refuses it without an effect.
+/// Runs a call on its slot, or refuses it without an effect. Either reply carries
+/// the identifier of its request.
 pub(super) async fn run(shared: &SharedWorker, service: &str, request: &WholeRequest) -> Reply {
     let id = request.headers.get(&REQUEST_ID);
     let text = id.and_then(|value| value.to_str().ok()).unwrap_or_default();
-    let plan = match shared.with_state(|state| admit(state, service, text)) {
-        Ok(plan) => plan,
-        Err(refusal) => return reply::json(StatusCode::SERVICE_UNAVAILABLE, &refusal),
+    let mut reply = match shared.with_state(|state| admit(state, service, text)) {
+        Ok(plan) => carry_out(shared, &plan, service, request).await,
+        Err(refusal) => reply::json(StatusCode::SERVICE_UNAVAILABLE, &refusal),
     };
+    if let Some(id) = id {
+        reply.headers_mut().insert(REQUEST_ID, id.clone());
+    }
+    reply
+}
+
+async fn carry_out(
+    shared: &SharedWorker,
+    plan: &CallPlan,
+    service: &str,
+    request: &WholeRequest,
+) -> Reply {
     let slot = CallSlot { shared };
     sleep(plan.time).await;
     drop(slot);
-    let mut reply = if plan.failing {
-        failure(&plan)
+    if plan.failing {
+        failure(plan)
     } else {
-        answer(&plan, service, &request.body)
-    };
-    if let Some(id) = id {
-        reply.headers_mut().insert(REQUEST_ID, id.clone());
+        answer(plan, service, &request.body)
     }
-    reply
 }
 
 fn admit(state: &mut WorkerState, service: &str, id: &str) -> Result<CallPlan, TargetRefusal> {
@@ -90,4 +101,7 @@
     let mut reply = Response::new(Full::new(Bytes::from(text)));
     *reply.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
     reply
+        .headers_mut()
+        .insert(RAN, HeaderValue::from_static("true"));
+    reply
 }
