--- a/crates/core/tests/log/follower.rs
+++ b/crates/core/tests/log/follower.rs
@@ -237,6 +237,55 @@
     assert!(reader.follower.counters().applied < pages);
 }
 
+/// A late answer to a read of an earlier scan must not let the present scan pass
+/// over the snapshot.
+#[test]
+fn follow_late_answer_of_earlier_scan() {
+    let mut log = filled(900);
+    let covers = LogOffset(log.tail);
+    write_snapshot(&mut log, covers);
+    filled(4_000).records.iter().for_each(|record| {
+        log.append(&record.id, record.entry.clone());
+    });
+    log.first = 5;
+    let mut reader = Reader::new();
+    reader.pass(TICK);
+    reader.answer(&log, ReadId(0));
+    let late = *reader
+        .open
+        .keys()
+        .next()
+        .expect("the first read of the scan");
+    let scan_start = reader.open[&late].0;
+    reader.pass(Duration::from_secs(3));
+    while reader.open.values().all(|(from, _)| *from >= scan_start) {
+        let newest = *reader.open.keys().last().expect("a read");
+        reader.answer(&log, newest);
+        reader.pass(TICK);
+    }
+    reader.answer(&log, late);
+    reader.run(&log, Duration::from_secs(10));
+    assert_eq!(reader.events, [format!("restore {covers}")]);
+}
+
+/// Hosts that lost records to retention agree on the next snapshot.
+#[test]
+fn follow_agrees_after_loss() {
+    let mut log = filled(50);
+    log.first = 20;
+    let mut reader = Reader::new();
+    reader.run(&log, SNAPSHOT_WAIT + Duration::from_secs(3));
+    let covers = LogOffset(log.tail);
+    log.append(&RecordId::from("more"), cancelled("j"));
+    write_snapshot(&mut log, covers);
+    reader.run(&log, Duration::from_secs(3));
+    assert_eq!(
+        reader.events,
+        ["abandoned offset20".to_owned(), format!("restore {covers}")]
+    );
+    assert_eq!(reader.offsets, offsets_from(&log, covers.0));
+}
+
 #[test]
 fn follow_regressed_log() {
     let mut log = filled(30);
