--- a/crates/node/src/process/event_loop.rs
+++ b/crates/node/src/process/event_loop.rs
@@ -4,6 +4,7 @@
 use flamingowalk_core::process::planner::action::PlannerAction;
 use flamingowalk_core::process::planner::event::{PlannerEvent, SeatTerm};
 use flamingowalk_core::process::planner::state::PlannerState;
+use flamingowalk_core::process::router::table::TargetRecord;
 use flamingowalk_core::process::seat::SeatEvent;
 use flamingowalk_core::version::folder_check::parse_canonical;
 use flamingowalk_core::version::settings::ConfigVersion;
@@ -13,9 +14,11 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::border::caller::JobFault;
-use crate::border::hosts::HostListing;
+use crate::border::hosts::{HostListing, ListedWorker};
 use crate::border::log::{LogPage, StoredRecord};
 use crate::connection::http_client::{ExchangeFault, HttpClient};
+use crate::connection::http_server::ServePhase;
+use crate::process::call_port::CallMessage;
 use crate::process::counters::{
     CONFIG_VERSION, LIST_READS, LOG_READS, OPEN_JOBS, RECORDS_SKIPPED, SEAT_HELD,
 };
@@ -26,52 +29,63 @@
     JobChange, acceptance_record, cancellation_record, ending_record, start_record,
 };
 use crate::process::planner_port::PlannerPort;
-use crate::request::call_request::{CallFault, CallReply, CallRequest};
+use crate::request::call::CallContext;
 
 /// Time a caller of a job request waits for the log.
 const RECORD_WAIT: Duration = Duration::from_secs(5);
 /// Suggested delay before a refused job request is repeated.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
-/// Runs until every sender of events is gone or the drain is over.
+/// Runs until the drain is over.
 pub async fn run_loop(
     mut state: HostState,
     client: HttpClient,
-    events: EventSender,
+    calls: CallContext,
     mut arrivals: mpsc::UnboundedReceiver<HostEvent>,
 ) {
     let mut actions = Vec::new();
     while let Some(event) = arrivals.recv().await {
-        handle_event(&mut state, &client, &events, event, &mut actions);
-        if is_drained(&state) {
+        handle_event(&mut state, &client, &calls, event, &mut actions);
+        if is_drained(&mut state) {
             break;
         }
     }
-    state.drained.send_replace(true);
 }
 
-fn is_drained(state: &HostState) -> bool {
+/// Moves the shutdown on: readiness goes first, so that the balancer sends no new
+/// connections; after the wait the listener closes and each connection ends after
+/// its request; nothing is cut before the limit.
+fn is_drained(state: &mut HostState) -> bool {
     let Some(since) = state.drain_since else {
         return false;
     };
     let elapsed = state.clock.now().since(since);
-    let waited = elapsed >= state.settings.drain_wait;
-    (waited && state.call_count == 0) || elapsed >= state.settings.drain_limit
+    let phase = if elapsed >= state.settings.drain_limit {
+        ServePhase::Cut
+    } else if elapsed >= state.settings.drain_wait {
+        ServePhase::Closing
+    } else {
+        ServePhase::Accepting
+    };
+    state
+        .phase
+        .send_if_modified(|current| std::mem::replace(current, phase) != phase);
+    phase == ServePhase::Cut || (state.server_ended && state.calls.open_calls() == 0)
 }
 
 fn handle_event(
     state: &mut HostState,
     client: &HttpClient,
-    events: &EventSender,
+    calls: &CallContext,
     event: HostEvent,
     actions: &mut Vec<PlannerAction>,
 ) {
     match event {
-        HostEvent::CallArrived { request, reply } => answer_call(state, &request, reply),
-        HostEvent::CallEnded { target } => {
-            state.calls.release(&target);
-            state.call_count = state.call_count.saturating_sub(1);
+        HostEvent::Call(message) => {
+            let now = state.clock.now();
+            return state.calls.handle(message, now);
         }
+        HostEvent::ServerEnded => state.server_ended = true,
         HostEvent::JobSubmitted { submission, reply } => accept_job(state, &submission, reply),
         HostEvent::JobAsked { job, reply } => {
             let status = state
@@ -109,47 +123,12 @@
                 plan(state, event, actions);
             }
         }
-        HostEvent::Ticked => tick(state, client, events, actions),
+        HostEvent::Ticked => tick(state, client, calls, actions),
     }
     append_seat_records(state);
     carry_out(state, actions);
 }
 
-fn answer_call(state: &mut HostState, request: &CallRequest, reply: oneshot::Sender<CallReply>) {
-    let result = choose_target(state, request);
-    let chosen = result.is_ok();
-    let target = result.as_ref().ok().cloned();
-    if reply.send(result).is_ok() {
-        state.call_count += u32::from(chosen);
-    } else if let Some(target) = target {
-        state.calls.release(&target);
-    }
-}
-
-fn choose_target(state: &mut HostState, request: &CallRequest) -> CallReply {
-    let customer = &request.headers.customer;
-    if !state.system.customers.contains_key(customer) {
-        let text = format!("customer {customer} is not declared; add it to the operator folder");
-        return Err(CallFault::Invalid(text));
-    }
-    let Some(service) = state.system.services.get(&request.service) else {
-        let text = format!(
-            "service {} is not declared; check its name",
-            request.service
-        );
-        return Err(CallFault::Invalid(text));
-    };
-    if request.body.len() as u64 > service.max_body_bytes {
-        let text = format!(
-            "the body exceeds {} bytes; send less",
-            service.max_body_bytes
-        );
-        return Err(CallFault::Invalid(text));
-    }
-    let deadline = request.headers.deadline.unwrap_or(service.default_deadline);
-    state.calls.choose(request, deadline, &mut state.rng)
-}
-
 fn accept_job(
     state: &mut HostState,
     submission: &JobSubmission,
@@ -306,6 +285,7 @@
     state.system = Arc::new(settings);
     gauge!(CONFIG_VERSION).set(version.0 as f64);
     log::info!(host = state.settings.name.as_str(), version = version.0; "configuration adopted");
+    state.calls.adopt(Arc::clone(&state.system));
     let settings = Arc::clone(&state.system);
     plan(
         state,
@@ -356,7 +336,9 @@
     if listing.revision < state.listing.revision {
         return;
     }
-    state.calls.update(&listing.workers);
+    let hosts = listing.hosts.iter().filter(|host| !host.leaving).count() as u32;
+    let records = listing.workers.iter().map(target_record).collect();
+    state.calls.update(records, hosts);
     let now = state.clock.now();
     let before = std::mem::replace(&mut state.listing, listing);
     let peers = state.zone_hosts();
@@ -391,18 +373,33 @@
     }
 }
 
+fn target_record(worker: &ListedWorker) -> TargetRecord {
+    TargetRecord {
+        name: worker.record.name.clone(),
+        zone: worker.zone.clone(),
+        address: worker.address,
+        incarnation: worker.record.incarnation,
+        leaving: worker.record.leaving,
+        services: worker.record.services.clone(),
+        slots: worker.record.slots,
+        connections: worker.connections,
+    }
+}
+
 fn tick(
     state: &mut HostState,
     client: &HttpClient,
-    events: &EventSender,
+    calls: &CallContext,
     actions: &mut Vec<PlannerAction>,
 ) {
     let now = state.clock.now();
+    calls.pool.sweep(now);
+    probe_targets(state, calls, now);
     state.jobs.answer_waiters(now);
     let may_start = state.seat.may_start(now);
     gauge!(SEAT_HELD).set(f64::from(u8::from(may_start)));
     if may_start && state.planner.is_none() && state.is_ready() {
-        gain_seat(state, client, events, actions);
+        gain_seat(state, client, &calls.events, actions);
     } else if !may_start && state.planner.is_some() {
         log::info!(host = state.settings.name.as_str(); "planner seat lost");
         state.planner = None;
@@ -411,6 +408,25 @@
     state.seat.handle(now, SeatEvent::Tick);
 }
 
+fn probe_targets(state: &mut HostState, calls: &CallContext, now: MonotonicTime) {
+    for due in state.calls.due_probes(now) {
+        let calls = calls.clone();
+        tokio::task::spawn_local(async move {
+            let clock = calls.clock;
+            let is_answered = calls
+                .pool
+                .probe_target(due.address, move || clock.now())
+                .await;
+            let message = CallMessage::Probed {
+                index: due.index,
+                is_answered,
+            };
+            // A loop that has ended routes no more calls.
+            let _ = calls.events.send(HostEvent::Call(message));
+        });
+    }
+}
+
 fn append_seat_records(state: &mut HostState) {
     let records = state.seat.take_records();
     let stream = LogStream::Seat(state.settings.zone.clone());
--- a/crates/node/src/process/host_event.rs
+++ b/crates/node/src/process/host_event.rs
@@ -9,8 +9,8 @@
 use crate::border::hosts::HostListing;
 use crate::border::log::LogPage;
 use crate::connection::http_client::ExchangeFault;
+use crate::process::call_port::CallMessage;
 use crate::process::state_dump::StateDump;
-use crate::request::call_request::{CallReply, CallRequest, CallTarget};
 
 /// Sends events to the loop.
 pub type EventSender = mpsc::UnboundedSender<HostEvent>;
@@ -40,18 +40,8 @@
 /// An event of the loop.
 #[derive(Debug)]
 pub enum HostEvent {
-    /// A caller sent a call.
-    CallArrived {
-        /// The call.
-        request: CallRequest,
-        /// Where its reply goes.
-        reply: oneshot::Sender<CallReply>,
-    },
-    /// A call left its target.
-    CallEnded {
-        /// Target of the call.
-        target: CallTarget,
-    },
+    /// The task of a call has something to tell.
+    Call(CallMessage),
     /// A caller submitted a job.
     JobSubmitted {
         /// The submission.
@@ -88,6 +78,8 @@
         /// Where the reply goes.
         reply: oneshot::Sender<bool>,
     },
+    /// The last connection of a caller has ended.
+    ServerEnded,
     /// The host is to shut down gracefully.
     DrainAsked,
     /// A page of a stream was read, or not.
--- a/crates/node/src/process/host_state.rs
+++ b/crates/node/src/process/host_state.rs
@@ -7,12 +7,12 @@
 use flamingowalk_core::process::seat::RosterMember;
 use flamingowalk_core::version::settings::{ConfigVersion, SystemSettings};
 use flamingowalk_wire::caller::HostStatus;
-use rand_chacha::ChaCha8Rng;
 use tokio::sync::{mpsc, watch};
 
 use crate::border::hosts::{HostListing, ListedHost};
 use crate::border::log::NewRecord;
-use crate::process::call_desk::CallDesk;
+use crate::connection::http_server::ServePhase;
+use crate::process::call_port::CallPort;
 use crate::process::host_clock::HostClock;
 use crate::process::host_event::LogStream;
 use crate::process::host_settings::HostSettings;
@@ -50,8 +50,6 @@
     pub incarnation: u64,
     /// Clocks.
     pub clock: HostClock,
-    /// Random numbers for routing.
-    pub rng: ChaCha8Rng,
     /// Version in force; never decreases.
     pub config_version: ConfigVersion,
     /// Settings of the version in force.
@@ -62,8 +60,8 @@
     pub writers: BTreeMap<LogStream, mpsc::UnboundedSender<NewRecord>>,
     /// Newest reading of the host list.
     pub listing: HostListing,
-    /// Targets of calls.
-    pub calls: CallDesk,
+    /// Calls and their targets.
+    pub calls: CallPort,
     /// Jobs of the log.
     pub jobs: JobDesk,
     /// Seat of the zone.
@@ -72,10 +70,10 @@
     pub planner: Option<SeatedPlanner>,
     /// When the drain began.
     pub drain_since: Option<MonotonicTime>,
-    /// Tells the listener to finish.
-    pub drained: watch::Sender<bool>,
-    /// Calls in flight.
-    pub call_count: u32,
+    /// Tells the server how far the shutdown is.
+    pub phase: watch::Sender<ServePhase>,
+    /// Whether the last connection of a caller has ended.
+    pub server_ended: bool,
 }
 
 impl HostState {
@@ -100,7 +98,7 @@
 
     /// Address of a listed worker.
     pub fn worker_address(&self, name: &WorkerName) -> Option<SocketAddr> {
-        self.calls.targets.get(name).map(|entry| entry.address)
+        self.calls.target_address(name)
     }
 
     /// Listed entry hosts of this zone that are not leaving.
@@ -162,7 +160,7 @@
             incarnation: self.incarnation,
             ready: self.is_ready(),
             draining: self.drain_since.is_some(),
-            calls: self.call_count,
+            calls: self.calls.open_calls(),
             config_version: self.config_version.0,
         }
     }
@@ -178,13 +176,14 @@
     }
 
     fn target_sections(&self) -> Vec<TargetSection> {
-        let targets = self.calls.targets.iter();
-        let sections = targets.map(|(name, entry)| TargetSection {
-            name: name.to_string(),
-            zone: entry.zone.to_string(),
+        let targets = self.calls.desk.table.entries().values();
+        let sections = targets.map(|entry| TargetSection {
+            name: entry.record.name.to_string(),
+            zone: entry.record.zone.to_string(),
             in_flight: entry.in_flight,
-            slots: entry.slots,
-            leaving: entry.leaving,
+            slots: entry.record.slots,
+            leaving: entry.record.leaving,
+            health: entry.health.state().to_string(),
         });
         sections.collect()
     }
