Books restore each for its own stream; follower reads with long polls

Cause: configuration, jobs and seat have a stream each, so one restore for all books would empty the others; reads wait at the tail in place of polling. Change: the job book restores itself and tells what opened, closed or changed; it holds the zones declared lost; reads at the tail follow each other at least half a second apart.

--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -10,7 +10,6 @@
 pub mod log_follower;
 pub mod planner;
 pub mod record;
-pub mod record_books;
 pub mod retry_backoff;
 pub mod router;
 pub mod seat;
--- a/crates/core/src/process/job_book.rs
+++ b/crates/core/src/process/job_book.rs
@@ -7,8 +7,8 @@
 
 use crate::prelude::*;
 use crate::process::record::{
-    AcceptedEntry, CancelledEntry, EndedEntry, LogEntry, LogOffset, MovedEntry, StartedEntry,
-    StoredEntry,
+    AcceptedEntry, CancelledEntry, EndedEntry, LogEntry, LogOffset, LostEntry, MovedEntry,
+    StartedEntry, StoredEntry,
 };
 
 /// Most time between the accepting host's clock and the platform's when an
@@ -55,10 +55,24 @@
         /// Home zone until now.
         from: ZoneName,
     },
+    /// An operator declared a zone lost.
+    ZoneLost(ZoneName),
     /// Nothing.
     Void(VoidReason),
 }
 
+/// What a snapshot changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RestoreChange {
+    /// Jobs that were open and are no more: they ended, or were forgotten, by
+    /// records that are lost.
+    pub closed: Vec<JobId>,
+    /// Jobs that are open and were not known as such.
+    pub opened: Vec<JobId>,
+    /// Open jobs whose records differ from those known.
+    pub changed: Vec<JobId>,
+}
+
 /// A part of a job's history and the record that says it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Recorded<T> {
@@ -148,6 +162,8 @@
     /// Latest time of an append seen; never goes back. Forgetting goes by it, so
     /// that it depends on the records alone.
     log_time: WallTime,
+    /// Latest word that a zone is lost, by zone.
+    lost_zones: BTreeMap<ZoneName, StoredEntry>,
     void: BTreeMap<VoidReason, u64>,
 }
 
@@ -173,6 +189,11 @@
         self.jobs.iter().filter(|(_, job)| job.is_open())
     }
 
+    /// Zones that operators declared lost.
+    pub fn lost_zones(&self) -> impl Iterator<Item = &ZoneName> {
+        self.lost_zones.keys()
+    }
+
     /// Records without effect, by reason.
     pub fn void_records(&self) -> &BTreeMap<VoidReason, u64> {
         &self.void
@@ -193,6 +214,7 @@
             LogEntry::JobStarted(entry) => self.start(record, entry),
             LogEntry::JobEnded(entry) => self.end(record, entry),
             LogEntry::JobMoved(entry) => self.move_home(record, entry),
+            LogEntry::ZoneLost(entry) => Ok(self.lose_zone(record, entry)),
             _ => return None,
         };
         Some(self.counted(change))
@@ -205,10 +227,44 @@
             .values()
             .flat_map(JobRecord::live_entries)
             .collect();
+        entries.extend(self.lost_zones.values().cloned());
         entries.sort_by_key(|entry| entry.offset);
         entries
     }
 
+    /// Replaces everything by the records of a snapshot, oldest first. Counters of
+    /// void records go on.
+    pub fn restore(&mut self, records: &[StoredEntry]) -> RestoreChange {
+        let mut restored = Self::default();
+        for record in records {
+            restored.apply(record);
+        }
+        restored.log_time = restored.log_time.max(self.log_time);
+        restored.void = std::mem::take(&mut self.void);
+        let before = std::mem::replace(self, restored);
+        self.compare(&before)
+    }
+
+    fn compare(&self, before: &Self) -> RestoreChange {
+        let mut change = RestoreChange::default();
+        let is_open = |book: &Self, id: &JobId| book.get(id).is_some_and(JobRecord::is_open);
+        let closed = before.open_jobs().filter(|(id, _)| !is_open(self, id));
+        change.closed = closed.map(|(id, _)| id.clone()).collect();
+        for (id, job) in self.open_jobs() {
+            if !is_open(before, id) {
+                change.opened.push(id.clone());
+            } else if before.get(id) != Some(job) {
+                change.changed.push(id.clone());
+            }
+        }
+        change
+    }
+
+    fn lose_zone(&mut self, record: &StoredEntry, entry: &LostEntry) -> JobChange {
+        self.lost_zones.insert(entry.zone.clone(), record.clone());
+        JobChange::ZoneLost(entry.zone.clone())
+    }
+
     /// Forgets ended jobs. A job is kept while the log may still hold a copy of
     /// its acceptance.
     fn advance(&mut self, now: WallTime) {
@@ -355,6 +411,9 @@
                 None => writeln!(f)?,
             }
         }
+        for zone in self.lost_zones.keys() {
+            writeln!(f, "  zone {zone} declared lost")?;
+        }
         Ok(())
     }
 }
--- a/crates/core/src/process/log_follower.rs
+++ b/crates/core/src/process/log_follower.rs
@@ -15,14 +15,16 @@
 use crate::process::retry_backoff::RetryBackoff;
 use crate::process::snapshot::{Snapshot, SnapshotCollector};
 
-/// Wait between reads at the tail of the log.
+/// Time for which a read waits at the tail of the log for a record to come.
+pub const TAIL_WAIT: Duration = Duration::from_secs(1);
+/// Least time from one read at the tail to the next, for a log that does not wait.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Most records of a page.
 pub const PAGE_RECORDS: u32 = 256;
 /// Time without an answer after which a second read is sent, on another
 /// connection. Doubles while nothing is answered and follows the time of the
 /// latest answer, for a log that is merely slow.
-const READ_PATIENCE: Duration = Duration::from_secs(2);
+const READ_PATIENCE: Duration = Duration::from_secs(3);
 /// Longest patience; with `READ_LIMIT` reads it outlasts an answer of 30 s.
 const LONGEST_PATIENCE: Duration = Duration::from_secs(16);
 /// Most reads without an answer; the oldest is given up for a new one.
--- a/crates/core/src/process/record.rs
+++ b/crates/core/src/process/record.rs
@@ -7,6 +7,7 @@
 use crate::prelude::*;
 use crate::process::planner::action::JobEnding;
 use crate::process::planner::event::SeatTerm;
+use crate::process::seat::SeatRecord;
 use crate::version::settings::ConfigVersion;
 
 /// Place of a record in the stream. Increases; gaps are possible.
@@ -28,7 +29,7 @@
 }
 
 /// A record with its place in the stream.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoredEntry {
     /// Place in the stream.
     pub offset: LogOffset,
@@ -41,7 +42,7 @@
 }
 
 /// What a record says.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum LogEntry {
     /// A published configuration.
     Config(ConfigEntry),
@@ -57,6 +58,8 @@
     JobMoved(MovedEntry),
     /// An operator declared a zone lost.
     ZoneLost(LostEntry),
+    /// A record of a zone's planner seat.
+    Seat(SeatEntry),
     /// A part of a snapshot.
     Snapshot(SnapshotChunk),
     /// A record of an unknown kind or schema, or with a malformed body.
@@ -168,8 +171,17 @@
     pub declared_at: WallTime,
 }
 
+/// A record of a zone's planner seat.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SeatEntry {
+    /// The zone.
+    pub zone: ZoneName,
+    /// What it says about the seat.
+    pub record: SeatRecord,
+}
+
 /// Part of the live state at one offset, appended again.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SnapshotChunk {
     /// Offset before which all records are covered.
     pub covers_until: LogOffset,
--- a/crates/core/tests/log/fake.rs
+++ b/crates/core/tests/log/fake.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 
 use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::config_book::ConfigBook;
+use flamingowalk_core::process::job_book::{JobBook, RestoreChange};
 use flamingowalk_core::process::log_follower::ReadPage;
 use flamingowalk_core::process::planner::action::JobEnding;
 use flamingowalk_core::process::planner::event::SeatTerm;
@@ -10,6 +12,7 @@
     AcceptedEntry, CancelledEntry, ConfigEntry, EndedEntry, LogEntry, LogOffset, MovedEntry,
     StartedEntry, StoredEntry,
 };
+use flamingowalk_core::process::snapshot::Snapshot;
 use flamingowalk_core::version::content_hash;
 use flamingowalk_core::version::settings::ConfigVersion;
 use rand_chacha::ChaCha8Rng;
@@ -69,6 +72,32 @@
     }
 }
 
+/// The books of all kinds of records, as if they came in one stream.
+#[derive(Default)]
+pub struct Books {
+    pub config: ConfigBook,
+    pub jobs: JobBook,
+}
+
+impl Books {
+    pub fn apply(&mut self, record: &StoredEntry) {
+        self.config.apply(record);
+        self.jobs.apply(record);
+    }
+
+    pub fn restore(&mut self, snapshot: &Snapshot) -> RestoreChange {
+        self.config.restore(&snapshot.records);
+        self.jobs.restore(&snapshot.records)
+    }
+
+    pub fn live_entries(&self) -> Vec<StoredEntry> {
+        let mut entries = self.config.live_entries();
+        entries.extend(self.jobs.live_entries());
+        entries.sort_by_key(|entry| entry.offset);
+        entries
+    }
+}
+
 pub fn random(seed: u64) -> ChaCha8Rng {
     ChaCha8Rng::seed_from_u64(seed)
 }
