--- a/crates/cli/src/publish.rs
+++ b/crates/cli/src/publish.rs
@@ -6,7 +6,9 @@
 
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::version::{check_folder, content_hash, parse_canonical};
-use flamingowalk_node::border::log::{NewRecord, StoredRecord, append_records, read_page};
+use flamingowalk_node::border::log::{
+    LOG_TIMEOUT, NewRecord, ReadRequest, StoredRecord, append_records, read_page,
+};
 use flamingowalk_node::connection::http_client::HttpClient;
 use flamingowalk_wire::records::ConfigRecord;
 
@@ -37,8 +39,13 @@
     let mut view = ForceView::default();
     let mut next = 0;
     loop {
-        let wait = Duration::ZERO;
-        let page = read_page(client, log, CONFIG_STREAM, next, PAGE_LIMIT, wait).await?;
+        let request = ReadRequest {
+            from: next,
+            limit: PAGE_LIMIT,
+            wait: Duration::ZERO,
+            timeout: LOG_TIMEOUT,
+        };
+        let page = read_page(client, log, CONFIG_STREAM, request).await?;
         for stored in &page.records {
             view.apply(stored);
         }
@@ -128,6 +135,6 @@
         schema: RECORD_SCHEMA,
         body,
     };
-    append_records(client, log, CONFIG_STREAM, vec![new]).await?;
+    append_records(client, log, CONFIG_STREAM, vec![new], LOG_TIMEOUT).await?;
     Ok(())
 }
--- a/crates/core/src/process/seat.rs
+++ b/crates/core/src/process/seat.rs
@@ -14,7 +14,7 @@
 
 pub use action::SeatAction;
 pub use event::SeatEvent;
-pub use ledger::{SeatLedger, SeatTenure};
+pub use ledger::{PlacedRecord, SeatLedger, SeatTenure};
 pub use record::{RosterMember, RosterOffset, SeatRecord};
 pub use state::SeatState;
 pub use times::SeatTimes;
--- a/crates/core/src/process/seat/ledger.rs
+++ b/crates/core/src/process/seat/ledger.rs
@@ -57,6 +57,42 @@
     }
 }
 
+/// A record with its place in the seat stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PlacedRecord {
+    /// Offset, or one that gives the same order among live records.
+    pub offset: u64,
+    /// The record.
+    pub record: SeatRecord,
+}
+
+fn tenure_records(tenure: &SeatTenure, base_term: SeatTerm) -> Vec<PlacedRecord> {
+    let claim_offset = tenure.term.0.saturating_sub(1);
+    let roster_offset = tenure.roster_offset.0.max(claim_offset);
+    let placed = |offset, record| PlacedRecord { offset, record };
+    let claim = SeatRecord::Claim {
+        base_term,
+        holder: tenure.holder.clone(),
+        roster: tenure.roster.clone(),
+    };
+    let active = SeatRecord::Active { term: tenure.term };
+    let roster = SeatRecord::Roster {
+        term: tenure.term,
+        base_roster: RosterOffset(claim_offset),
+        roster: tenure.roster.clone(),
+    };
+    let end = SeatRecord::Yield {
+        term: tenure.term,
+        successor: tenure.successor.clone(),
+    };
+    let mut records = vec![placed(claim_offset, claim)];
+    records.extend(tenure.active.then(|| placed(claim_offset, active)));
+    let is_changed = roster_offset > claim_offset;
+    records.extend(is_changed.then(|| placed(roster_offset, roster)));
+    records.extend(tenure.yielded.then(|| placed(roster_offset, end)));
+    records
+}
+
 /// State of the seat according to the log.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct SeatLedger {
@@ -107,6 +143,35 @@
         valid
     }
 
+    /// Records that still matter, in an order in which `restore` takes them. They
+    /// stand for all records before: bases are those within the list.
+    pub fn live_records(&self) -> Vec<PlacedRecord> {
+        let mut records = Vec::new();
+        let mut base_term = SeatTerm(0);
+        for tenure in self.guard.iter().chain(&self.current) {
+            records.extend(tenure_records(tenure, base_term));
+            base_term = tenure.term;
+        }
+        records
+    }
+
+    /// Replaces the ledger by one whose records before `next_offset` are these.
+    /// A ledger that has read further keeps what it knows.
+    pub fn restore(&mut self, records: &[PlacedRecord], next_offset: u64) {
+        if next_offset < self.next_offset {
+            return;
+        }
+        let mut restored = Self {
+            void_records: self.void_records,
+            ..Self::default()
+        };
+        for placed in records {
+            restored.apply_next(placed.offset, &placed.record);
+        }
+        restored.next_offset = next_offset;
+        *self = restored;
+    }
+
     fn apply_next(&mut self, offset: u64, record: &SeatRecord) -> bool {
         match record {
             SeatRecord::Claim {
--- a/crates/core/src/process/seat/state.rs
+++ b/crates/core/src/process/seat/state.rs
@@ -8,7 +8,7 @@
 use crate::process::seat::authority::{AuthorityState, MemberRun, PendingRoster};
 use crate::process::seat::candidate::CandidateState;
 use crate::process::seat::event::SeatEvent;
-use crate::process::seat::ledger::{SeatLedger, SeatTenure};
+use crate::process::seat::ledger::{PlacedRecord, SeatLedger, SeatTenure};
 use crate::process::seat::record::{RosterMember, SeatRecord};
 use crate::process::seat::times::SeatTimes;
 
@@ -222,6 +222,20 @@
         self.settle_pending();
     }
 
+    /// Replaces what records before `next_offset` said by the records of a snapshot.
+    pub fn restore(&mut self, now: MonotonicTime, records: &[PlacedRecord], next_offset: u64) {
+        let was_waiting = self.own_tenure().is_some_and(|tenure| !tenure.active);
+        let before = self.ledger.term();
+        self.ledger.restore(records, next_offset);
+        self.appended_at = None;
+        let term = self.ledger.term();
+        self.newest_seen = self.newest_seen.max(term);
+        if term != before {
+            self.begin_term(now, was_waiting);
+        }
+        self.settle_pending();
+    }
+
     fn begin_term(&mut self, now: MonotonicTime, was_waiting: bool) {
         self.authority.begin_term(self.ledger.term());
         self.vacant_since = None;
--- a/crates/node/src/border.rs
+++ b/crates/node/src/border.rs
@@ -4,5 +4,6 @@
 pub mod caller;
 pub mod hosts;
 pub mod log;
+pub mod records;
 pub mod seat;
 pub mod target;
--- a/crates/node/src/border/log.rs
+++ b/crates/node/src/border/log.rs
@@ -8,19 +8,32 @@
 
 use crate::connection::http_client::{ExchangeFault, HttpClient};
 
-/// Longest time that the log holds a read at the tail.
-pub const READ_WAIT: Duration = Duration::from_secs(1);
-/// Time the log has for an answer beyond the wait.
-const LOG_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time that a command line gives the log for an answer.
+pub const LOG_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A page of a stream.
 pub type LogPage = wire::ReadResponse;
+/// Where appended records are.
+pub type AppendedRange = wire::AppendResponse;
 /// A record to append.
 pub type NewRecord = wire::LogRecord;
 /// A record with its place.
 pub type StoredRecord = wire::StoredRecord;
 
-/// Reads a page of at most `limit` records from `offset`, waiting `wait` at the tail.
+/// What to read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReadRequest {
+    /// First offset wanted.
+    pub from: u64,
+    /// Most records wanted.
+    pub limit: u32,
+    /// Longest time for which the log holds the read at the tail.
+    pub wait: Duration,
+    /// Time for the answer, the wait included.
+    pub timeout: Duration,
+}
+
+/// Reads a page of a stream.
 ///
 /// # Errors
 /// An [`ExchangeFault`]; a read has no effect, so it may be repeated.
@@ -28,19 +41,20 @@
     client: &HttpClient,
     address: SocketAddr,
     stream: &str,
-    offset: u64,
-    limit: u32,
-    wait: Duration,
+    request: ReadRequest,
 ) -> Result<LogPage, ExchangeFault> {
+    let ReadRequest {
+        from, limit, wait, ..
+    } = request;
     let wait_ms = wait.as_millis();
-    let path = format!("/v1/streams/{stream}?from={offset}&limit={limit}&wait-ms={wait_ms}");
-    let timeout = wait + LOG_TIMEOUT;
+    let path = format!("/v1/streams/{stream}?from={from}&limit={limit}&wait-ms={wait_ms}");
+    let timeout = request.timeout;
     client
         .exchange_json(address, Method::GET, &path, None::<&()>, timeout)
         .await
 }
 
-/// Appends records in order; returns the offset of the first.
+/// Appends records in order.
 ///
 /// # Errors
 /// An [`ExchangeFault`]; only `Unreachable` proves that nothing was written.
@@ -49,11 +63,11 @@
     address: SocketAddr,
     stream: &str,
     records: Vec<NewRecord>,
-) -> Result<u64, ExchangeFault> {
+    timeout: Duration,
+) -> Result<AppendedRange, ExchangeFault> {
     let path = format!("/v1/streams/{stream}/append");
     let request = wire::AppendRequest { records };
-    let answer: wire::AppendResponse = client
-        .exchange_json(address, Method::POST, &path, Some(&request), LOG_TIMEOUT)
-        .await?;
-    Ok(answer.first_offset)
+    client
+        .exchange_json(address, Method::POST, &path, Some(&request), timeout)
+        .await
 }
--- a/crates/node/src/border/seat.rs
+++ b/crates/node/src/border/seat.rs
@@ -2,16 +2,21 @@
 
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::planner::event::SeatTerm;
+use flamingowalk_core::process::record::SeatEntry;
 use flamingowalk_core::process::seat::{RosterMember, RosterOffset, SeatRecord};
 use flamingowalk_wire::records as wire;
+use serde::Serialize;
 
 use crate::border::log::StoredRecord;
+use crate::process::host_clock::HostClock;
 
-/// Reads a record of a seat stream; nothing for another zone, an unknown kind or
-/// a malformed body.
-pub fn read_seat_record(stored: &StoredRecord, zone: &ZoneName) -> Option<SeatRecord> {
+/// Reads a record of a zone's seat; nothing for another kind or a malformed body.
+pub fn read_seat_record(stored: &StoredRecord) -> Option<SeatEntry> {
+    if !stored.record.kind.starts_with("seat-") {
+        return None;
+    }
     let body = stored.record.body.clone();
-    let (named, record) = match stored.record.kind.as_str() {
+    let (zone, record) = match stored.record.kind.as_str() {
         "seat-claim" => {
             let claim: wire::SeatClaim = serde_json::from_value(body).ok()?;
             let record = SeatRecord::Claim {
@@ -52,7 +57,8 @@
         }
         _ => return None,
     };
-    (named == zone.as_str()).then_some(record)
+    let zone = zone.into();
+    Some(SeatEntry { zone, record })
 }
 
 fn read_member(member: &wire::RosterMember) -> Option<RosterMember> {
@@ -67,8 +73,58 @@
     roster.iter().map(read_member).collect()
 }
 
+/// Kind and body of a record of a zone's seat.
+pub fn write_seat_record(entry: &SeatEntry) -> (&'static str, serde_json::Value) {
+    let zone = entry.zone.to_string();
+    match &entry.record {
+        SeatRecord::Claim {
+            base_term,
+            holder,
+            roster,
+        } => {
+            let body = wire::SeatClaim {
+                zone,
+                base_term: base_term.0,
+                holder: write_member(holder),
+                roster: roster.iter().map(write_member).collect(),
+                claimed_at_ms: HostClock::wall().0,
+            };
+            ("seat-claim", to_value(&body))
+        }
+        SeatRecord::Active { term } => {
+            let body = wire::SeatActive { zone, term: term.0 };
+            ("seat-active", to_value(&body))
+        }
+        SeatRecord::Roster {
+            term,
+            base_roster,
+            roster,
+        } => {
+            let body = wire::SeatRoster {
+                zone,
+                term: term.0,
+                base_roster: base_roster.0,
+                roster: roster.iter().map(write_member).collect(),
+            };
+            ("seat-roster", to_value(&body))
+        }
+        SeatRecord::Yield { term, successor } => {
+            let body = wire::SeatYield {
+                zone,
+                term: term.0,
+                successor: successor.as_ref().map(HostName::to_string),
+            };
+            ("seat-yield", to_value(&body))
+        }
+    }
+}
+
+fn to_value<T: Serialize>(body: &T) -> serde_json::Value {
+    serde_json::to_value(body).unwrap_or_default()
+}
+
 /// A member as records name it.
-pub fn write_member(member: &RosterMember) -> wire::RosterMember {
+fn write_member(member: &RosterMember) -> wire::RosterMember {
     wire::RosterMember {
         address: member.address.to_string(),
         host: member.host.to_string(),
--- a/crates/node/src/border/target.rs
+++ b/crates/node/src/border/target.rs
@@ -213,9 +213,9 @@
 fn target_fault(fault: &ExchangeFault) -> TargetFault {
     match fault {
         ExchangeFault::Unreachable { .. } => TargetFault::Unreachable,
-        ExchangeFault::NoAnswer { .. } | ExchangeFault::Malformed { .. } => {
-            TargetFault::OutcomeUnknown
-        }
+        ExchangeFault::NoAnswer { .. }
+        | ExchangeFault::TooLarge { .. }
+        | ExchangeFault::Malformed { .. } => TargetFault::OutcomeUnknown,
         ExchangeFault::Status { body, .. } => refusal_fault(body),
     }
 }
--- a/crates/node/src/connection/http_client.rs
+++ b/crates/node/src/connection/http_client.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -37,6 +37,12 @@
         /// Peer address.
         address: SocketAddr,
     },
+    /// The answer is larger than this process takes.
+    #[error("the answer of {address} exceeds {ANSWER_LIMIT} bytes; ask for less at once")]
+    TooLarge {
+        /// Peer address.
+        address: SocketAddr,
+    },
     /// The peer answered with an error status.
     #[error("{address} answered {status}: {body}")]
     Status {
@@ -160,6 +166,12 @@
         let whole = body.collect().await;
         whole
             .map(|collected| (status, collected.to_bytes()))
-            .map_err(|_cut| ExchangeFault::NoAnswer { address })
+            .map_err(|error| {
+                if error.is::<LengthLimitError>() {
+                    ExchangeFault::TooLarge { address }
+                } else {
+                    ExchangeFault::NoAnswer { address }
+                }
+            })
     }
 }
--- a/crates/node/src/process/entry_host.rs
+++ b/crates/node/src/process/entry_host.rs
@@ -5,7 +5,9 @@
 use std::net::SocketAddr;
 
 use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::config_book::ConfigBook;
 use flamingowalk_core::process::seat::{RosterMember, SeatState, SeatTimes};
+use flamingowalk_core::process::snapshot::SnapshotTimes;
 use flamingowalk_core::version::settings::{ConfigVersion, SystemSettings};
 use metrics_exporter_prometheus::PrometheusHandle;
 use rand::SeedableRng;
@@ -25,10 +27,10 @@
 use crate::process::host_event::{EventSender, HostEvent, LogStream};
 use crate::process::host_poll::poll_hosts;
 use crate::process::host_settings::HostSettings;
-use crate::process::host_state::{HostState, StreamPosition};
+use crate::process::host_state::{HostState, StreamState};
 use crate::process::job_desk::JobDesk;
-use crate::process::log_reader::follow_stream;
-use crate::process::log_writer::write_stream;
+use crate::process::log_link::LogLink;
+use crate::process::log_port::LogPort;
 use crate::process::seat_port::SeatPort;
 use crate::request::call::CallContext;
 use crate::request::route::route_request;
@@ -102,7 +104,8 @@
     let (events, arrivals) = mpsc::unbounded_channel();
     let (phase, phase_watch) = watch::channel(ServePhase::default());
     let mut state = new_state(settings, incarnation, clock, phase);
-    let mut tasks = start_streams(&mut state, &client, &events);
+    start_streams(&mut state, &client, &events);
+    let mut tasks = Vec::new();
     let interval = state.settings.list_interval;
     let list_address = state.settings.list_address;
     tasks.push(spawn_local(poll_hosts(
@@ -156,8 +159,8 @@
         clock,
         config_version: ConfigVersion(0),
         system: Arc::new(SystemSettings::default()),
+        config: ConfigBook::default(),
         streams: BTreeMap::new(),
-        writers: BTreeMap::new(),
         listing: HostListing::default(),
         calls: CallPort::new(zone, ChaCha8Rng::seed_from_u64(incarnation), clock.now()),
         jobs: JobDesk::default(),
@@ -184,41 +187,23 @@
     SeatState::new(own, settings.zone.clone(), times)
 }
 
-fn start_streams(
-    state: &mut HostState,
-    client: &HttpClient,
-    events: &EventSender,
-) -> Vec<JoinHandle<()>> {
-    let address = state.settings.log_address;
-    let clock = state.clock;
+fn start_streams(state: &mut HostState, client: &HttpClient, events: &EventSender) {
+    let settings = &state.settings;
     let streams = [
         LogStream::Config,
         LogStream::Jobs,
-        LogStream::Seat(state.settings.zone.clone()),
+        LogStream::Seat(settings.zone.clone()),
     ];
-    let mut tasks = Vec::new();
+    let run = format!("{}/{}", settings.name, state.incarnation);
+    let times = SnapshotTimes::for_retention(settings.log_retention);
+    let address = settings.log_address;
+    let now = state.clock.now();
     for stream in streams {
-        let (writer, records) = mpsc::unbounded_channel();
-        state.writers.insert(stream.clone(), writer);
-        state
-            .streams
-            .insert(stream.clone(), StreamPosition::default());
-        let following = follow_stream(
-            client.clone(),
-            address,
-            stream.clone(),
-            clock,
-            events.clone(),
-        );
-        tasks.push(spawn_local(following));
-        tasks.push(spawn_local(write_stream(
-            client.clone(),
-            address,
-            stream,
-            records,
-        )));
+        let port = LogPort::new(now, run.clone(), state.incarnation, times);
+        let link = LogLink::new(client.clone(), address, stream.clone(), events.clone());
+        let streamed = StreamState { port, link };
+        state.streams.insert(stream, streamed);
     }
-    tasks
 }
 
 async fn send_ticks(events: EventSender) {
--- a/crates/node/src/process/event_loop.rs
+++ b/crates/node/src/process/event_loop.rs
@@ -1,40 +1,39 @@
 //! The loop of an entry host: takes one event after the other and owns the state.
 
 use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::log_follower::{ReadFault, ReadId};
 use flamingowalk_core::process::planner::action::PlannerAction;
 use flamingowalk_core::process::planner::event::{PlannerEvent, SeatTerm};
 use flamingowalk_core::process::planner::state::PlannerState;
+use flamingowalk_core::process::record::{
+    AcceptedEntry, CancelledEntry, EndedEntry, LogEntry, StartedEntry,
+};
 use flamingowalk_core::process::router::table::TargetRecord;
 use flamingowalk_core::process::seat::SeatEvent;
-use flamingowalk_core::version::folder_check::parse_canonical;
-use flamingowalk_core::version::settings::ConfigVersion;
-use flamingowalk_wire::caller::{JobStatus, JobSubmission};
-use flamingowalk_wire::records::ConfigRecord;
+use flamingowalk_wire::caller::JobSubmission;
 use metrics::{counter, gauge};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 use crate::border::caller::JobFault;
 use crate::border::hosts::{HostListing, ListedWorker};
-use crate::border::log::{LogPage, StoredRecord};
+use crate::border::log::LogPage;
 use crate::connection::http_client::{ExchangeFault, HttpClient};
 use crate::connection::http_server::ServePhase;
 use crate::process::call_port::CallMessage;
-use crate::process::counters::{
-    CONFIG_VERSION, LIST_READS, LOG_READS, OPEN_JOBS, RECORDS_SKIPPED, SEAT_HELD,
-};
+use crate::process::counters::{LIST_READS, SEAT_HELD};
 use crate::process::host_clock::HostClock;
 use crate::process::host_event::{EventSender, HostEvent, LogStream};
 use crate::process::host_state::{HostState, SeatedPlanner};
-use crate::process::job_desk::{
-    JobChange, acceptance_record, cancellation_record, ending_record, start_record,
-};
+use crate::process::job_desk::{JobReply, JobWaiter, JobWish, not_run, settled_answer};
+use crate::process::log_events::{flush_streams, submit, submit_kept, tick_streams, with_port};
+use crate::process::log_port::LogPort;
 use crate::process::planner_port::PlannerPort;
 use crate::request::call::CallContext;
 
 /// Time a caller of a job request waits for the log.
 const RECORD_WAIT: Duration = Duration::from_secs(5);
-/// Suggested delay before a refused job request is repeated.
-const RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Time beyond it for a record that is in the log to be read back.
+const READ_BACK_WAIT: Duration = Duration::from_secs(1);
 
 /// Runs until the drain is over.
 pub async fn run_loop(
@@ -88,11 +87,7 @@
         HostEvent::ServerEnded => state.server_ended = true,
         HostEvent::JobSubmitted { submission, reply } => accept_job(state, &submission, reply),
         HostEvent::JobAsked { job, reply } => {
-            let status = state
-                .jobs
-                .jobs
-                .get(&job)
-                .map(super::job_desk::JobEntry::status);
+            let status = state.jobs.status(&job);
             let _ = reply.send(status.ok_or(JobFault::UnknownJob(job)));
         }
         HostEvent::CancelAsked { job, reply } => accept_cancel(state, job, reply),
@@ -108,10 +103,17 @@
         HostEvent::DrainAsked => begin_drain(state),
         HostEvent::LogRead {
             stream,
-            sent_at,
+            read,
+            result,
+        } => take_log_read(state, &stream, read, result, actions),
+        HostEvent::LogAppended {
+            stream,
+            append,
             result,
         } => {
-            take_page(state, &stream, sent_at, result, actions);
+            let now = state.clock.now();
+            let take = |port: &mut LogPort| port.take_append(now, append, result);
+            with_port(state, &stream, actions, take);
         }
         HostEvent::HostsRead { result } => take_listing(state, result, actions),
         HostEvent::PlannerAnswered { term, event } => {
@@ -127,49 +129,83 @@
     }
     append_seat_records(state);
     carry_out(state, actions);
+    flush_streams(state, actions);
+    carry_out(state, actions);
+}
+
+fn accept_job(state: &mut HostState, submission: &JobSubmission, reply: JobReply) {
+    let entry = accepted_entry(state, submission);
+    let is_known = state.jobs.book.get(&entry.job).is_some();
+    if !is_known && let Err(fault) = check_submission(state, &entry) {
+        let _ = reply.send(Err(fault));
+        return;
+    }
+    let job = entry.job.clone();
+    let wish = JobWish::Accepted(entry.clone());
+    let record = LogEntry::JobAccepted(entry);
+    await_record(state, job, wish, record, reply);
 }
 
-fn accept_job(
+/// Submits the record unless the job's records give the answer already.
+fn await_record(
     state: &mut HostState,
-    submission: &JobSubmission,
-    reply: oneshot::Sender<Result<JobStatus, JobFault>>,
+    job: JobId,
+    wish: JobWish,
+    record: LogEntry,
+    reply: JobReply,
 ) {
-    let job = JobId::from(submission.id.as_str());
-    if let Some(entry) = state.jobs.jobs.get(&job) {
-        let _ = reply.send(Ok(entry.status()));
+    let known = state.jobs.book.get(&job);
+    if let Some(answer) = known.and_then(|known| settled_answer(known, &wish)) {
+        let _ = reply.send(answer);
         return;
     }
-    match check_submission(state, submission) {
-        Ok(zone) => {
-            let version = state.config_version.0;
-            let record = acceptance_record(submission, &zone, version, HostClock::wall());
-            state.append(&LogStream::Jobs, record);
-            let until = state.clock.now() + RECORD_WAIT;
-            state.jobs.wait(job, until, false, reply);
-        }
-        Err(fault) => {
-            let _ = reply.send(Err(fault));
+    match submit(state, &LogStream::Jobs, record, Some(RECORD_WAIT)) {
+        Ok(record) => state.jobs.wait(JobWaiter {
+            job,
+            record,
+            wish,
+            until: state.clock.now() + RECORD_WAIT + READ_BACK_WAIT,
+            reply,
+        }),
+        Err(error) => {
+            let _ = reply.send(Err(not_run(error.to_string())));
         }
     }
 }
 
-fn check_submission(state: &HostState, submission: &JobSubmission) -> Result<ZoneName, JobFault> {
+fn accepted_entry(state: &HostState, submission: &JobSubmission) -> AcceptedEntry {
+    let own_zone = || state.settings.zone.clone();
+    let accepted_at = HostClock::wall();
+    let within = |ms| WallTime(accepted_at.0.saturating_add(ms));
+    AcceptedEntry {
+        job: submission.id.as_str().into(),
+        customer: submission.customer.as_str().into(),
+        class: submission.class.as_str().into(),
+        zone: submission.zone.as_deref().map_or_else(own_zone, Into::into),
+        config: state.config_version,
+        accepted_at,
+        start_before: submission.start_within_ms.map(within),
+    }
+}
+
+fn check_submission(state: &HostState, entry: &AcceptedEntry) -> Result<(), JobFault> {
     if !state.is_ready() {
         let message = "the host is starting or draining; use another host".to_owned();
-        return Err(JobFault::NotRun {
-            message,
-            retry_after: Some(RETRY_AFTER),
-        });
+        return Err(not_run(message));
     }
     let invalid = |text: String| Err(JobFault::Invalid(text));
-    let customer = CustomerName::from(submission.customer.as_str());
-    if !state.system.customers.contains_key(&customer) {
+    let AcceptedEntry {
+        customer,
+        class,
+        zone,
+        ..
+    } = entry;
+    if !state.system.customers.contains_key(customer) {
         return invalid(format!(
             "customer {customer} is not declared; add it to the folder"
         ));
     }
-    let class = ClassName::from(submission.class.as_str());
-    let Some(declared) = state.system.classes.get(&class) else {
+    let Some(declared) = state.system.classes.get(class) else {
         return invalid(format!(
             "job class {class} is not declared; add it to the folder"
         ));
@@ -177,41 +213,28 @@
     if declared
         .customer
         .as_ref()
-        .is_some_and(|owner| *owner != customer)
+        .is_some_and(|owner| owner != customer)
     {
         return invalid(format!("job class {class} is not for customer {customer}"));
     }
-    let zone = submission
-        .zone
-        .as_deref()
-        .map_or_else(|| state.settings.zone.clone(), Into::into);
-    if !state.system.zones.contains_key(&zone) {
+    if !state.system.zones.contains_key(zone) {
         return invalid(format!(
             "availability zone {zone} is not declared; check its name"
         ));
     }
-    Ok(zone)
+    Ok(())
 }
 
-fn accept_cancel(
-    state: &mut HostState,
-    job: JobId,
-    reply: oneshot::Sender<Result<JobStatus, JobFault>>,
-) {
-    let Some(entry) = state.jobs.jobs.get(&job) else {
+fn accept_cancel(state: &mut HostState, job: JobId, reply: JobReply) {
+    if state.jobs.book.get(&job).is_none() {
         let _ = reply.send(Err(JobFault::UnknownJob(job)));
         return;
-    };
-    if entry.ended.is_some() || entry.cancelled {
-        let _ = reply.send(Ok(entry.status()));
-        return;
     }
-    state.append(
-        &LogStream::Jobs,
-        cancellation_record(&job, HostClock::wall()),
-    );
-    let until = state.clock.now() + RECORD_WAIT;
-    state.jobs.wait(job, until, true, reply);
+    let record = LogEntry::JobCancelled(CancelledEntry {
+        job: job.clone(),
+        requested_at: HostClock::wall(),
+    });
+    await_record(state, job, JobWish::Cancelled, record, reply);
 }
 
 fn begin_drain(state: &mut HostState) {
@@ -224,105 +247,19 @@
     }
 }
 
-fn take_page(
+fn take_log_read(
     state: &mut HostState,
     stream: &LogStream,
-    sent_at: MonotonicTime,
-    result: Result<LogPage, ExchangeFault>,
+    read: ReadId,
+    result: Result<LogPage, ReadFault>,
     actions: &mut Vec<PlannerAction>,
 ) {
-    let outcome = if result.is_ok() { "done" } else { "failed" };
-    counter!(LOG_READS, "stream" => stream.name(), "outcome" => outcome).increment(1);
-    let Ok(page) = result else {
-        if matches!(stream, LogStream::Seat(_)) {
-            state.seat.handle(state.clock.now(), SeatEvent::LogFailed);
-        }
-        return;
-    };
-    for stored in &page.records {
-        match stream {
-            LogStream::Config => take_config(state, stored, actions),
-            LogStream::Jobs => take_job_record(state, stored, actions),
-            LogStream::Seat(_) => state.seat.apply(stored, state.clock.now()),
-        }
-    }
-    let position = state.streams.entry(stream.clone()).or_default();
-    position.next = page.next_offset;
-    if page.next_offset >= page.tail_offset {
-        position.tail_read_at = Some(sent_at);
-        if matches!(stream, LogStream::Seat(_)) {
-            state
-                .seat
-                .handle(state.clock.now(), SeatEvent::LogTailRead { sent_at });
-        }
+    if let Some(streamed) = state.streams.get_mut(stream) {
+        streamed.link.end_read(read);
     }
     let now = state.clock.now();
-    state.jobs.answer_waiters(now);
-}
-
-fn take_config(state: &mut HostState, stored: &StoredRecord, actions: &mut Vec<PlannerAction>) {
-    let skip = |cause: &'static str| {
-        counter!(RECORDS_SKIPPED, "stream" => "config", "cause" => cause).increment(1);
-    };
-    if stored.record.kind != "config" {
-        return skip("kind");
-    }
-    let Ok(record) = serde_json::from_value::<ConfigRecord>(stored.record.body.clone()) else {
-        return skip("malformed");
-    };
-    if record.base_version != state.config_version.0 {
-        return skip("base");
-    }
-    let Ok(settings) = parse_canonical(&record.settings) else {
-        return skip("settings");
-    };
-    let version = ConfigVersion(stored.offset + 1);
-    debug_assert!(
-        version > state.config_version,
-        "configuration versions increase"
-    );
-    state.config_version = version;
-    state.system = Arc::new(settings);
-    gauge!(CONFIG_VERSION).set(version.0 as f64);
-    log::info!(host = state.settings.name.as_str(), version = version.0; "configuration adopted");
-    state.calls.adopt(Arc::clone(&state.system));
-    let settings = Arc::clone(&state.system);
-    plan(
-        state,
-        PlannerEvent::ConfigAdopted { version, settings },
-        actions,
-    );
-}
-
-fn take_job_record(state: &mut HostState, stored: &StoredRecord, actions: &mut Vec<PlannerAction>) {
-    let Some(change) = state.jobs.apply(stored) else {
-        counter!(RECORDS_SKIPPED, "stream" => "jobs", "cause" => "repeated").increment(1);
-        return;
-    };
-    let event = match change {
-        JobChange::Accepted(job) => {
-            let accepted = state
-                .jobs
-                .jobs
-                .get(&job)
-                .map(super::job_desk::JobEntry::accepted_job);
-            let own = accepted.filter(|job| job.zone == state.settings.zone);
-            own.map(|job| PlannerEvent::JobAccepted { job })
-        }
-        JobChange::Cancelled(job) => Some(PlannerEvent::JobCancelled { job }),
-        JobChange::Started(job, attempt) => Some(PlannerEvent::StartRecorded { job, attempt }),
-        JobChange::Ended(job) => Some(PlannerEvent::EndRecorded { job }),
-    };
-    let open = state
-        .jobs
-        .jobs
-        .values()
-        .filter(|entry| entry.ended.is_none())
-        .count();
-    gauge!(OPEN_JOBS).set(open as f64);
-    if let Some(event) = event {
-        plan(state, event, actions);
-    }
+    let take = |port: &mut LogPort| port.take_read(now, read, result);
+    with_port(state, stream, actions, take);
 }
 
 fn take_listing(
@@ -395,7 +332,7 @@
     let now = state.clock.now();
     calls.pool.sweep(now);
     probe_targets(state, calls, now);
-    state.jobs.answer_waiters(now);
+    tick_streams(state, actions);
     let may_start = state.seat.may_start(now);
     gauge!(SEAT_HELD).set(f64::from(u8::from(may_start)));
     if may_start && state.planner.is_none() && state.is_ready() {
@@ -428,10 +365,10 @@
 }
 
 fn append_seat_records(state: &mut HostState) {
-    let records = state.seat.take_records();
+    let entries = state.seat.take_entries();
     let stream = LogStream::Seat(state.settings.zone.clone());
-    for record in records {
-        state.append(&stream, record);
+    for entry in entries {
+        submit_kept(state, &stream, LogEntry::Seat(entry));
     }
 }
 
@@ -475,9 +412,9 @@
     });
     events.extend(seen);
     for job in state.jobs.open_jobs(&state.settings.zone) {
-        let entry = state.jobs.jobs.get(&job.id);
+        let entry = state.jobs.book.get(&job.id);
         let cancelled = entry
-            .is_some_and(|entry| entry.cancelled)
+            .is_some_and(|entry| entry.cancelled.is_some())
             .then(|| job.id.clone());
         events.push(PlannerEvent::JobAccepted { job });
         events.extend(cancelled.map(|job| PlannerEvent::JobCancelled { job }));
@@ -486,43 +423,54 @@
     events
 }
 
-fn plan(state: &mut HostState, event: PlannerEvent, actions: &mut Vec<PlannerAction>) {
+/// Passes an event to the planner, if this host holds the seat.
+pub fn plan(state: &mut HostState, event: PlannerEvent, actions: &mut Vec<PlannerAction>) {
     let now = state.clock.now();
     if let Some(planner) = &mut state.planner {
         planner.state.handle(now, event, actions);
     }
 }
 
-fn carry_out(state: &HostState, actions: &mut Vec<PlannerAction>) {
+fn carry_out(state: &mut HostState, actions: &mut Vec<PlannerAction>) {
     let Some(planner) = &state.planner else {
         actions.clear();
         return;
     };
-    let port = &planner.port;
-    let zone = &state.settings.zone;
+    let port = planner.port.clone();
     for action in actions.drain(..) {
-        match &action {
+        match action {
             PlannerAction::RecordStart {
                 job,
                 attempt,
                 workers,
             } => {
-                let wall = HostClock::wall();
-                let record = start_record(job, *attempt, workers, zone, port.term, wall);
-                state.append(&LogStream::Jobs, record);
+                let entry = LogEntry::JobStarted(StartedEntry {
+                    job,
+                    attempt,
+                    term: port.term,
+                    zone: state.settings.zone.clone(),
+                    workers,
+                    started_at: HostClock::wall(),
+                });
+                submit_kept(state, &LogStream::Jobs, entry);
             }
             PlannerAction::RecordEnd { job, ending } => {
-                let record = ending_record(job, ending, port.term, HostClock::wall());
-                state.append(&LogStream::Jobs, record);
+                let entry = LogEntry::JobEnded(EndedEntry {
+                    job,
+                    ending,
+                    term: port.term,
+                    ended_at: HostClock::wall(),
+                });
+                submit_kept(state, &LogStream::Jobs, entry);
             }
-            PlannerAction::ListTasks { worker }
-            | PlannerAction::Reserve { worker, .. }
-            | PlannerAction::Release { worker, .. }
-            | PlannerAction::Start { worker, .. }
-            | PlannerAction::Renew { worker, .. }
-            | PlannerAction::Checkpoint { worker, .. }
-            | PlannerAction::Throttle { worker, .. }
-            | PlannerAction::Stop { worker, .. } => {
+            PlannerAction::ListTasks { ref worker }
+            | PlannerAction::Reserve { ref worker, .. }
+            | PlannerAction::Release { ref worker, .. }
+            | PlannerAction::Start { ref worker, .. }
+            | PlannerAction::Renew { ref worker, .. }
+            | PlannerAction::Checkpoint { ref worker, .. }
+            | PlannerAction::Throttle { ref worker, .. }
+            | PlannerAction::Stop { ref worker, .. } => {
                 let address = state.worker_address(worker);
                 // The clock is read again before every start: a pause may have ended the seat.
                 let starts = matches!(
--- a/crates/node/src/process/host_event.rs
+++ b/crates/node/src/process/host_event.rs
@@ -1,13 +1,15 @@
 //! Everything that can reach the event loop of an entry host.
 
 use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::log_appender::{AppendFault, AppendId};
+use flamingowalk_core::process::log_follower::{ReadFault, ReadId};
 use flamingowalk_core::process::planner::event::{PlannerEvent, SeatTerm};
 use flamingowalk_wire::caller::{HostStatus, JobStatus, JobSubmission};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::border::caller::JobFault;
 use crate::border::hosts::HostListing;
-use crate::border::log::LogPage;
+use crate::border::log::{AppendedRange, LogPage};
 use crate::connection::http_client::ExchangeFault;
 use crate::process::call_port::CallMessage;
 use crate::process::state_dump::StateDump;
@@ -82,14 +84,23 @@
     ServerEnded,
     /// The host is to shut down gracefully.
     DrainAsked,
-    /// A page of a stream was read, or not.
+    /// A read of a stream was answered, or failed.
     LogRead {
         /// The stream.
         stream: LogStream,
-        /// When the read was sent.
-        sent_at: MonotonicTime,
+        /// The read.
+        read: ReadId,
         /// The page.
-        result: Result<LogPage, ExchangeFault>,
+        result: Result<LogPage, ReadFault>,
+    },
+    /// An append to a stream was answered, or failed.
+    LogAppended {
+        /// The stream.
+        stream: LogStream,
+        /// The append.
+        append: AppendId,
+        /// Where the records are.
+        result: Result<AppendedRange, AppendFault>,
     },
     /// The host list was read, or not.
     HostsRead {
--- a/crates/node/src/process/host_settings.rs
+++ b/crates/node/src/process/host_settings.rs
@@ -27,6 +27,9 @@
     pub list_address: SocketAddr,
     /// Interval between readings of the host list; above zero.
     pub list_interval: Duration,
+    /// Time for which the log keeps records at least; live state is written again
+    /// well before.
+    pub log_retention: Duration,
     /// Secret shared by all entry hosts; a peer without it gets nothing.
     pub peer_secret: String,
     /// Time between `/readyz` turning off and the listener closing.
@@ -76,7 +79,7 @@
 }
 
 /// Keys of every section with their defaults; a key without one is required.
-const KNOWN_KEYS: [(&str, &str, Option<&str>); 14] = [
+const KNOWN_KEYS: [(&str, &str, Option<&str>); 15] = [
     ("host", "name", None),
     ("host", "zone", None),
     ("host", "region", None),
@@ -85,6 +88,7 @@
     ("platform", "log", None),
     ("platform", "hosts", None),
     ("platform", "hosts-interval-ms", Some("1000")),
+    ("platform", "log-retention-ms", Some("86400000")),
     ("peer", "secret", None),
     ("drain", "wait-ms", Some("2000")),
     ("drain", "limit-ms", Some("60000")),
@@ -110,6 +114,7 @@
             log_address: reader.address("platform", "log"),
             list_address: reader.address("platform", "hosts"),
             list_interval: reader.millis("platform", "hosts-interval-ms"),
+            log_retention: reader.millis("platform", "log-retention-ms"),
             peer_secret: reader.text("peer", "secret"),
             drain_wait: reader.millis("drain", "wait-ms"),
             drain_limit: reader.millis("drain", "limit-ms"),
--- a/crates/node/src/process/host_state.rs
+++ b/crates/node/src/process/host_state.rs
@@ -3,33 +3,35 @@
 use std::net::SocketAddr;
 
 use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::config_book::ConfigBook;
 use flamingowalk_core::process::planner::state::PlannerState;
 use flamingowalk_core::process::seat::RosterMember;
 use flamingowalk_core::version::settings::{ConfigVersion, SystemSettings};
 use flamingowalk_wire::caller::HostStatus;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 
 use crate::border::hosts::{HostListing, ListedHost};
-use crate::border::log::NewRecord;
 use crate::connection::http_server::ServePhase;
 use crate::process::call_port::CallPort;
 use crate::process::host_clock::HostClock;
 use crate::process::host_event::LogStream;
 use crate::process::host_settings::HostSettings;
-use crate::process::job_desk::JobDesk;
+use crate::process::job_desk::{JobDesk, job_status};
+use crate::process::log_link::LogLink;
+use crate::process::log_port::LogPort;
 use crate::process::planner_port::PlannerPort;
 use crate::process::seat_port::SeatPort;
 use crate::process::state_dump::{
     HostSection, JobSection, MemberSection, SeatSection, StateDump, StreamSection, TargetSection,
 };
 
-/// How far a stream has been read.
-#[derive(Clone, Debug, Default)]
-pub struct StreamPosition {
-    /// Next offset to read.
-    pub next: u64,
-    /// When the newest read that reached the tail was sent.
-    pub tail_read_at: Option<MonotonicTime>,
+/// A stream of the log.
+#[derive(Debug)]
+pub struct StreamState {
+    /// What is followed and written.
+    pub port: LogPort,
+    /// Connections.
+    pub link: LogLink,
 }
 
 /// The planner while this host holds the seat.
@@ -54,10 +56,10 @@
     pub config_version: ConfigVersion,
     /// Settings of the version in force.
     pub system: Arc<SystemSettings>,
-    /// Positions of the followed streams.
-    pub streams: BTreeMap<LogStream, StreamPosition>,
-    /// Writers of the streams.
-    pub writers: BTreeMap<LogStream, mpsc::UnboundedSender<NewRecord>>,
+    /// Configurations of the log; `config_version` and `system` are the adopted one.
+    pub config: ConfigBook,
+    /// Streams that are followed and written.
+    pub streams: BTreeMap<LogStream, StreamState>,
     /// Newest reading of the host list.
     pub listing: HostListing,
     /// Calls and their targets.
@@ -83,19 +85,13 @@
         let caught_up = self
             .streams
             .values()
-            .all(|position| position.tail_read_at.is_some());
+            .all(|stream| stream.port.caught_up_at().is_some());
         self.config_version > ConfigVersion(0)
             && !self.listing.workers.is_empty()
             && caught_up
             && self.drain_since.is_none()
     }
 
-    /// Appends a record through its stream's writer.
-    pub fn append(&self, stream: &LogStream, record: NewRecord) {
-        let sent = self.writers.get(stream).map(|writer| writer.send(record));
-        debug_assert!(sent.is_some(), "stream {} has no writer", stream.name());
-    }
-
     /// Address of a listed worker.
     pub fn worker_address(&self, name: &WorkerName) -> Option<SocketAddr> {
         self.calls.target_address(name)
@@ -123,12 +119,7 @@
             config_version: self.config_version.0,
             seat_holder: self.seat.holder().map(|holder| holder.host.to_string()),
             seat_term: self.seat.term().0,
-            jobs: self
-                .jobs
-                .jobs
-                .values()
-                .map(super::job_desk::JobEntry::status)
-                .collect(),
+            jobs: self.jobs.statuses(),
         }
     }
 
@@ -167,10 +158,11 @@
 
     fn stream_sections(&self, now: MonotonicTime) -> Vec<StreamSection> {
         let age = |at: MonotonicTime| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
-        let section = |(stream, position): (&LogStream, &StreamPosition)| StreamSection {
+        let section = |(stream, state): (&LogStream, &StreamState)| StreamSection {
             name: stream.name(),
-            next: position.next,
-            age_ms: position.tail_read_at.map(age),
+            next: state.port.position().0,
+            age_ms: state.port.caught_up_at().map(age),
+            open: state.port.open_records(),
         };
         self.streams.iter().map(section).collect()
     }
@@ -189,17 +181,13 @@
     }
 
     fn job_sections(&self) -> Vec<JobSection> {
-        let open = self
-            .jobs
-            .jobs
-            .values()
-            .filter(|entry| entry.ended.is_none());
-        let sections = open.map(|entry| JobSection {
-            id: entry.accepted.job_id.clone(),
-            customer: entry.accepted.customer.clone(),
-            class: entry.accepted.class.clone(),
-            zone: entry.accepted.zone.clone(),
-            phase: entry.status().phase.to_string(),
+        let open = self.jobs.book.open_jobs();
+        let sections = open.map(|(id, job)| JobSection {
+            id: id.to_string(),
+            customer: job.accepted.entry.customer.to_string(),
+            class: job.accepted.entry.class.to_string(),
+            zone: job.home().to_string(),
+            phase: job_status(job).phase.to_string(),
         });
         sections.collect()
     }
--- /dev/null
+++ b/crates/node/src/process/log_events.rs
@@ -0,0 +1,302 @@
+//! What the event loop does with the notices of a log stream.
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::config_book::{ConfigChange, ConfigVoid};
+use flamingowalk_core::process::job_book::{JobChange, VoidReason};
+use flamingowalk_core::process::log_appender::SubmitError;
+use flamingowalk_core::process::planner::action::PlannerAction;
+use flamingowalk_core::process::planner::event::PlannerEvent;
+use flamingowalk_core::process::record::{LogEntry, StoredEntry};
+use flamingowalk_core::process::seat::SeatEvent;
+use flamingowalk_core::process::snapshot::Snapshot;
+use metrics::{counter, gauge};
+
+use crate::process::counters::{CONFIG_VERSION, OPEN_JOBS, RECORDS_SKIPPED};
+use crate::process::event_loop::plan;
+use crate::process::host_clock::HostClock;
+use crate::process::host_event::LogStream;
+use crate::process::host_state::HostState;
+use crate::process::job_desk::accepted_job;
+use crate::process::log_port::{LogNotice, LogPort};
+
+/// Lets time pass for all streams.
+pub fn tick_streams(state: &mut HostState, actions: &mut Vec<PlannerAction>) {
+    let now = state.clock.now();
+    let streams: Vec<LogStream> = state.streams.keys().cloned().collect();
+    for stream in streams {
+        write_due_snapshot(state, &stream);
+        with_port(state, &stream, actions, |port| port.tick(now));
+    }
+}
+
+/// Sends what was submitted since the last event.
+pub fn flush_streams(state: &mut HostState, actions: &mut Vec<PlannerAction>) {
+    let now = state.clock.now();
+    let submitted = state.streams.iter();
+    let submitted = submitted.filter(|(_, streamed)| streamed.port.is_submitted());
+    let streams: Vec<LogStream> = submitted.map(|(stream, _)| stream.clone()).collect();
+    for stream in streams {
+        with_port(state, &stream, actions, |port| port.tick(now));
+    }
+}
+
+/// Submits a record; nothing else comes of it until its notice.
+///
+/// # Errors
+/// A [`SubmitError`]; nothing is written then.
+pub fn submit(
+    state: &mut HostState,
+    stream: &LogStream,
+    entry: LogEntry,
+    time: Option<Duration>,
+) -> Result<RecordId, SubmitError> {
+    let now = state.clock.now();
+    let Some(streamed) = state.streams.get_mut(stream) else {
+        debug_assert!(false, "stream {} is not followed", stream.name());
+        return Err(SubmitError::QueueFull);
+    };
+    streamed.port.submit(now, entry, time)
+}
+
+/// Submits a record that must not be lost.
+pub fn submit_kept(state: &mut HostState, stream: &LogStream, entry: LogEntry) {
+    if let Err(error) = submit(state, stream, entry, None) {
+        // Only a record beyond the size limit gets here.
+        log::error!(stream = stream.name().as_str(); "a record cannot be written: {error}");
+    }
+}
+
+/// Gives a stream's port an event, then carries out its requests and notices.
+pub fn with_port(
+    state: &mut HostState,
+    stream: &LogStream,
+    actions: &mut Vec<PlannerAction>,
+    event: impl FnOnce(&mut LogPort),
+) {
+    let Some(streamed) = state.streams.get_mut(stream) else {
+        return;
+    };
+    event(&mut streamed.port);
+    for request in streamed.port.take_requests() {
+        streamed.link.send(request);
+    }
+    for notice in streamed.port.take_notices() {
+        take_notice(state, stream, notice, actions);
+    }
+    let now = state.clock.now();
+    state.jobs.answer_waiters(now);
+}
+
+fn take_notice(
+    state: &mut HostState,
+    stream: &LogStream,
+    notice: LogNotice,
+    actions: &mut Vec<PlannerAction>,
+) {
+    let now = state.clock.now();
+    let is_seat = matches!(stream, LogStream::Seat(_));
+    match notice {
+        LogNotice::Record(record) => take_record(state, stream, &record, actions),
+        LogNotice::CaughtUp { sent_at } if is_seat => {
+            state.seat.handle(now, SeatEvent::LogTailRead { sent_at });
+        }
+        LogNotice::ReadFailed if is_seat => state.seat.handle(now, SeatEvent::LogFailed),
+        LogNotice::CaughtUp { .. } | LogNotice::ReadFailed => {}
+        LogNotice::Truncated { first } => {
+            log::warn!(stream = stream.name().as_str(); "records before {first} are lost");
+        }
+        LogNotice::Restored(snapshot) => restore(state, stream, &snapshot, actions),
+        LogNotice::Abandoned { first } => {
+            log::warn!(stream = stream.name().as_str();
+                "no snapshot came; the state begins anew at {first}");
+        }
+        LogNotice::NotWritten { id, reason } => state.jobs.refuse(&id, &reason),
+        LogNotice::Doubtful { id } => state.jobs.doubt(&id),
+    }
+}
+
+fn take_record(
+    state: &mut HostState,
+    stream: &LogStream,
+    record: &StoredEntry,
+    actions: &mut Vec<PlannerAction>,
+) {
+    match (stream, &record.entry) {
+        (LogStream::Config, LogEntry::Config(_)) => take_config(state, record, actions),
+        (LogStream::Jobs, _) if take_job_record(state, record, actions) => {}
+        (LogStream::Seat(zone), LogEntry::Seat(entry)) if *zone == entry.zone => {
+            let (offset, record) = (record.offset.0, entry.record.clone());
+            let now = state.clock.now();
+            state
+                .seat
+                .handle(now, SeatEvent::LogRecord { offset, record });
+        }
+        (_, LogEntry::Snapshot(_)) => {}
+        _ => skip(stream, "kind"),
+    }
+}
+
+fn skip(stream: &LogStream, cause: &'static str) {
+    counter!(RECORDS_SKIPPED, "stream" => stream.name(), "cause" => cause).increment(1);
+}
+
+fn take_config(state: &mut HostState, record: &StoredEntry, actions: &mut Vec<PlannerAction>) {
+    if let Some(change) = state.config.apply(record) {
+        take_config_change(state, &change, actions);
+    }
+}
+
+fn take_config_change(
+    state: &mut HostState,
+    change: &ConfigChange,
+    actions: &mut Vec<PlannerAction>,
+) {
+    match change {
+        ConfigChange::Adopted(_) => adopt_config(state, actions),
+        ConfigChange::Known(_) => {}
+        ConfigChange::Unreadable(version) => {
+            skip(&LogStream::Config, "unreadable");
+            log::warn!(host = state.settings.name.as_str(), version = version.0;
+                "the settings in force cannot be read; the older ones stay");
+        }
+        ConfigChange::Void(ConfigVoid::LostRace) => skip(&LogStream::Config, "base"),
+        ConfigChange::Void(ConfigVoid::WrongHash) => skip(&LogStream::Config, "hash"),
+    }
+}
+
+fn adopt_config(state: &mut HostState, actions: &mut Vec<PlannerAction>) {
+    let Some(config) = state.config.adopted() else {
+        return;
+    };
+    let version = config.version;
+    let settings = Arc::clone(&config.settings);
+    debug_assert!(
+        version > state.config_version,
+        "configuration versions increase"
+    );
+    state.config_version = version;
+    state.system = Arc::clone(&settings);
+    gauge!(CONFIG_VERSION).set(version.0 as f64);
+    log::info!(host = state.settings.name.as_str(), version = version.0; "configuration adopted");
+    state.calls.adopt(Arc::clone(&settings));
+    plan(
+        state,
+        PlannerEvent::ConfigAdopted { version, settings },
+        actions,
+    );
+}
+
+/// Applies a record about jobs and tells whether it was one.
+fn take_job_record(
+    state: &mut HostState,
+    record: &StoredEntry,
+    actions: &mut Vec<PlannerAction>,
+) -> bool {
+    let Some(change) = state.jobs.book.apply(record) else {
+        return false;
+    };
+    gauge!(OPEN_JOBS).set(state.jobs.open_count() as f64);
+    if change == JobChange::Void(VoidReason::ClockSkew) {
+        state.jobs.refuse_clock(&record.id);
+    }
+    if let Some(event) = planner_event(state, change) {
+        plan(state, event, actions);
+    }
+    true
+}
+
+fn planner_event(state: &HostState, change: JobChange) -> Option<PlannerEvent> {
+    let own = &state.settings.zone;
+    match change {
+        JobChange::Cancelled(job) => Some(PlannerEvent::JobCancelled { job }),
+        JobChange::Started(job) => {
+            let attempt = state.jobs.book.get(&job)?.attempts_started();
+            Some(PlannerEvent::StartRecorded { job, attempt })
+        }
+        JobChange::Ended(job) => Some(PlannerEvent::EndRecorded { job }),
+        JobChange::Moved { job, from } if from == *own => Some(PlannerEvent::JobClosed { job }),
+        JobChange::Accepted(job) | JobChange::Moved { job, .. } => own_job(state, &job),
+        JobChange::ZoneLost(_) => None,
+        JobChange::Void(reason) => {
+            skip(&LogStream::Jobs, void_cause(reason));
+            None
+        }
+    }
+}
+
+fn own_job(state: &HostState, job: &JobId) -> Option<PlannerEvent> {
+    let job = state.jobs.book.get(job)?;
+    let is_own = *job.home() == state.settings.zone;
+    is_own.then(|| PlannerEvent::JobAccepted {
+        job: accepted_job(job),
+    })
+}
+
+const fn void_cause(reason: VoidReason) -> &'static str {
+    match reason {
+        VoidReason::Repeated => "repeated",
+        VoidReason::OtherWork => "other-work",
+        VoidReason::ClockSkew => "clock",
+        VoidReason::UnknownJob => "unknown-job",
+        VoidReason::EndedJob => "ended-job",
+        VoidReason::OtherZone => "other-zone",
+    }
+}
+
+/// After a restore of the jobs a seated planner is set up anew, as for a new seat:
+/// it may have missed any record.
+fn restore(
+    state: &mut HostState,
+    stream: &LogStream,
+    snapshot: &Snapshot,
+    actions: &mut Vec<PlannerAction>,
+) {
+    let covers = snapshot.covers_until;
+    log::info!(stream = stream.name().as_str(); "restored from a snapshot at {covers}");
+    match stream {
+        LogStream::Config => {
+            for change in state.config.restore(&snapshot.records) {
+                take_config_change(state, &change, actions);
+            }
+        }
+        LogStream::Jobs => {
+            let change = state.jobs.book.restore(&snapshot.records);
+            gauge!(OPEN_JOBS).set(state.jobs.open_count() as f64);
+            if change != flamingowalk_core::process::job_book::RestoreChange::default() {
+                state.planner = None;
+            }
+        }
+        LogStream::Seat(_) => state.seat.restore(state.clock.now(), snapshot),
+    }
+}
+
+fn write_due_snapshot(state: &mut HostState, stream: &LogStream) {
+    let now = state.clock.now();
+    let rank = snapshot_rank(state, stream);
+    let is_due = state
+        .streams
+        .get(stream)
+        .is_some_and(|streamed| streamed.port.is_snapshot_due(now, HostClock::wall(), rank));
+    if !is_due {
+        return;
+    }
+    let entries = match stream {
+        LogStream::Config => state.config.live_entries(),
+        LogStream::Jobs => state.jobs.book.live_entries(),
+        LogStream::Seat(_) => state.seat.live_entries(),
+    };
+    if let Some(streamed) = state.streams.get_mut(stream) {
+        streamed.port.write_snapshot(now, entries);
+    }
+}
+
+/// Live hosts that write a snapshot before this one does.
+fn snapshot_rank(state: &HostState, stream: &LogStream) -> u32 {
+    let hosts = state.listing.hosts.iter().filter(|host| !host.leaving);
+    let is_reader = |zone: &ZoneName| match stream {
+        LogStream::Config | LogStream::Jobs => true,
+        LogStream::Seat(own) => zone == own,
+    };
+    let before = hosts.filter(|host| is_reader(&host.zone) && host.name < state.settings.name);
+    before.count() as u32
+}
--- /dev/null
+++ b/crates/node/src/process/log_link.rs
@@ -0,0 +1,145 @@
+//! Connections to one stream of the log. Each request runs as a task whose answer
+//! comes back as an event; a read that is given up takes its connection with it.
+
+use std::net::SocketAddr;
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::log_appender::{AppendFault, AppendId};
+use flamingowalk_core::process::log_follower::{ReadFault, ReadId, TAIL_WAIT};
+use metrics::counter;
+use tokio::task::{AbortHandle, spawn_local};
+
+use crate::border::log::{NewRecord, ReadRequest, append_records, read_page};
+use crate::connection::http_client::{ExchangeFault, HttpClient};
+use crate::process::counters::{LOG_APPENDS, LOG_READS};
+use crate::process::host_event::{EventSender, HostEvent, LogStream};
+use crate::process::log_port::LogRequest;
+
+/// Time for an answer; the follower and the appender lose patience sooner.
+const ANSWER_TIME: Duration = Duration::from_secs(30);
+
+/// Way to one stream.
+#[derive(Debug)]
+pub struct LogLink {
+    client: HttpClient,
+    address: SocketAddr,
+    stream: LogStream,
+    events: EventSender,
+    /// Reads without an answer.
+    reads: BTreeMap<ReadId, AbortHandle>,
+}
+
+impl LogLink {
+    /// A link without requests.
+    pub fn new(
+        client: HttpClient,
+        address: SocketAddr,
+        stream: LogStream,
+        events: EventSender,
+    ) -> Self {
+        Self {
+            client,
+            address,
+            stream,
+            events,
+            reads: BTreeMap::new(),
+        }
+    }
+
+    /// Notes that a read has been answered.
+    pub fn end_read(&mut self, read: ReadId) {
+        self.reads.remove(&read);
+    }
+
+    /// Carries a request out.
+    pub fn send(&mut self, request: LogRequest) {
+        match request {
+            LogRequest::Read {
+                read,
+                from,
+                limit,
+                is_connection_new,
+            } => {
+                if is_connection_new {
+                    // The connections so far may have gone silent.
+                    self.client = HttpClient::default();
+                }
+                let request = ReadRequest {
+                    from: from.0,
+                    limit,
+                    wait: TAIL_WAIT,
+                    timeout: ANSWER_TIME,
+                };
+                self.read(read, request);
+            }
+            LogRequest::GiveUp { read } => {
+                if let Some(task) = self.reads.remove(&read) {
+                    task.abort();
+                }
+            }
+            LogRequest::Append { append, records } => self.append(append, records),
+        }
+    }
+
+    fn read(&mut self, read: ReadId, request: ReadRequest) {
+        let (client, address) = (self.client.clone(), self.address);
+        let (stream, events) = (self.stream.clone(), self.events.clone());
+        let task = spawn_local(async move {
+            let result = read_page(&client, address, &stream.name(), request).await;
+            let outcome = if result.is_ok() { "done" } else { "failed" };
+            counter!(LOG_READS, "stream" => stream.name(), "outcome" => outcome).increment(1);
+            let result = result.map_err(|fault| read_fault(&fault));
+            // A loop that has ended follows no log.
+            let _ = events.send(HostEvent::LogRead {
+                stream,
+                read,
+                result,
+            });
+        });
+        self.reads.insert(read, task.abort_handle());
+    }
+
+    fn append(&self, append: AppendId, records: Vec<NewRecord>) {
+        let (client, address) = (self.client.clone(), self.address);
+        let (stream, events) = (self.stream.clone(), self.events.clone());
+        spawn_local(async move {
+            let name = stream.name();
+            let result = append_records(&client, address, &name, records, ANSWER_TIME).await;
+            let outcome = if result.is_ok() { "done" } else { "failed" };
+            counter!(LOG_APPENDS, "stream" => stream.name(), "outcome" => outcome).increment(1);
+            let result = result.map_err(append_fault);
+            // A loop that has ended writes no log.
+            let _ = events.send(HostEvent::LogAppended {
+                stream,
+                append,
+                result,
+            });
+        });
+    }
+}
+
+fn read_fault(fault: &ExchangeFault) -> ReadFault {
+    match fault {
+        ExchangeFault::TooLarge { .. } => ReadFault::TooLarge,
+        ExchangeFault::Unreachable { .. }
+        | ExchangeFault::NoAnswer { .. }
+        | ExchangeFault::Status { .. }
+        | ExchangeFault::Malformed { .. } => ReadFault::Unavailable,
+    }
+}
+
+/// Only a client error says that the log looked at the request and did not take
+/// it; a server error may come after the write.
+fn append_fault(fault: ExchangeFault) -> AppendFault {
+    const REFUSALS: [u16; 3] = [400, 413, 422];
+    match fault {
+        ExchangeFault::Unreachable { .. } => AppendFault::NotSent,
+        ExchangeFault::Status { status, body, .. } if REFUSALS.contains(&status.as_u16()) => {
+            AppendFault::Refused(body)
+        }
+        ExchangeFault::Status { .. }
+        | ExchangeFault::NoAnswer { .. }
+        | ExchangeFault::TooLarge { .. }
+        | ExchangeFault::Malformed { .. } => AppendFault::Unknown,
+    }
+}
--- a/crates/node/src/process/seat_port.rs
+++ b/crates/node/src/process/seat_port.rs
@@ -2,15 +2,11 @@
 
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::planner::event::SeatTerm;
-use flamingowalk_core::process::seat::{RosterMember, SeatAction, SeatEvent, SeatState};
-use flamingowalk_wire::records as wire;
-use metrics::counter;
-
-use crate::border::log::{NewRecord, StoredRecord};
-use crate::border::seat::{read_seat_record, write_member};
-use crate::process::counters::RECORDS_SKIPPED;
-use crate::process::host_clock::HostClock;
-use crate::process::job_desk::new_record;
+use flamingowalk_core::process::record::{LogEntry, LogOffset, SeatEntry, StoredEntry};
+use flamingowalk_core::process::seat::{
+    PlacedRecord, RosterMember, SeatAction, SeatEvent, SeatRecord, SeatState,
+};
+use flamingowalk_core::process::snapshot::Snapshot;
 
 /// The seat of the zone and its way to the log.
 #[derive(Debug)]
@@ -50,22 +46,34 @@
         self.state.ledger().current().map(|tenure| &tenure.holder)
     }
 
-    /// Applies a record of the seat's stream.
-    pub fn apply(&mut self, stored: &StoredRecord, now: MonotonicTime) {
-        match read_seat_record(stored, &self.zone) {
-            Some(record) => {
-                self.handle(
-                    now,
-                    SeatEvent::LogRecord {
-                        offset: stored.offset,
-                        record,
-                    },
-                );
-            }
-            None => {
-                counter!(RECORDS_SKIPPED, "stream" => "seat", "cause" => "kind").increment(1);
+    /// Records from which the seat's state can be restored.
+    pub fn live_entries(&self) -> Vec<StoredEntry> {
+        let records = self.state.ledger().live_records();
+        let stored = records.into_iter().zip(0..).map(|(placed, index)| {
+            let id = format!("seat/{}/{}/{index}", self.zone, placed.offset);
+            StoredEntry {
+                offset: LogOffset(placed.offset),
+                id: RecordId::from(id),
+                appended_at: WallTime(0),
+                entry: LogEntry::Seat(self.entry(placed.record)),
             }
-        }
+        });
+        stored.collect()
+    }
+
+    /// Replaces what the records before the snapshot said.
+    pub fn restore(&mut self, now: MonotonicTime, snapshot: &Snapshot) {
+        let records = snapshot.records.iter().filter_map(|stored| {
+            let LogEntry::Seat(entry) = &stored.entry else {
+                return None;
+            };
+            (entry.zone == self.zone).then(|| PlacedRecord {
+                offset: stored.offset.0,
+                record: entry.record.clone(),
+            })
+        });
+        let records: Vec<PlacedRecord> = records.collect();
+        self.state.restore(now, &records, snapshot.covers_until.0);
     }
 
     /// Passes an event on.
@@ -90,68 +98,39 @@
 
     /// Records to append for the actions so far. Messages to other hosts wait for
     /// the peer links and are dropped; the seat then rests on the log alone.
-    pub fn take_records(&mut self) -> Vec<NewRecord> {
+    pub fn take_entries(&mut self) -> Vec<SeatEntry> {
         let actions = std::mem::take(&mut self.actions);
-        actions
-            .into_iter()
-            .filter_map(|action| self.seat_record(action))
-            .collect()
+        let records = actions.into_iter().filter_map(|a| self.seat_record(a));
+        let entries = records.map(|record| self.entry(record));
+        entries.collect()
+    }
+
+    fn entry(&self, record: SeatRecord) -> SeatEntry {
+        SeatEntry {
+            zone: self.zone.clone(),
+            record,
+        }
     }
 
-    fn seat_record(&self, action: SeatAction) -> Option<NewRecord> {
-        let zone = self.zone.to_string();
-        let own = self.state.own();
-        let run = format!("{}/{}", own.host, own.incarnation);
-        let wall = HostClock::wall().0;
+    fn seat_record(&self, action: SeatAction) -> Option<SeatRecord> {
         match action {
-            SeatAction::AppendClaim { base_term, roster } => {
-                let body = wire::SeatClaim {
-                    zone,
-                    base_term: base_term.0,
-                    holder: write_member(own),
-                    roster: roster.iter().map(write_member).collect(),
-                    claimed_at_ms: wall,
-                };
-                Some(new_record(
-                    format!("claim/{run}/{}/{wall}", base_term.0),
-                    "seat-claim",
-                    &body,
-                ))
-            }
-            SeatAction::AppendActive { term } => {
-                let body = wire::SeatActive { zone, term: term.0 };
-                Some(new_record(
-                    format!("active/{run}/{}/{wall}", term.0),
-                    "seat-active",
-                    &body,
-                ))
-            }
+            SeatAction::AppendClaim { base_term, roster } => Some(SeatRecord::Claim {
+                base_term,
+                holder: self.state.own().clone(),
+                roster,
+            }),
+            SeatAction::AppendActive { term } => Some(SeatRecord::Active { term }),
             SeatAction::AppendRoster {
                 term,
                 base_roster,
                 roster,
-            } => {
-                let body = wire::SeatRoster {
-                    zone,
-                    term: term.0,
-                    base_roster: base_roster.0,
-                    roster: roster.iter().map(write_member).collect(),
-                };
-                let id = format!("roster/{run}/{}/{}/{wall}", term.0, base_roster.0);
-                Some(new_record(id, "seat-roster", &body))
-            }
+            } => Some(SeatRecord::Roster {
+                term,
+                base_roster,
+                roster,
+            }),
             SeatAction::AppendYield { term, successor } => {
-                let successor = successor.map(|host| host.to_string());
-                let body = wire::SeatYield {
-                    zone,
-                    term: term.0,
-                    successor,
-                };
-                Some(new_record(
-                    format!("yield/{run}/{}/{wall}", term.0),
-                    "seat-yield",
-                    &body,
-                ))
+                Some(SeatRecord::Yield { term, successor })
             }
             SeatAction::AskPromise { .. }
             | SeatAction::AnswerPromise { .. }
--- a/crates/node/src/process/state_dump.rs
+++ b/crates/node/src/process/state_dump.rs
@@ -63,6 +63,8 @@
     pub next: u64,
     /// Milliseconds since the last whole read was sent; absent before the first.
     pub age_ms: Option<u64>,
+    /// Records of this host that are not known to be in the log.
+    pub open: usize,
 }
 
 /// One entry host.
@@ -134,7 +136,8 @@
             let age = stream
                 .age_ms
                 .map_or_else(|| "never".to_owned(), |age| format!("{age}ms"));
-            writeln!(f, "stream {} next {} read {age}", stream.name, stream.next)?;
+            let (name, next, open) = (&stream.name, stream.next, stream.open);
+            writeln!(f, "stream {name} next {next} read {age} open {open}")?;
         }
         for member in &self.members {
             let leaving = if member.leaving { " leaving" } else { "" };
