--- /dev/null
+++ b/crates/core/tests/seat_snapshot.rs
@@ -0,0 +1,104 @@
+//! A snapshot of the seat stands for all records before it.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::planner::event::SeatTerm;
+use flamingowalk_core::process::seat::{RosterMember, RosterOffset, SeatLedger, SeatRecord};
+use proptest::prelude::*;
+
+/// What a host would append in the present state of the ledger; the number picks
+/// terms and hosts, stale ones included.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Claim(u8),
+    Active(u8),
+    Roster(u8),
+    Yield(u8),
+    /// An offset without a record.
+    Gap,
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        any::<u8>().prop_map(Step::Claim),
+        any::<u8>().prop_map(Step::Active),
+        any::<u8>().prop_map(Step::Roster),
+        any::<u8>().prop_map(Step::Yield),
+        Just(Step::Gap),
+    ]
+}
+
+fn member(number: u8) -> RosterMember {
+    RosterMember {
+        host: HostName::from(format!("h{}", number % 3)),
+        incarnation: 1,
+        address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7_000),
+    }
+}
+
+fn next_record(ledger: &SeatLedger, step: Step) -> Option<SeatRecord> {
+    let is_stale = |pick: u8| pick.is_multiple_of(5);
+    let term = |pick| SeatTerm(ledger.term().0.saturating_sub(u64::from(is_stale(pick))));
+    Some(match step {
+        Step::Claim(pick) => SeatRecord::Claim {
+            base_term: term(pick),
+            holder: member(pick),
+            roster: (0..3).map(member).collect(),
+        },
+        Step::Active(pick) => SeatRecord::Active { term: term(pick) },
+        Step::Roster(pick) => SeatRecord::Roster {
+            term: term(pick),
+            base_roster: ledger
+                .current()
+                .map_or(RosterOffset(0), |tenure| tenure.roster_offset),
+            roster: vec![member(pick), ledger.current()?.holder.clone()],
+        },
+        Step::Yield(pick) => SeatRecord::Yield {
+            term: term(pick),
+            successor: Some(HostName::from("h1")),
+        },
+        Step::Gap => return None,
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn ledger_from_snapshot(steps in proptest::collection::vec(any_step(), 1..60), cut in 0..60_u64) {
+        let mut whole = SeatLedger::default();
+        let mut restored = SeatLedger::default();
+        for (offset, step) in (0..).zip(steps) {
+            if offset == cut {
+                restored.restore(&whole.live_records(), offset);
+            }
+            if let Some(record) = next_record(&whole, step) {
+                whole.apply(offset, &record);
+                if offset >= cut {
+                    restored.apply(offset, &record);
+                }
+            }
+            if offset >= cut {
+                prop_assert_eq!(restored.current(), whole.current());
+                prop_assert_eq!(restored.guard(), whole.guard());
+            }
+        }
+    }
+}
+
+/// A ledger that has read further is not set back.
+#[test]
+fn ledger_restore_older_snapshot() {
+    let mut ledger = SeatLedger::default();
+    let claim = |base| SeatRecord::Claim {
+        base_term: SeatTerm(base),
+        holder: member(0),
+        roster: vec![member(0)],
+    };
+    ledger.apply(0, &claim(0));
+    let older = ledger.live_records();
+    ledger.apply(4, &claim(1));
+    ledger.restore(&older, 1);
+    assert_eq!(ledger.term(), SeatTerm(5));
+}
--- /dev/null
+++ b/crates/node/tests/log_port.rs
@@ -0,0 +1,459 @@
+//! The log port of a stream against a small fake log, on a virtual clock: what is
+//! sent, what the loop is told, and the bodies of records on the way.
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::log_appender::{AppendFault, AppendId};
+use flamingowalk_core::process::log_follower::{ReadFault, ReadId};
+use flamingowalk_core::process::planner::action::JobEnding;
+use flamingowalk_core::process::planner::event::SeatTerm;
+use flamingowalk_core::process::record::{
+    AcceptedEntry, CancelledEntry, ConfigEntry, EndedEntry, LogEntry, LogOffset, LostEntry,
+    MovedEntry, SeatEntry, SnapshotChunk, StartedEntry, StoredEntry,
+};
+use flamingowalk_core::process::seat::{RosterMember, RosterOffset, SeatRecord};
+use flamingowalk_core::process::snapshot::SnapshotTimes;
+use flamingowalk_core::version::settings::ConfigVersion;
+use flamingowalk_node::border::log::{AppendedRange, LogPage, NewRecord, StoredRecord};
+use flamingowalk_node::border::records::{read_record, write_record};
+use flamingowalk_node::process::log_port::{LogNotice, LogPort, LogRequest};
+use rstest::rstest;
+
+const TICK: Duration = Duration::from_millis(100);
+const DAY: Duration = Duration::from_hours(24);
+
+fn cancelled(job: &str) -> LogEntry {
+    LogEntry::JobCancelled(CancelledEntry {
+        job: job.into(),
+        requested_at: WallTime(5),
+    })
+}
+
+/// The fake log, one port, and what the port told.
+struct Bench {
+    now: MonotonicTime,
+    port: LogPort,
+    records: Vec<StoredRecord>,
+    first: u64,
+    reads: Vec<(ReadId, u64, u32)>,
+    appends: Vec<(AppendId, Vec<NewRecord>)>,
+    notices: Vec<LogNotice>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let now = MonotonicTime::from_secs(1);
+        let times = SnapshotTimes::for_retention(DAY);
+        Self {
+            now,
+            port: LogPort::new(now, "h/1".to_owned(), 1, times),
+            records: Vec::new(),
+            first: 0,
+            reads: Vec::new(),
+            appends: Vec::new(),
+            notices: Vec::new(),
+        }
+    }
+
+    fn fill(&mut self, count: usize) {
+        for index in 0..count {
+            let id = RecordId::from(format!("other/{index}"));
+            self.write(vec![write_record(&id, &cancelled("j"))]);
+        }
+    }
+
+    fn write(&mut self, records: Vec<NewRecord>) -> AppendedRange {
+        let first_offset = self.records.len() as u64;
+        for record in records {
+            let offset = self.records.len() as u64;
+            self.records.push(StoredRecord {
+                offset,
+                appended_at_ms: 1_000 + offset,
+                record,
+            });
+        }
+        AppendedRange {
+            first_offset,
+            next_offset: self.records.len() as u64,
+        }
+    }
+
+    fn page(&self, from: u64, limit: u32) -> LogPage {
+        let start = from.max(self.first);
+        let records = self.records.iter().skip(start as usize);
+        let records: Vec<StoredRecord> = records.take(limit as usize).cloned().collect();
+        LogPage {
+            first_offset: self.first,
+            next_offset: start + records.len() as u64,
+            tail_offset: self.records.len() as u64,
+            records,
+        }
+    }
+
+    fn collect(&mut self) {
+        for request in self.port.take_requests() {
+            match request {
+                LogRequest::Read {
+                    read, from, limit, ..
+                } => self.reads.push((read, from.0, limit)),
+                LogRequest::GiveUp { read } => self.reads.retain(|open| open.0 != read),
+                LogRequest::Append { append, records } => self.appends.push((append, records)),
+            }
+        }
+        self.notices.extend(self.port.take_notices());
+    }
+
+    fn tick(&mut self) {
+        self.now = self.now + TICK;
+        self.port.tick(self.now);
+        self.collect();
+    }
+
+    fn answer_reads(&mut self) {
+        for (read, from, limit) in std::mem::take(&mut self.reads) {
+            let page = self.page(from, limit);
+            self.port.take_read(self.now, read, Ok(page));
+            self.collect();
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.tick();
+            self.answer_reads();
+        }
+    }
+
+    /// Lets the next append take effect and answers it as given.
+    fn append(&mut self, answer: Option<AppendFault>) {
+        while self.appends.is_empty() {
+            self.tick();
+        }
+        let (append, records) = self.appends.remove(0);
+        let range = self.write(records);
+        let result = answer.map_or(Ok(range), Err);
+        self.port.take_append(self.now, append, result);
+        self.collect();
+    }
+
+    fn submit(&mut self, time: Option<Duration>) -> RecordId {
+        let submitted = self.port.submit(self.now, cancelled("j"), time);
+        submitted.expect("room in the queue")
+    }
+
+    fn seen(&self, id: &RecordId) -> usize {
+        let is_own = |notice: &&LogNotice| matches!(notice, LogNotice::Record(r) if &r.id == id);
+        self.notices.iter().filter(is_own).count()
+    }
+
+    fn last_caught_up(&self) -> Option<MonotonicTime> {
+        self.notices.iter().rev().find_map(|notice| match notice {
+            LogNotice::CaughtUp { sent_at } => Some(*sent_at),
+            _ => None,
+        })
+    }
+}
+
+#[test]
+fn port_record_comes_back() {
+    let mut bench = Bench::new();
+    bench.run(Duration::from_secs(1));
+    let id = bench.submit(None);
+    bench.append(None);
+    bench.run(Duration::from_secs(2));
+    assert_eq!(bench.seen(&id), 1);
+    assert_eq!(bench.port.open_records(), 0);
+}
+
+/// The answer is lost after the write has taken effect: the record is settled by
+/// reading and not written twice.
+#[test]
+fn port_append_answer_lost() {
+    let mut bench = Bench::new();
+    bench.run(Duration::from_secs(1));
+    let id = bench.submit(Some(Duration::from_secs(5)));
+    bench.append(Some(AppendFault::Unknown));
+    bench.run(Duration::from_secs(10));
+    assert_eq!(bench.seen(&id), 1);
+    assert_eq!((bench.appends.len(), bench.records.len()), (0, 1));
+    let told = |notice: &LogNotice| {
+        matches!(
+            notice,
+            LogNotice::Doubtful { .. } | LogNotice::NotWritten { .. }
+        )
+    };
+    assert!(!bench.notices.iter().any(told));
+}
+
+#[rstest]
+#[case::not_sent(AppendFault::NotSent, true)]
+#[case::refused(AppendFault::Refused("malformed".to_owned()), true)]
+#[case::unknown(AppendFault::Unknown, false)]
+fn port_log_down(#[case] fault: AppendFault, #[case] is_proved: bool) {
+    let mut bench = Bench::new();
+    bench.run(Duration::from_secs(1));
+    let id = bench.submit(Some(Duration::from_secs(5)));
+    for _ in 0..80 {
+        bench.tick();
+        for (read, ..) in std::mem::take(&mut bench.reads) {
+            bench
+                .port
+                .take_read(bench.now, read, Err(ReadFault::Unavailable));
+        }
+        for (append, _) in std::mem::take(&mut bench.appends) {
+            bench
+                .port
+                .take_append(bench.now, append, Err(fault.clone()));
+        }
+        bench.collect();
+    }
+    let proved =
+        |n: &&LogNotice| matches!(n, LogNotice::NotWritten { id: told, .. } if *told == id);
+    let doubted = |n: &&LogNotice| matches!(n, LogNotice::Doubtful { id: told } if *told == id);
+    assert_eq!(
+        bench.notices.iter().filter(proved).count(),
+        usize::from(is_proved)
+    );
+    assert_eq!(
+        bench.notices.iter().filter(doubted).count(),
+        usize::from(!is_proved)
+    );
+}
+
+/// Being caught up counts from when a read was sent, however late its answer.
+#[test]
+fn port_caught_up_from_request() {
+    let mut bench = Bench::new();
+    bench.fill(3);
+    bench.run(Duration::from_secs(1));
+    while bench.reads.is_empty() {
+        bench.tick();
+    }
+    let sent = bench.now;
+    (0..15).for_each(|_| bench.tick());
+    bench.answer_reads();
+    assert_eq!(bench.last_caught_up(), Some(sent));
+}
+
+/// A host whose place in the log is gone restores what another wrote.
+#[test]
+fn port_truncated_restores_snapshot() {
+    let mut writer = Bench::new();
+    writer.fill(30);
+    writer.run(Duration::from_secs(2));
+    assert!(writer.port.is_snapshot_due(writer.now, WallTime(2_000), 0));
+    let entry = |(offset, job): (u64, &str)| StoredEntry {
+        offset: LogOffset(offset),
+        id: RecordId::from(job),
+        appended_at: WallTime(7),
+        entry: cancelled(job),
+    };
+    let live: Vec<StoredEntry> = [(3, "a"), (9, "b")].into_iter().map(entry).collect();
+    writer.port.write_snapshot(writer.now, live.clone());
+    writer.append(None);
+    writer.run(Duration::from_secs(1));
+    assert!(!writer.port.is_snapshot_due(writer.now, WallTime(2_000), 0));
+
+    let mut reader = Bench::new();
+    reader.records = writer.records[..20].to_vec();
+    reader.run(Duration::from_secs(2));
+    reader.records = writer.records;
+    reader.first = 25;
+    reader.run(Duration::from_secs(3));
+    let kinds: Vec<&LogNotice> = reader
+        .notices
+        .iter()
+        .filter(|notice| matches!(notice, LogNotice::Truncated { .. } | LogNotice::Restored(_)))
+        .collect();
+    let [
+        LogNotice::Truncated {
+            first: LogOffset(25),
+        },
+        LogNotice::Restored(snapshot),
+    ] = kinds[..]
+    else {
+        panic!("truncated, then restored: {kinds:?}");
+    };
+    assert_eq!(
+        (snapshot.covers_until, &snapshot.records),
+        (LogOffset(30), &live)
+    );
+    assert!(reader.port.caught_up_at().is_some());
+}
+
+/// A stream without records needs no snapshot.
+#[test]
+fn port_empty_stream_no_snapshot() {
+    let mut bench = Bench::new();
+    bench.run(Duration::from_secs(2));
+    assert!(bench.port.caught_up_at().is_some());
+    assert!(!bench.port.is_snapshot_due(bench.now, WallTime(u64::MAX), 0));
+}
+
+fn member() -> RosterMember {
+    RosterMember {
+        host: "h".into(),
+        incarnation: 3,
+        address: "127.0.0.1:7001".parse().expect("an address"),
+    }
+}
+
+fn seat(record: SeatRecord) -> LogEntry {
+    LogEntry::Seat(SeatEntry {
+        zone: "a".into(),
+        record,
+    })
+}
+
+fn stored(offset: u64, entry: LogEntry) -> StoredEntry {
+    StoredEntry {
+        offset: LogOffset(offset),
+        id: RecordId::from(format!("id{offset}")),
+        appended_at: WallTime(70 + offset),
+        entry,
+    }
+}
+
+fn all_entries() -> Vec<LogEntry> {
+    let accepted = AcceptedEntry {
+        job: "j".into(),
+        customer: "c".into(),
+        class: "k".into(),
+        zone: "a".into(),
+        config: ConfigVersion(3),
+        accepted_at: WallTime(9),
+        start_before: Some(WallTime(99)),
+    };
+    let ended = |ending| {
+        LogEntry::JobEnded(EndedEntry {
+            job: "j".into(),
+            ending,
+            term: SeatTerm(4),
+            ended_at: WallTime(8),
+        })
+    };
+    vec![
+        LogEntry::Config(ConfigEntry {
+            base: ConfigVersion(2),
+            content_hash: "f00".to_owned(),
+            settings: Arc::from("[policy]\n"),
+            publisher: "p".to_owned(),
+        }),
+        LogEntry::JobAccepted(accepted.clone()),
+        LogEntry::JobAccepted(AcceptedEntry {
+            start_before: None,
+            ..accepted
+        }),
+        cancelled("j"),
+        LogEntry::JobStarted(StartedEntry {
+            job: "j".into(),
+            attempt: 2,
+            term: SeatTerm(4),
+            zone: "a".into(),
+            workers: vec!["w1".into(), "w2".into()],
+            started_at: WallTime(6),
+        }),
+        ended(JobEnding::Finished),
+        ended(JobEnding::Failed("no memory".to_owned())),
+        ended(JobEnding::Cancelled),
+        ended(JobEnding::Refused("too large".to_owned())),
+        LogEntry::JobMoved(MovedEntry {
+            job: "j".into(),
+            from: "a".into(),
+            to: "b".into(),
+            term: SeatTerm(4),
+        }),
+        LogEntry::ZoneLost(LostEntry {
+            zone: "a".into(),
+            operator: "o".to_owned(),
+            declared_at: WallTime(1),
+        }),
+        seat(SeatRecord::Claim {
+            base_term: SeatTerm(1),
+            holder: member(),
+            roster: vec![member()],
+        }),
+        seat(SeatRecord::Active { term: SeatTerm(2) }),
+        seat(SeatRecord::Roster {
+            term: SeatTerm(2),
+            base_roster: RosterOffset(1),
+            roster: vec![member()],
+        }),
+        seat(SeatRecord::Yield {
+            term: SeatTerm(2),
+            successor: Some("h2".into()),
+        }),
+    ]
+}
+
+/// Every kind of record, alone and within a snapshot, comes back as it was written.
+#[test]
+fn record_round_trip() {
+    let records: Vec<StoredEntry> = (0..)
+        .zip(all_entries())
+        .map(|(o, e)| stored(o, e))
+        .collect();
+    let chunk = LogEntry::Snapshot(SnapshotChunk {
+        covers_until: LogOffset(40),
+        writer: "h/1".to_owned(),
+        chunk: 0,
+        chunks: 1,
+        records: records.clone(),
+    });
+    for record in records.into_iter().chain([stored(50, chunk)]) {
+        let read = read_record(StoredRecord {
+            offset: record.offset.0,
+            appended_at_ms: record.appended_at.0,
+            record: write_record(&record.id, &record.entry),
+        });
+        assert_eq!(read, record);
+    }
+}
+
+#[rstest]
+#[case::kind("job-promoted", 1, r#"{"job_id":"j"}"#)]
+#[case::schema("job-cancelled", 2, r#"{"job_id":"j","requested_at_ms":1}"#)]
+#[case::body("job-cancelled", 1, r#"{"job":"j"}"#)]
+#[case::no_object("config", 1, "7")]
+#[case::seat(
+    "seat-claim",
+    1,
+    r#"{"zone":"a","base_term":0,"claimed_at_ms":1,
+    "holder":{"host":"h","incarnation":1,"address":"nowhere"}}"#
+)]
+#[case::chunk(
+    "snapshot",
+    1,
+    r#"{"covers_until":1,"chunk":0,"chunks":1,"records":[{"offset":"x"}]}"#
+)]
+fn record_unreadable(#[case] kind: &str, #[case] schema: u32, #[case] body: &str) {
+    let read = read_record(StoredRecord {
+        offset: 4,
+        appended_at_ms: 1,
+        record: NewRecord {
+            id: "id".to_owned(),
+            kind: kind.to_owned(),
+            schema,
+            body: serde_json::from_str(body).expect("JSON"),
+        },
+    });
+    let kind = kind.to_owned();
+    assert_eq!(read.entry, LogEntry::Unreadable { kind });
+}
+
+/// A newer release may add fields; they are passed over.
+#[test]
+fn record_unknown_field() {
+    let body = r#"{"job_id":"j","requested_at_ms":5,"added_later":true}"#;
+    let read = read_record(StoredRecord {
+        offset: 4,
+        appended_at_ms: 1,
+        record: NewRecord {
+            id: "id".to_owned(),
+            kind: "job-cancelled".to_owned(),
+            schema: 1,
+            body: serde_json::from_str(body).expect("JSON"),
+        },
+    });
+    assert_eq!(read.entry, cancelled("j"));
+}
