--- a/crates/node/src/process/host_state.rs
+++ b/crates/node/src/process/host_state.rs
@@ -3,20 +3,21 @@
 use std::net::SocketAddr;
 
 use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::config_book::ConfigBook;
 use flamingowalk_core::process::planner::state::PlannerState;
 use flamingowalk_core::version::settings::{ConfigVersion, SystemSettings};
 use flamingowalk_wire::caller::HostStatus;
-use flamingowalk_wire::records::ConfigRecord;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 
 use crate::border::hosts::{HostListing, ListedHost};
-use crate::border::log::NewRecord;
 use crate::connection::http_server::ServePhase;
 use crate::process::call_port::CallPort;
 use crate::process::host_clock::HostClock;
 use crate::process::host_event::LogStream;
 use crate::process::host_settings::HostSettings;
-use crate::process::job_desk::JobDesk;
+use crate::process::job_desk::{JobDesk, job_status};
+use crate::process::log_link::LogLink;
+use crate::process::log_port::LogPort;
 use crate::process::peer_port::PeerPort;
 use crate::process::planner_port::PlannerPort;
 use crate::process::seat_port::SeatPort;
@@ -24,13 +25,13 @@
     HostSection, JobSection, MemberSection, SeatSection, StateDump, StreamSection, TargetSection,
 };
 
-/// How far a stream has been read.
-#[derive(Clone, Debug, Default)]
-pub struct StreamPosition {
-    /// Next offset to read.
-    pub next: u64,
-    /// When the newest read that reached the tail was sent.
-    pub tail_read_at: Option<MonotonicTime>,
+/// A stream of the log.
+#[derive(Debug)]
+pub struct StreamState {
+    /// What is followed and written.
+    pub port: LogPort,
+    /// Connections.
+    pub link: LogLink,
     /// Whether the newest read failed.
     pub is_failing: bool,
 }
@@ -57,14 +58,12 @@
     pub config_version: ConfigVersion,
     /// Settings of the version in force.
     pub system: Arc<SystemSettings>,
-    /// Record of the version in force, for peers that are cut off from the log.
-    pub config_record: Option<ConfigRecord>,
     /// Links to other entry hosts.
     pub peers: PeerPort,
-    /// Positions of the followed streams.
-    pub streams: BTreeMap<LogStream, StreamPosition>,
-    /// Writers of the streams.
-    pub writers: BTreeMap<LogStream, mpsc::UnboundedSender<NewRecord>>,
+    /// Configurations of the log; `config_version` and `system` are the adopted one.
+    pub config: ConfigBook,
+    /// Streams that are followed and written.
+    pub streams: BTreeMap<LogStream, StreamState>,
     /// Newest reading of the host list.
     pub listing: HostListing,
     /// Calls and their targets.
@@ -89,7 +88,7 @@
     /// to its tail; one that does not is not waited for, since calls do without.
     pub fn is_ready(&self) -> bool {
         let is_settled =
-            |position: &StreamPosition| position.tail_read_at.is_some() || position.is_failing;
+            |stream: &StreamState| stream.port.caught_up_at().is_some() || stream.is_failing;
         self.config_version > ConfigVersion(0)
             && !self.listing.workers.is_empty()
             && self.drain_since.is_none()
@@ -101,13 +100,7 @@
     pub fn is_caught_up(&self) -> bool {
         self.streams
             .values()
-            .all(|position| position.tail_read_at.is_some())
-    }
-
-    /// Appends a record through its stream's writer.
-    pub fn append(&self, stream: &LogStream, record: NewRecord) {
-        let sent = self.writers.get(stream).map(|writer| writer.send(record));
-        debug_assert!(sent.is_some(), "stream {} has no writer", stream.name());
+            .all(|stream| stream.port.caught_up_at().is_some())
     }
 
     /// Address of a listed worker.
@@ -125,12 +118,7 @@
             config_version: self.config_version.0,
             seat_holder: self.seat.holder().map(|holder| holder.host.to_string()),
             seat_term: self.seat.term().0,
-            jobs: self
-                .jobs
-                .jobs
-                .values()
-                .map(super::job_desk::JobEntry::status)
-                .collect(),
+            jobs: self.jobs.statuses(),
         }
     }
 
@@ -169,10 +157,11 @@
 
     fn stream_sections(&self, now: MonotonicTime) -> Vec<StreamSection> {
         let age = |at: MonotonicTime| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
-        let section = |(stream, position): (&LogStream, &StreamPosition)| StreamSection {
+        let section = |(stream, state): (&LogStream, &StreamState)| StreamSection {
             name: stream.name(),
-            next: position.next,
-            age_ms: position.tail_read_at.map(age),
+            next: state.port.position().0,
+            age_ms: state.port.caught_up_at().map(age),
+            open: state.port.open_records(),
         };
         self.streams.iter().map(section).collect()
     }
@@ -205,17 +194,13 @@
     }
 
     fn job_sections(&self) -> Vec<JobSection> {
-        let open = self
-            .jobs
-            .jobs
-            .values()
-            .filter(|entry| entry.ended.is_none());
-        let sections = open.map(|entry| JobSection {
-            id: entry.accepted.job_id.clone(),
-            customer: entry.accepted.customer.clone(),
-            class: entry.accepted.class.clone(),
-            zone: entry.accepted.zone.clone(),
-            phase: entry.status().phase.to_string(),
+        let open = self.jobs.book.open_jobs();
+        let sections = open.map(|(id, job)| JobSection {
+            id: id.to_string(),
+            customer: job.accepted.entry.customer.to_string(),
+            class: job.accepted.entry.class.to_string(),
+            zone: job.home().to_string(),
+            phase: job_status(job).phase.to_string(),
         });
         sections.collect()
     }
--- a/crates/node/src/process/peer_exchange.rs
+++ b/crates/node/src/process/peer_exchange.rs
@@ -6,11 +6,12 @@
 use flamingowalk_core::process::planner::event::SeatTerm;
 use flamingowalk_core::process::seat::{RosterMember, SeatEvent};
 use flamingowalk_wire::peer as wire;
-use flamingowalk_wire::records::ConfigRecord;
 
+use crate::border::log::StoredRecord;
 use crate::border::peer::PeerMessage;
-use crate::process::event_loop::adopt_config;
+use crate::border::records::{read_record, write_record};
 use crate::process::host_state::HostState;
+use crate::process::log_events::learn_config;
 use crate::process::peer_client::PeerReport;
 use crate::process::peer_server::AskingPeer;
 
@@ -98,8 +99,8 @@
             state.seat.handle(now, event);
         }
         PeerMessage::ConfigPush(push) => {
-            if let Ok(record) = serde_json::from_value::<ConfigRecord>(push.record) {
-                adopt_config(state, push.version, record, actions);
+            if let Ok(stored) = serde_json::from_value::<StoredRecord>(push.record) {
+                learn_config(state, &read_record(stored), actions);
             }
         }
         _ => {}
@@ -178,12 +179,17 @@
 }
 
 fn config_push(state: &HostState, have_version: u64) -> Option<PeerMessage> {
-    let version = state.config_version.0;
-    let record = state
-        .config_record
-        .as_ref()
-        .filter(|_| version > have_version)?;
-    let record = serde_json::to_value(record).ok()?;
+    let adopted = state.config.adopted()?;
+    let version = adopted.version.0;
+    if version <= have_version {
+        return None;
+    }
+    let stored = StoredRecord {
+        appended_at_ms: adopted.record.appended_at.0,
+        offset: adopted.record.offset.0,
+        record: write_record(&adopted.record.id, &adopted.record.entry),
+    };
+    let record = serde_json::to_value(stored).ok()?;
     Some(PeerMessage::ConfigPush(wire::ConfigPush {
         record,
         version,
