publish tells races truthfully and settles lost answers; diff and history

Cause: publish read the stream from its start, so retention broke the chain of versions, and a lost answer was reported as unknown although the record could be read back.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -43,6 +43,29 @@
         #[bpaf(positional("FOLDER"))]
         folder: PathBuf,
     },
+    /// Print what a folder would change in the configuration in force
+    #[bpaf(command)]
+    Diff {
+        /// Address of the platform's log
+        #[bpaf(argument("IP:PORT"))]
+        log: SocketAddr,
+        /// Folder with INI files
+        #[bpaf(positional("FOLDER"))]
+        folder: PathBuf,
+    },
+    /// List the published configurations, or print the content of one
+    #[bpaf(command)]
+    History {
+        /// Address of the platform's log
+        #[bpaf(argument("IP:PORT"))]
+        log: SocketAddr,
+        /// Print this version's content, which can be published again as a folder
+        #[bpaf(argument("NUMBER"))]
+        version: Option<u64>,
+        /// table or json
+        #[bpaf(argument("FORMAT"), fallback(OutputFormat::Table))]
+        output: OutputFormat,
+    },
     /// Send one call and print its answer
     #[bpaf(command)]
     Call(#[bpaf(external(call_options))] CallOptions),
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -76,6 +76,12 @@
             log,
             publisher,
         } => publish::publish(&folder, log, &publisher).await,
+        Command::Diff { folder, log } => publish::diff(&folder, log).await,
+        Command::History {
+            log,
+            version,
+            output,
+        } => publish::history(log, version, output).await,
         Command::Call(options) => caller_verbs::call(options).await,
         Command::Submit(options) => caller_verbs::submit(options).await,
         Command::Status { host, output, job } => caller_verbs::status(host, output, job).await,
--- a/crates/cli/src/publish.rs
+++ b/crates/cli/src/publish.rs
@@ -1,140 +1,207 @@
-//! The verb `publish`: appends a checked folder to the log as the next
-//! configuration and tells which version won when operators race.
+//! Verbs about the configurations in the log: `publish`, `diff` and `history`.
+//! When operators race, the log's order decides, and the loser is told which
+//! version won, what differs and how to go on.
 
 use std::net::SocketAddr;
 use std::path::Path;
 
 use flamingowalk_core::prelude::*;
-use flamingowalk_core::version::{check_folder, content_hash, parse_canonical};
-use flamingowalk_node::border::log::{
-    LOG_TIMEOUT, NewRecord, ReadRequest, StoredRecord, append_records, read_page,
+use flamingowalk_core::process::config_history::{
+    ConfigHistory, PublishOutcome, PublishedConfig, PublishedState, SettingDifference, diff_texts,
 };
-use flamingowalk_node::connection::http_client::HttpClient;
-use flamingowalk_wire::records::ConfigRecord;
+use flamingowalk_core::process::record::{ConfigEntry, LogEntry};
+use flamingowalk_core::version::content_hash;
+use flamingowalk_core::version::settings::ConfigVersion;
+use flamingowalk_node::border::log::{LOG_TIMEOUT, append_records};
+use flamingowalk_node::border::records::write_record;
+use flamingowalk_node::connection::http_client::{ExchangeFault, HttpClient};
+use flamingowalk_node::process::config_reader::{read_all, read_recent};
+use flamingowalk_node::process::host_event::LogStream;
+use serde::Serialize;
 
 use crate::exit::CommandFault;
 use crate::folder_verbs::checked_folder;
+use crate::output::{OutputFormat, TextTable};
 
-/// Stream of published configurations.
-const CONFIG_STREAM: &str = "config";
-/// Records read at once.
-const PAGE_LIMIT: u32 = 200;
-/// Version of the record body.
-const RECORD_SCHEMA: u32 = 1;
+/// A checked folder on its way into the log.
+#[derive(Clone, Debug)]
+pub struct Publication {
+    /// Record to append; its base is the version in force when it was prepared.
+    pub entry: ConfigEntry,
+    /// Identifier, the same for every repetition.
+    pub id: RecordId,
+    /// Whether the version in force has this content.
+    pub is_in_force: bool,
+}
 
-/// The configuration in force in the log.
-#[derive(Clone, Debug, Default)]
-pub struct ForceView {
-    /// Version in force; zero before the first.
-    pub version: u64,
-    /// Its record.
-    pub record: Option<ConfigRecord>,
+/// Publishes a folder.
+///
+/// # Errors
+/// [`CommandFault::Refused`] for a faulty folder or a lost race, and
+/// [`CommandFault::Unknown`] when the log does not answer.
+pub async fn publish(
+    folder: &Path,
+    log: SocketAddr,
+    publisher: &str,
+) -> Result<String, CommandFault> {
+    let settings = checked_folder(folder)?.to_string();
+    let client = HttpClient::default();
+    let publication = prepare(&client, log, settings, publisher).await?;
+    let base = publication.entry.base;
+    if publication.is_in_force {
+        return Ok(format!(
+            "{base} already has this content; nothing to publish"
+        ));
+    }
+    let version = commit(&client, log, &publication).await?;
+    Ok(format!("published {version} over {base}"))
 }
 
-/// Reads the configuration in force.
+/// Prepares the publication of a canonical text over the version in force.
 ///
 /// # Errors
 /// [`CommandFault::Unknown`] when the log does not answer.
-pub async fn read_force(client: &HttpClient, log: SocketAddr) -> Result<ForceView, CommandFault> {
-    let mut view = ForceView::default();
-    let mut next = 0;
-    loop {
-        let request = ReadRequest {
-            from: next,
-            limit: PAGE_LIMIT,
-            wait: Duration::ZERO,
-            timeout: LOG_TIMEOUT,
-        };
-        let page = read_page(client, log, CONFIG_STREAM, request).await?;
-        for stored in &page.records {
-            view.apply(stored);
+pub async fn prepare(
+    client: &HttpClient,
+    log: SocketAddr,
+    settings: String,
+    publisher: &str,
+) -> Result<Publication, CommandFault> {
+    let history = read_recent(client, log).await?;
+    let base = history.in_force();
+    let hash = content_hash(&settings);
+    let current = history.get(base).map(|config| &config.entry.content_hash);
+    Ok(Publication {
+        is_in_force: current == Some(&hash),
+        id: RecordId::from(format!("config/{}/{hash}", base.0)),
+        entry: ConfigEntry {
+            base,
+            content_hash: hash,
+            settings: Arc::from(settings),
+            publisher: publisher.to_owned(),
+        },
+    })
+}
+
+/// Appends a publication and tells its version. An answer that was lost is
+/// settled by reading the log.
+///
+/// # Errors
+/// [`CommandFault::Refused`] for a lost race, and [`CommandFault::Unknown`] when
+/// the log does not answer or does not show the record.
+pub async fn commit(
+    client: &HttpClient,
+    log: SocketAddr,
+    publication: &Publication,
+) -> Result<ConfigVersion, CommandFault> {
+    let Publication { entry, id, .. } = publication;
+    let record = write_record(id, &LogEntry::Config(entry.clone()));
+    let name = LogStream::Config.name();
+    match append_records(client, log, &name, vec![record], LOG_TIMEOUT).await {
+        Ok(_) | Err(ExchangeFault::NoAnswer { .. }) => {}
+        Err(fault) => return Err(fault.into()),
+    }
+    let outcome = read_recent(client, log).await?.outcome(id);
+    match &outcome {
+        PublishOutcome::InForce(version) | PublishOutcome::Superseded { version, .. } => {
+            Ok(*version)
         }
-        next = page.next_offset;
-        if next >= page.tail_offset {
-            return Ok(view);
+        PublishOutcome::LostRace { .. } | PublishOutcome::Damaged => {
+            Err(CommandFault::Refused(outcome.to_string()))
         }
+        PublishOutcome::NotSeen => Err(CommandFault::Unknown(outcome.to_string())),
     }
 }
 
-impl ForceView {
-    fn apply(&mut self, stored: &StoredRecord) {
-        if stored.record.kind != "config" {
-            return;
-        }
-        let Ok(record) = serde_json::from_value::<ConfigRecord>(stored.record.body.clone()) else {
-            return;
-        };
-        if record.base_version == self.version && parse_canonical(&record.settings).is_ok() {
-            self.version = stored.offset + 1;
-            self.record = Some(record);
-        }
+/// Tells what a folder would change in the version in force.
+///
+/// # Errors
+/// [`CommandFault::Refused`] for a faulty folder, and [`CommandFault::Unknown`]
+/// when the log does not answer.
+pub async fn diff(folder: &Path, log: SocketAddr) -> Result<String, CommandFault> {
+    let settings = checked_folder(folder)?.to_string();
+    let history = read_recent(&HttpClient::default(), log).await?;
+    let version = history.in_force();
+    let current = history.get(version);
+    let current = current.map_or("", |config| &*config.entry.settings);
+    let differences = diff_texts(current, &settings);
+    let differences = differences.map_err(|faults| CommandFault::Refused(faults.to_string()))?;
+    if differences.is_empty() {
+        return Ok(format!("no difference to {version}"));
     }
+    let lines: Vec<String> = differences
+        .iter()
+        .map(SettingDifference::to_string)
+        .collect();
+    Ok(format!("differences to {version}:\n{}", lines.join("\n")))
 }
 
-/// Publishes a folder.
+/// Lists the published configurations, or prints the content of one. A printed
+/// content is a folder of one file: published again, it is a new version.
 ///
 /// # Errors
-/// [`CommandFault::Refused`] for a faulty folder or a lost race, and
-/// [`CommandFault::Unknown`] when the log's answer was lost.
-pub async fn publish(
-    folder: &Path,
+/// [`CommandFault::Refused`] for a version that the log does not hold, and
+/// [`CommandFault::Unknown`] when the log does not answer.
+pub async fn history(
     log: SocketAddr,
-    publisher: &str,
+    version: Option<u64>,
+    output: OutputFormat,
 ) -> Result<String, CommandFault> {
-    let merged = checked_folder(folder)?;
-    let settings = merged.to_string();
-    debug_assert!(check_folder(&merged).is_ok(), "the folder was checked");
-    let client = HttpClient::default();
-    let base = read_force(&client, log).await?;
-    let hash = content_hash(&settings);
-    if base
-        .record
-        .as_ref()
-        .is_some_and(|record| record.content_hash == hash)
-    {
-        return Ok(format!(
-            "config{} already has this content; nothing to publish",
-            base.version
-        ));
+    let history = read_all(&HttpClient::default(), log).await?;
+    match version {
+        Some(version) => version_text(&history, ConfigVersion(version)),
+        None => Ok(list_text(&history, output)),
     }
-    let record = ConfigRecord {
-        base_version: base.version,
-        content_hash: hash.clone(),
-        publisher: publisher.to_owned(),
-        settings,
-    };
-    append_config(&client, log, &record).await?;
-    let now = read_force(&client, log).await?;
-    match now.record {
-        Some(won) if won.content_hash == hash && won.base_version == base.version => Ok(format!(
-            "published config{} over config{}",
-            now.version, base.version
-        )),
-        Some(won) => Err(CommandFault::Refused(format!(
-            "config{} by {} came first; your folder is not in force. Take over what it changed, \
-             then publish again",
-            now.version, won.publisher
-        ))),
-        None => Err(CommandFault::Unknown(
-            "the record is not in the log; publish again, which is safe".to_owned(),
-        )),
+}
+
+fn version_text(history: &ConfigHistory, version: ConfigVersion) -> Result<String, CommandFault> {
+    let config = history.get(version).ok_or_else(|| {
+        let text = format!("the log does not hold {version}; see `history` for those it holds");
+        CommandFault::Refused(text)
+    })?;
+    Ok(config.entry.settings.to_string())
+}
+
+/// One line of the history as JSON.
+#[derive(Debug, Serialize)]
+struct HistoryLine {
+    version: u64,
+    base: u64,
+    publisher: String,
+    published_at_ms: u64,
+    content_hash: String,
+    state: String,
+}
+
+impl From<&PublishedConfig> for HistoryLine {
+    fn from(config: &PublishedConfig) -> Self {
+        let state = match config.state {
+            PublishedState::InForce => "in force".to_owned(),
+            PublishedState::Superseded(by) => format!("replaced by {}", by.0),
+            PublishedState::Void(_) => "void".to_owned(),
+            PublishedState::Unjudged => "older than the oldest snapshot".to_owned(),
+        };
+        Self {
+            version: config.version.0,
+            base: config.entry.base.0,
+            publisher: config.entry.publisher.clone(),
+            published_at_ms: config.appended_at.0,
+            content_hash: config.entry.content_hash.clone(),
+            state,
+        }
     }
 }
 
-async fn append_config(
-    client: &HttpClient,
-    log: SocketAddr,
-    record: &ConfigRecord,
-) -> Result<(), CommandFault> {
-    let body = serde_json::to_value(record)
-        .map_err(|error| CommandFault::Refused(format!("the folder cannot be sent ({error})")))?;
-    let id = format!("config/{}/{}", record.base_version, record.content_hash);
-    let new = NewRecord {
-        id,
-        kind: "config".to_owned(),
-        schema: RECORD_SCHEMA,
-        body,
-    };
-    append_records(client, log, CONFIG_STREAM, vec![new], LOG_TIMEOUT).await?;
-    Ok(())
+fn list_text(history: &ConfigHistory, output: OutputFormat) -> String {
+    let lines: Vec<HistoryLine> = history.list().iter().map(HistoryLine::from).collect();
+    if output == OutputFormat::Json {
+        return serde_json::to_string_pretty(&lines).unwrap_or_default();
+    }
+    let mut table = TextTable::with_heads(&["VERSION", "BASE", "PUBLISHER", "STATE", "CONTENT"]);
+    for line in lines {
+        let content = line.content_hash.chars().take(12).collect();
+        let (version, base) = (line.version.to_string(), line.base.to_string());
+        table.add(vec![version, base, line.publisher, line.state, content]);
+    }
+    table.render()
 }
--- a/crates/cli/tests/command_help.rs
+++ b/crates/cli/tests/command_help.rs
@@ -17,6 +17,8 @@
 #[case("check")]
 #[case("merge")]
 #[case("publish")]
+#[case("diff")]
+#[case("history")]
 #[case("call")]
 #[case("submit")]
 #[case("status")]
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -2,6 +2,7 @@
 //! follow the log and the host list.
 
 pub mod call_port;
+pub mod config_reader;
 pub mod counters;
 pub mod entry_host;
 pub mod event_loop;
--- /dev/null
+++ b/crates/node/src/process/config_reader.rs
@@ -0,0 +1,152 @@
+//! Reads the stream of configurations once, for operators: its newest part, or
+//! all that the log still holds.
+
+use std::net::SocketAddr;
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::config_history::ConfigHistory;
+use flamingowalk_core::process::log_follower::{
+    FollowerAction, FollowerEvent, LogFollower, ReadId, ReadPage,
+};
+use flamingowalk_core::process::record::{LogEntry, LogOffset, StoredEntry};
+use flamingowalk_core::process::snapshot::{Snapshot, cut_snapshot};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::border::log::{LOG_TIMEOUT, LogPage, ReadRequest, read_page};
+use crate::border::records::read_record;
+use crate::connection::http_client::{ExchangeFault, HttpClient};
+use crate::process::host_clock::HostClock;
+use crate::process::host_event::LogStream;
+
+/// Most records of one page.
+const PAGE_LIMIT: u32 = 256;
+/// Pause while the follower waits for time to pass.
+const STEP: Duration = Duration::from_millis(100);
+
+/// A read that the follower asked for.
+#[derive(Clone, Copy, Debug)]
+struct WantedRead {
+    read: ReadId,
+    from: LogOffset,
+    limit: u32,
+}
+
+/// What was read so far.
+#[derive(Debug, Default)]
+struct RecentConfigs {
+    records: Vec<StoredEntry>,
+    is_start_lost: bool,
+    wanted: Option<WantedRead>,
+}
+
+/// Reads the configurations since the newest snapshot, or all of a short stream.
+///
+/// # Errors
+/// An [`ExchangeFault`] as soon as the log does not answer.
+pub async fn read_recent(
+    client: &HttpClient,
+    address: SocketAddr,
+) -> Result<ConfigHistory, ExchangeFault> {
+    let clock = HostClock::start();
+    let random = ChaCha8Rng::seed_from_u64(HostClock::wall().0);
+    let mut follower = LogFollower::new(clock.now(), random);
+    let mut recent = RecentConfigs::default();
+    let mut event = FollowerEvent::Tick;
+    loop {
+        for action in follower.handle(clock.now(), event) {
+            recent.take(action);
+        }
+        if follower.caught_up_at().is_some() {
+            return Ok(ConfigHistory::read(&recent.records, !recent.is_start_lost));
+        }
+        event = if let Some(wanted) = recent.wanted.take() {
+            FollowerEvent::ReadAnswered {
+                read: wanted.read,
+                page: read(client, address, wanted.from, wanted.limit).await?,
+            }
+        } else {
+            tokio::time::sleep(STEP).await;
+            FollowerEvent::Tick
+        };
+    }
+}
+
+/// Reads everything that the log still holds.
+///
+/// # Errors
+/// An [`ExchangeFault`] as soon as the log does not answer.
+pub async fn read_all(
+    client: &HttpClient,
+    address: SocketAddr,
+) -> Result<ConfigHistory, ExchangeFault> {
+    let mut records = Vec::new();
+    let mut next = LogOffset(0);
+    loop {
+        let page = read(client, address, next, PAGE_LIMIT).await?;
+        if page.first > next {
+            // Retention went on while this was reading.
+            records.clear();
+        }
+        let is_end = page.next >= page.tail;
+        next = page.next;
+        records.extend(page.records);
+        if is_end {
+            let is_start_known = records
+                .first()
+                .is_none_or(|r: &StoredEntry| r.offset.0 == 0);
+            return Ok(ConfigHistory::read(&records, is_start_known));
+        }
+    }
+}
+
+async fn read(
+    client: &HttpClient,
+    address: SocketAddr,
+    from: LogOffset,
+    limit: u32,
+) -> Result<ReadPage, ExchangeFault> {
+    let request = ReadRequest {
+        from: from.0,
+        limit,
+        wait: Duration::ZERO,
+        timeout: LOG_TIMEOUT,
+    };
+    let page: LogPage = read_page(client, address, &LogStream::Config.name(), request).await?;
+    Ok(ReadPage {
+        records: page.records.into_iter().map(read_record).collect(),
+        first: LogOffset(page.first_offset),
+        next: LogOffset(page.next_offset),
+        tail: LogOffset(page.tail_offset),
+    })
+}
+
+impl RecentConfigs {
+    fn take(&mut self, action: FollowerAction) {
+        match action {
+            FollowerAction::Read {
+                read, from, limit, ..
+            } => self.wanted = Some(WantedRead { read, from, limit }),
+            FollowerAction::Apply(record) => self.records.push(record),
+            FollowerAction::Restore(snapshot) => self.restore(snapshot),
+            FollowerAction::RestoreAbandoned { .. } | FollowerAction::Truncated { .. } => {
+                self.records.clear();
+                self.is_start_lost = true;
+            }
+            FollowerAction::GiveUp { .. } => {}
+        }
+    }
+
+    /// The snapshot becomes the first record, as it would stand in the stream.
+    fn restore(&mut self, snapshot: Snapshot) {
+        self.is_start_lost = true;
+        let chunks = cut_snapshot(snapshot.covers_until, "", snapshot.records);
+        let stored = chunks.into_iter().map(|chunk| StoredEntry {
+            offset: chunk.covers_until,
+            id: RecordId::from("snapshot"),
+            appended_at: snapshot.appended_at,
+            entry: LogEntry::Snapshot(chunk),
+        });
+        self.records = stored.collect();
+    }
+}
