--- a/crates/core/src/process/planner.rs
+++ b/crates/core/src/process/planner.rs
@@ -9,6 +9,7 @@
 mod fairness;
 pub mod gang;
 pub mod guarantee;
+pub mod home_zone;
 pub mod job_entry;
 pub mod job_queue;
 pub mod lease;
--- a/crates/core/src/process/planner/guarantee.rs
+++ b/crates/core/src/process/planner/guarantee.rs
@@ -110,6 +110,11 @@
         self.blocks.iter().filter(|block| !block.is_bound()).count()
     }
 
+    /// Whether a customer has any block.
+    pub fn has_blocks(&self, customer: &CustomerName) -> bool {
+        self.blocks.iter().any(|block| block.customer == *customer)
+    }
+
     /// Blocks by worker and customer.
     pub const fn owned(&self) -> &BTreeMap<WorkerName, BTreeMap<CustomerName, AcceleratorSet>> {
         &self.owned
--- a/crates/core/src/process/planner/reclaim.rs
+++ b/crates/core/src/process/planner/reclaim.rs
@@ -80,6 +80,10 @@
         pass: &mut SchedulePass,
         actions: &mut Vec<PlannerAction>,
     ) -> bool {
+        let is_urgent = need.class.priority == JobPriority::Urgent;
+        if !is_urgent && !self.plan.has_blocks(&need.customer) {
+            return false;
+        }
         let rooms = self.claim_rooms(need, pass);
         let choice = self.choose_claim(now, need, &rooms);
         let Some(choice) = choice.filter(|choice| !choice.victims.is_empty()) else {
--- a/crates/core/src/process/planner/schedule.rs
+++ b/crates/core/src/process/planner/schedule.rs
@@ -9,10 +9,10 @@
 use crate::process::planner::failure::AVOID_TIME;
 use crate::process::planner::job_entry::{JobEntry, task_demand};
 use crate::process::planner::job_queue::{JobKind, QueuedJob};
-use crate::process::planner::ledger::AcceleratorSet;
+use crate::process::planner::ledger::{AcceleratorSet, covers};
 use crate::process::planner::room::RoomSearch;
 use crate::process::planner::state::PlannerState;
-use crate::version::settings::{JobClass, JobPriority};
+use crate::version::settings::{BlockAdjacency, JobClass, JobPriority};
 
 /// Most waiting jobs that space is kept for in one pass.
 const MAX_KEPT: usize = 2;
@@ -71,6 +71,30 @@
 pub(super) struct SchedulePass {
     pub kept: BTreeMap<WorkerName, Vec<KeptSpace>>,
     kept_jobs: usize,
+    /// What found no room. Room only shrinks during a pass, so whatever asks for as
+    /// much finds none either.
+    full: Vec<FullShape>,
+}
+
+/// What found no room in a pass.
+#[derive(Clone, Debug)]
+struct FullShape {
+    service: ServiceName,
+    adjacency: BlockAdjacency,
+    tasks: u32,
+    demand: TaskDemand,
+    ends_by: MonotonicTime,
+}
+
+impl FullShape {
+    /// Whether a job asks for as much as this shape, or more.
+    fn is_within(&self, need: &JobNeed) -> bool {
+        need.class.service == self.service
+            && need.class.adjacency == self.adjacency
+            && need.class.tasks >= self.tasks
+            && covers(&need.demand, &self.demand)
+            && need.ends_by >= self.ends_by
+    }
 }
 
 impl SchedulePass {
@@ -84,6 +108,24 @@
         kept.filter(move |space| space.until.is_none_or(|until| until < ends_by))
     }
 
+    /// Whether an earlier search shows that there is no room for a job.
+    fn is_full_for(&self, need: &JobNeed) -> bool {
+        self.full.iter().any(|shape| shape.is_within(need))
+    }
+
+    /// Notes a search that found no room, unless it was for that job alone.
+    fn note_full(&mut self, need: &JobNeed) {
+        if need.reclaimable && need.avoided.is_empty() && !self.is_full_for(need) {
+            self.full.push(FullShape {
+                service: need.class.service.clone(),
+                adjacency: need.class.adjacency,
+                tasks: need.class.tasks,
+                demand: need.demand,
+                ends_by: need.ends_by,
+            });
+        }
+    }
+
     pub fn keep(&mut self, worker: WorkerName, space: KeptSpace) {
         self.kept.entry(worker).or_default().push(space);
     }
@@ -183,7 +225,14 @@
         let Some(need) = self.jobs.get(id).and_then(|entry| self.need(now, entry)) else {
             return false;
         };
-        let room = self.find_room(now, &need, pass);
+        let room = if pass.is_full_for(&need) {
+            RoomSearch::Full
+        } else {
+            self.find_room(now, &need, pass)
+        };
+        if room == RoomSearch::Full {
+            pass.note_full(&need);
+        }
         if room == RoomSearch::Patient {
             return false;
         }
--- a/crates/core/src/process/planner/state.rs
+++ b/crates/core/src/process/planner/state.rs
@@ -21,6 +21,12 @@
 /// Most closed jobs that are remembered against repeated events.
 const CLOSED_JOBS: usize = 10_000;
 
+/// Open jobs up to which debug builds verify the state after each event.
+const VERIFIED_JOBS: usize = 200;
+/// Events after which they verify it with more jobs, since each time costs in
+/// proportion to the jobs.
+const VERIFIED_EVENTS: u64 = 100;
+
 /// Rules by which waiting jobs are placed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PlannerPolicy {
@@ -83,6 +89,8 @@
     pub(super) passed: Option<u64>,
     /// Steps of placement decisions so far.
     pub(super) work: u64,
+    /// Events so far.
+    events: u64,
     /// Source of randomness for backoff.
     pub(super) random: ChaCha8Rng,
 }
@@ -114,6 +122,7 @@
             estimates: EstimateTable::default(),
             passed: None,
             work: 0,
+            events: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -128,11 +137,14 @@
         self.apply(now, event, actions);
         self.rebuild(now, actions);
         self.schedule(now, actions);
-        debug_assert_eq!(
-            verify_state(self),
-            Vec::new(),
-            "broken invariants in\n{self}"
-        );
+        self.events += 1;
+        if self.jobs.len() <= VERIFIED_JOBS || self.events.is_multiple_of(VERIFIED_EVENTS) {
+            debug_assert_eq!(
+                verify_state(self),
+                Vec::new(),
+                "broken invariants in\n{self}"
+            );
+        }
     }
 
     fn apply(&mut self, now: MonotonicTime, event: PlannerEvent, actions: &mut Vec<PlannerAction>) {
@@ -399,11 +411,15 @@
             None => writeln!(f, " no seat")?,
         }
         for (name, entry) in &self.workers {
-            writeln!(
+            write!(
                 f,
                 "answers {name} incarnation {} listed {} leaving {} gone {}",
                 entry.incarnation, entry.listed, entry.leaving, entry.gone
             )?;
+            match entry.failures.until {
+                Some(until) => writeln!(f, " quarantined until {until}")?,
+                None => writeln!(f)?,
+            }
         }
         write!(f, "{}{}", self.ledger, self.plan)?;
         for (id, entry) in &self.jobs {
