Home zone chosen from open jobs and peers; use of tasks reaches the planner

Cause: a job without a zone always got the accepting host's zone, and overruns were never reported. Conclusion: both were pure code without a caller before.

--- a/crates/node/src/border/target.rs
+++ b/crates/node/src/border/target.rs
@@ -6,7 +6,7 @@
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::planner::action::{StartOrder, TaskDemand};
 use flamingowalk_core::process::planner::event::{
-    ListedState, ListedTask, SeatTerm, TargetFault, TaskKey,
+    ListedState, ListedTask, PlannerEvent, SeatTerm, TargetFault, TaskKey,
 };
 use flamingowalk_wire::target as wire;
 use hyper::Method;
@@ -186,6 +186,25 @@
         })
     }
 
+    /// Use of the worker's tasks as planner events.
+    ///
+    /// # Errors
+    /// A [`TargetFault`] when no whole report came.
+    pub async fn usage(&self) -> Result<Vec<PlannerEvent>, TargetFault> {
+        let (method, path) = (Method::GET, "/v1/usage");
+        let answer: Result<wire::UsageReport, ExchangeFault> = self
+            .client
+            .exchange_json(self.address, method, path, None::<&()>, TASK_TIMEOUT)
+            .await;
+        let report = answer.map_err(|fault| target_fault(&fault))?;
+        let event = |usage: &wire::TaskUsage| {
+            let task = TaskKey::parse(&usage.task_id)?;
+            let memory_mb = usage.memory_mb;
+            Some(PlannerEvent::UsageReported { task, memory_mb })
+        };
+        Ok(report.tasks.iter().filter_map(event).collect())
+    }
+
     fn task_request(&self, task: &TaskKey, throttle_percent: Option<u32>) -> wire::TaskRequest {
         wire::TaskRequest {
             task_id: task.to_string(),
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -22,3 +22,5 @@
 pub mod planner_port;
 pub mod seat_port;
 pub mod state_dump;
+pub mod usage_poll;
+pub mod zone_outlook;
--- a/crates/node/src/process/event_loop.rs
+++ b/crates/node/src/process/event_loop.rs
@@ -30,6 +30,8 @@
 use crate::process::peer_exchange::{answer_peer, own_digest, take_report};
 use crate::process::planner_port::PlannerPort;
 use crate::process::seat_port::SeatOutput;
+use crate::process::usage_poll::poll_usage;
+use crate::process::zone_outlook::choose_zone;
 use crate::request::call::CallContext;
 
 /// Time a caller of a job request waits for the log.
@@ -186,14 +188,20 @@
 }
 
 fn accepted_entry(state: &HostState, submission: &JobSubmission) -> AcceptedEntry {
-    let own_zone = || state.settings.zone.clone();
+    let class = state.system.classes.get(&submission.class.as_str().into());
+    let customer = submission.customer.as_str().into();
+    let best_zone = || class.and_then(|class| choose_zone(state, &customer, class));
+    let free_zone = || best_zone().unwrap_or_else(|| state.settings.zone.clone());
     let accepted_at = HostClock::wall();
     let within = |ms| WallTime(accepted_at.0.saturating_add(ms));
     AcceptedEntry {
         job: submission.id.as_str().into(),
         customer: submission.customer.as_str().into(),
         class: submission.class.as_str().into(),
-        zone: submission.zone.as_deref().map_or_else(own_zone, Into::into),
+        zone: submission
+            .zone
+            .as_deref()
+            .map_or_else(free_zone, Into::into),
         config: state.config_version,
         accepted_at,
         start_before: submission.start_within_ms.map(within),
@@ -357,6 +365,7 @@
     }
     plan(state, PlannerEvent::Tick, actions);
     state.seat.handle(now, SeatEvent::Tick);
+    poll_usage(state, client, now);
     state.peers.publish_digest(own_digest(state));
 }
 
@@ -416,6 +425,7 @@
     state.planner = Some(SeatedPlanner {
         state: planner,
         port,
+        usage_asked_at: state.clock.now(),
     });
     for event in seat_events(state, term) {
         plan(state, event, actions);
--- a/crates/node/src/process/host_state.rs
+++ b/crates/node/src/process/host_state.rs
@@ -43,6 +43,8 @@
     pub state: PlannerState,
     /// Carries out its actions.
     pub port: PlannerPort,
+    /// When the use of the tasks was last asked for.
+    pub usage_asked_at: MonotonicTime,
 }
 
 /// State of an entry host.
--- a/crates/node/src/process/peer_exchange.rs
+++ b/crates/node/src/process/peer_exchange.rs
@@ -32,6 +32,7 @@
                 return;
             };
             entry.incarnation = Some(incarnation);
+            entry.heard_at = Some(now);
             let address = entry.address;
             if entry.zone == state.settings.zone {
                 let member = RosterMember {
@@ -57,6 +58,9 @@
             incarnation,
             message,
         } => {
+            if let Some(entry) = state.peers.peers.get_mut(host) {
+                entry.heard_at = Some(now);
+            }
             take_message(state, host, incarnation, message, actions);
         }
     }
--- a/crates/node/src/process/peer_port.rs
+++ b/crates/node/src/process/peer_port.rs
@@ -27,6 +27,8 @@
     pub address: SocketAddr,
     /// Proved incarnation while the link is open.
     pub incarnation: Option<u64>,
+    /// When the peer was last heard from over this link.
+    pub heard_at: Option<MonotonicTime>,
     /// Newest digest.
     pub digest: Option<wire::ZoneDigest>,
     requests: mpsc::UnboundedSender<PeerMessage>,
@@ -109,6 +111,7 @@
             zone,
             address,
             incarnation: None,
+            heard_at: None,
             digest: None,
             requests,
             task,
--- /dev/null
+++ b/crates/node/src/process/zone_outlook.rs
@@ -0,0 +1,109 @@
+//! What this host knows of every zone when it chooses the home zone of a job:
+//! open jobs from the log, and from the peers whether the zone is heard from.
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::planner::home_zone::{ZoneOutlook, choose_home_zone};
+use flamingowalk_core::version::capacity_check::fits_class;
+use flamingowalk_core::version::settings::{JobClass, SystemSettings, ZoneSettings};
+
+use crate::process::host_state::HostState;
+
+/// Accelerators that the open jobs of one zone ask for.
+#[derive(Clone, Copy, Debug, Default)]
+struct ZoneLoad {
+    /// Of all customers.
+    all: u32,
+    /// Of the customer of the new job.
+    own: u32,
+    /// Accelerator time of the jobs that have not started.
+    waiting: Duration,
+}
+
+/// The best home zone for a job, or nothing if no zone could ever hold it.
+pub fn choose_zone(
+    state: &HostState,
+    customer: &CustomerName,
+    class: &JobClass,
+) -> Option<ZoneName> {
+    let accelerators = class.tasks * class.accelerators;
+    let zones = state.system.zones.iter();
+    let outlooks: Vec<ZoneOutlook> = zones
+        .map(|(zone, declared)| zone_outlook(state, customer, class, zone, declared))
+        .collect();
+    choose_home_zone(&outlooks, accelerators, &state.settings.zone)
+}
+
+fn zone_outlook(
+    state: &HostState,
+    customer: &CustomerName,
+    class: &JobClass,
+    zone: &ZoneName,
+    declared: &ZoneSettings,
+) -> ZoneOutlook {
+    let load = zone_load(state, customer, zone);
+    let accelerators = class.tasks * class.accelerators;
+    let total = declared.racks * declared.workers_per_rack * declared.accelerators_per_worker;
+    let free = total.saturating_sub(load.all);
+    let guaranteed = guaranteed_accelerators(&state.system, customer, zone);
+    ZoneOutlook {
+        zone: zone.clone(),
+        age: zone_age(state, zone),
+        can_hold: fits_class(declared, class),
+        fits_now: free >= accelerators,
+        unclaimed: guaranteed.saturating_sub(load.own),
+        queue_time: load.waiting / total.max(1),
+        leftover: free.saturating_sub(accelerators),
+    }
+}
+
+fn zone_load(state: &HostState, customer: &CustomerName, zone: &ZoneName) -> ZoneLoad {
+    let mut load = ZoneLoad::default();
+    for (_, job) in state.jobs.book.open_jobs() {
+        let entry = &job.accepted.entry;
+        let Some(class) = state.system.classes.get(&entry.class) else {
+            continue;
+        };
+        if job.home() != zone {
+            continue;
+        }
+        let accelerators = class.tasks * class.accelerators;
+        load.all += accelerators;
+        if entry.customer == *customer {
+            load.own += accelerators;
+        }
+        if job.attempts_started() == 0 {
+            load.waiting += class.run_time * accelerators;
+        }
+    }
+    load
+}
+
+fn guaranteed_accelerators(
+    system: &SystemSettings,
+    customer: &CustomerName,
+    zone: &ZoneName,
+) -> u32 {
+    let shapes = system
+        .customers
+        .get(customer)
+        .map(|customer| customer.guarantees.iter());
+    let own = shapes
+        .into_iter()
+        .flatten()
+        .filter(|shape| shape.zone == *zone);
+    own.map(|shape| shape.blocks * shape.size).sum()
+}
+
+/// Time since any host of the zone was heard from; zero for the own zone.
+fn zone_age(state: &HostState, zone: &ZoneName) -> Duration {
+    if *zone == state.settings.zone {
+        return Duration::ZERO;
+    }
+    let peers = state
+        .peers
+        .peers
+        .values()
+        .filter(|entry| entry.zone == *zone);
+    let heard = peers.filter_map(|entry| entry.heard_at).max();
+    heard.map_or(Duration::MAX, |at| state.clock.now().since(at))
+}
