--- a/crates/node/src/process/host_settings.rs
+++ b/crates/node/src/process/host_settings.rs
@@ -78,23 +78,50 @@
     }
 }
 
-/// Keys of every section with their defaults; a key without one is required.
-const KNOWN_KEYS: [(&str, &str, Option<&str>); 15] = [
-    ("host", "name", None),
-    ("host", "zone", None),
-    ("host", "region", None),
-    ("listen", "caller", None),
-    ("listen", "peer", None),
-    ("platform", "log", None),
-    ("platform", "hosts", None),
-    ("platform", "hosts-interval-ms", Some("1000")),
-    ("platform", "log-retention-ms", Some("86400000")),
-    ("peer", "secret", None),
-    ("drain", "wait-ms", Some("2000")),
-    ("drain", "limit-ms", Some("60000")),
-    ("seat", "time-ms", Some("4000")),
-    ("seat", "outage-ms", Some("5400000")),
-    ("seat", "drift-ms", Some("1000")),
+/// A key that a settings file may hold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KnownKey {
+    /// Section of the key.
+    pub section: &'static str,
+    /// Key.
+    pub key: &'static str,
+    /// Value when the key is absent; a key without one is required.
+    pub default: Option<&'static str>,
+}
+
+const fn required(section: &'static str, key: &'static str) -> KnownKey {
+    KnownKey {
+        section,
+        key,
+        default: None,
+    }
+}
+
+const fn optional(section: &'static str, key: &'static str, default: &'static str) -> KnownKey {
+    KnownKey {
+        section,
+        key,
+        default: Some(default),
+    }
+}
+
+/// Every key, in the order of the operators' page.
+pub const KNOWN_KEYS: [KnownKey; 15] = [
+    required("host", "name"),
+    required("host", "zone"),
+    required("host", "region"),
+    required("listen", "caller"),
+    required("listen", "peer"),
+    required("platform", "log"),
+    required("platform", "hosts"),
+    optional("platform", "hosts-interval-ms", "1000"),
+    optional("platform", "log-retention-ms", "86400000"),
+    required("peer", "secret"),
+    optional("drain", "wait-ms", "2000"),
+    optional("drain", "limit-ms", "60000"),
+    optional("seat", "time-ms", "4000"),
+    optional("seat", "outage-ms", "5400000"),
+    optional("seat", "drift-ms", "1000"),
 ];
 
 impl HostSettings {
@@ -201,7 +228,7 @@
             for (key, _) in properties {
                 if !KNOWN_KEYS
                     .iter()
-                    .any(|known| known.0 == section && known.1 == key)
+                    .any(|known| known.section == section && known.key == key)
                 {
                     unknown.push((section.to_owned(), key.to_owned()));
                 }
@@ -220,9 +247,9 @@
     fn text(&mut self, section: &str, key: &str) -> String {
         let known = KNOWN_KEYS
             .iter()
-            .find(|known| known.0 == section && known.1 == key);
+            .find(|known| known.section == section && known.key == key);
         debug_assert!(known.is_some(), "key {section}.{key} is not declared");
-        let default = known.and_then(|known| known.2);
+        let default = known.and_then(|known| known.default);
         let value = self
             .ini
             .get_from(Some(section), key)
