--- /dev/null
+++ b/crates/core/tests/seat_machine.rs
@@ -0,0 +1,102 @@
+//! Random runs of several seats against a fake log and fake links with delays,
+//! losses, cuts, pauses, restarts and clocks of different speed.
+
+#[path = "seat_machine/zone.rs"]
+mod zone;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use zone::{FakeZone, HOSTS, ZoneFault};
+
+/// Quanta of a run with faults, about two minutes.
+const FAULTY_QUANTA: u64 = 1_200;
+/// Quanta in which a healed zone must have found a holder.
+const HEALED_QUANTA: u64 = 1_500;
+
+fn any_fault() -> impl Strategy<Value = ZoneFault> {
+    let host = 0..HOSTS;
+    prop_oneof![
+        (1..400_u64).prop_map(ZoneFault::LogDown),
+        (1..150_u64).prop_map(ZoneFault::LogSlow),
+        (host.clone(), 1..300_u64).prop_map(|(host, quanta)| ZoneFault::Pause(host, quanta)),
+        (host.clone(), 1..300_u64).prop_map(|(host, quanta)| ZoneFault::CutLog(host, quanta)),
+        (host.clone(), host.clone(), 1..300_u64)
+            .prop_map(|(one, other, quanta)| ZoneFault::CutLink(one, other, quanta)),
+        host.clone().prop_map(ZoneFault::Restart),
+        host.clone().prop_map(ZoneFault::Yield),
+        Just(ZoneFault::RestartHolder),
+        Just(ZoneFault::LoseMessages),
+    ]
+}
+
+fn run_cases(cases: u32, seed: [u8; 32]) -> Result<u64, String> {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let takeovers = std::cell::Cell::new(0);
+    let plan = proptest::collection::vec((0..FAULTY_QUANTA, any_fault()), 0..16);
+    let strategy = (any::<u64>(), plan);
+    runner
+        .run(&strategy, |(seed, mut plan)| {
+            plan.sort_by_key(|(at, _)| *at);
+            let mut zone = FakeZone::new(seed);
+            let mut faults = plan.into_iter().peekable();
+            for quantum in 0..FAULTY_QUANTA {
+                while let Some((_, fault)) = faults.next_if(|(at, _)| *at == quantum) {
+                    zone.inject(fault);
+                }
+                zone.step().map_err(TestCaseError::fail)?;
+            }
+            zone.heal();
+            for _ in 0..HEALED_QUANTA {
+                zone.step().map_err(TestCaseError::fail)?;
+            }
+            prop_assert_eq!(zone.starters(), 1, "no holder after healing:\n{}", zone);
+            takeovers.set(takeovers.get() + zone.terms());
+            Ok(())
+        })
+        .map_err(|error| error.to_string())?;
+    Ok(takeovers.get())
+}
+
+#[test]
+fn one_starter_random_faults() {
+    let terms = run_cases(96, [7; 32]).unwrap();
+    assert!(
+        terms > 96 * 2,
+        "the runs must change holders, saw {terms} terms"
+    );
+}
+
+#[test]
+fn one_starter_promises_carry() {
+    let mut zone = FakeZone::new(1);
+    for _ in 0..150 {
+        zone.step().unwrap();
+    }
+    let terms = zone.terms();
+    zone.inject(ZoneFault::LogDown(150));
+    for quantum in 0..150 {
+        zone.step().unwrap();
+        assert_eq!(zone.starters(), 1, "at quantum {quantum}:\n{zone}");
+    }
+    assert_eq!(zone.terms(), terms, "the holder stays through the outage");
+}
+
+#[test]
+fn one_starter_yield_hands_over() {
+    let mut zone = FakeZone::new(2);
+    for _ in 0..150 {
+        zone.step().unwrap();
+    }
+    zone.inject(ZoneFault::YieldHolder);
+    for _ in 0..100 {
+        zone.step().unwrap();
+    }
+    assert_eq!(zone.starters(), 1, "{zone}");
+    assert_eq!(zone.terms(), 2, "{zone}");
+}
--- /dev/null
+++ b/crates/core/tests/seat_machine/zone.rs
@@ -0,0 +1,495 @@
+//! A zone of three hosts with its log and links, in steps of a tenth of a second.
+
+use std::fmt::{self, Display, Formatter};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::planner::event::SeatTerm;
+use flamingowalk_core::process::seat::verifier::verify_seat;
+use flamingowalk_core::process::seat::{
+    RosterMember, SeatAction, SeatEvent, SeatRecord, SeatState, SeatTimes,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Hosts of the zone.
+pub const HOSTS: usize = 3;
+const NAMES: [&str; HOSTS] = ["a", "b", "c"];
+const QUANTUM_MICROS: u64 = 100_000;
+const TIMES: SeatTimes = SeatTimes {
+    t: Duration::from_secs(4),
+    w: Duration::from_secs(20),
+    drift: Duration::from_secs(1),
+};
+/// Quanta of silence after which a peer counts as gone.
+const SILENT_QUANTA: u64 = 20;
+
+/// A fault and, where it lasts, its length in quanta.
+#[derive(Clone, Copy, Debug)]
+pub enum ZoneFault {
+    LogDown(u64),
+    LogSlow(u64),
+    Pause(usize, u64),
+    CutLog(usize, u64),
+    CutLink(usize, usize, u64),
+    Restart(usize),
+    RestartHolder,
+    Yield(usize),
+    YieldHolder,
+    LoseMessages,
+}
+
+/// Something under way to a host or the log.
+#[derive(Clone, Debug)]
+enum Message {
+    Read(usize, u64, MonotonicTime),
+    ReadAnswer(usize, u64, MonotonicTime, usize),
+    Append(usize, SeatRecord),
+    Event(usize, usize, SeatEvent),
+}
+
+struct FakeHost {
+    state: SeatState,
+    incarnation: u64,
+    /// Speed of its clock in parts per thousand.
+    speed: u64,
+    paused_until: u64,
+    log_cut_until: u64,
+    /// Records handed over.
+    read: usize,
+    reading: bool,
+    draining: bool,
+    /// When each peer was last heard.
+    heard: [u64; HOSTS],
+    /// Promise requests under way, by number.
+    asked_at: BTreeMap<u64, MonotonicTime>,
+}
+
+impl FakeHost {
+    fn new(index: usize, incarnation: u64, speed: u64, quantum: u64) -> Self {
+        let own = member(index, incarnation);
+        Self {
+            state: SeatState::new(own, ZoneName::from("ptuj-c"), TIMES),
+            incarnation,
+            speed,
+            paused_until: 0,
+            log_cut_until: 0,
+            read: 0,
+            reading: false,
+            draining: false,
+            heard: [quantum; HOSTS],
+            asked_at: BTreeMap::new(),
+        }
+    }
+
+    fn now(&self, quantum: u64) -> MonotonicTime {
+        MonotonicTime(quantum * QUANTUM_MICROS * self.speed / 1_000)
+    }
+}
+
+fn member(index: usize, incarnation: u64) -> RosterMember {
+    RosterMember {
+        host: HostName::from(NAMES[index]),
+        incarnation,
+        address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7000),
+    }
+}
+
+fn index_of(name: &HostName) -> usize {
+    NAMES
+        .iter()
+        .position(|other| *other == name.as_str())
+        .unwrap()
+}
+
+/// Three hosts, one log and what is under way between them.
+pub struct FakeZone {
+    rng: ChaCha8Rng,
+    quantum: u64,
+    hosts: Vec<FakeHost>,
+    log: Vec<SeatRecord>,
+    /// By the quantum at which they arrive.
+    messages: BTreeMap<u64, Vec<Message>>,
+    log_down_until: u64,
+    log_slow_until: u64,
+    link_cut_until: [[u64; HOSTS]; HOSTS],
+    requests: u64,
+}
+
+impl FakeZone {
+    pub fn new(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let hosts = (0..HOSTS)
+            .map(|index| FakeHost::new(index, 1, rng.random_range(980..=1_020), 0))
+            .collect();
+        Self {
+            rng,
+            quantum: 0,
+            hosts,
+            log: Vec::new(),
+            messages: BTreeMap::new(),
+            log_down_until: 0,
+            log_slow_until: 0,
+            link_cut_until: [[0; HOSTS]; HOSTS],
+            requests: 0,
+        }
+    }
+
+    pub fn inject(&mut self, fault: ZoneFault) {
+        let now = self.quantum;
+        match fault {
+            ZoneFault::LogDown(quanta) => self.log_down_until = now + quanta,
+            ZoneFault::LogSlow(quanta) => self.log_slow_until = now + quanta,
+            ZoneFault::Pause(host, quanta) => self.hosts[host].paused_until = now + quanta,
+            ZoneFault::CutLog(host, quanta) => self.hosts[host].log_cut_until = now + quanta,
+            ZoneFault::CutLink(one, other, quanta) => {
+                self.link_cut_until[one][other] = now + quanta;
+                self.link_cut_until[other][one] = now + quanta;
+            }
+            ZoneFault::Restart(host) => self.restart(host),
+            ZoneFault::RestartHolder => {
+                if let Some(holder) = self.holder() {
+                    self.restart(holder);
+                }
+            }
+            ZoneFault::Yield(host) => self.drain(host),
+            ZoneFault::YieldHolder => {
+                if let Some(holder) = self.holder() {
+                    self.drain(holder);
+                }
+            }
+            ZoneFault::LoseMessages => self.messages.clear(),
+        }
+        for host in &mut self.hosts {
+            // A lost answer is given up, so that the next read can start.
+            host.reading = host.reading && !matches!(fault, ZoneFault::LoseMessages);
+        }
+    }
+
+    /// Ends every fault; draining hosts are replaced.
+    pub fn heal(&mut self) {
+        self.log_down_until = 0;
+        self.log_slow_until = 0;
+        self.link_cut_until = [[0; HOSTS]; HOSTS];
+        for index in 0..HOSTS {
+            self.hosts[index].paused_until = 0;
+            self.hosts[index].log_cut_until = 0;
+            if self.hosts[index].draining {
+                self.restart(index);
+            }
+        }
+    }
+
+    /// Hosts that may start jobs now.
+    pub fn starters(&self) -> usize {
+        let quantum = self.quantum;
+        self.hosts
+            .iter()
+            .filter(|host| host.state.may_start(host.now(quantum)))
+            .count()
+    }
+
+    /// Valid claims in the log.
+    pub fn terms(&self) -> u64 {
+        let mut ledger = flamingowalk_core::process::seat::SeatLedger::default();
+        let mut terms = BTreeSet::new();
+        for (offset, record) in self.log.iter().enumerate() {
+            ledger.apply(offset as u64, record);
+            terms.insert(ledger.term());
+        }
+        terms.remove(&SeatTerm(0));
+        terms.len() as u64
+    }
+
+    /// One quantum: arrivals, then a tick of every fifth quantum of each host.
+    pub fn step(&mut self) -> Result<(), String> {
+        self.quantum += 1;
+        let due = self.messages.split_off(&(self.quantum + 1));
+        let arrived = std::mem::replace(&mut self.messages, due);
+        for message in arrived.into_values().flatten() {
+            self.arrive(message);
+            self.check()?;
+        }
+        for index in 0..HOSTS {
+            if (self.quantum + index as u64).is_multiple_of(5) && !self.is_paused(index) {
+                self.tick(index);
+                self.check()?;
+            }
+        }
+        self.check()
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if self.starters() > 1 {
+            return Err(format!("two hosts may start:\n{self}"));
+        }
+        for host in &self.hosts {
+            let faults = verify_seat(&host.state, host.now(self.quantum));
+            if !faults.is_empty() {
+                return Err(format!("{faults:?}:\n{}", host.state));
+            }
+        }
+        Ok(())
+    }
+
+    fn holder(&self) -> Option<usize> {
+        self.hosts
+            .iter()
+            .position(|host| host.state.held_term().is_some())
+    }
+
+    fn restart(&mut self, index: usize) {
+        let host = &self.hosts[index];
+        let next = FakeHost::new(index, host.incarnation + 1, host.speed, self.quantum);
+        self.hosts[index] = next;
+    }
+
+    fn drain(&mut self, index: usize) {
+        if !self.is_paused(index) {
+            self.hosts[index].draining = true;
+            self.handle(index, SeatEvent::YieldRequested);
+        }
+    }
+
+    fn is_paused(&self, index: usize) -> bool {
+        self.hosts[index].paused_until > self.quantum
+    }
+
+    fn is_log_cut(&self, index: usize) -> bool {
+        self.log_down_until.max(self.hosts[index].log_cut_until) > self.quantum
+    }
+
+    fn is_link_cut(&self, one: usize, other: usize) -> bool {
+        self.link_cut_until[one][other] > self.quantum
+    }
+
+    fn tick(&mut self, index: usize) {
+        let now = self.hosts[index].now(self.quantum);
+        if !self.hosts[index].reading {
+            self.hosts[index].reading = true;
+            let run = self.hosts[index].incarnation;
+            self.send_log(Message::Read(index, run, now));
+        }
+        for other in 0..HOSTS {
+            self.exchange(index, other);
+        }
+        self.handle(index, SeatEvent::Tick);
+    }
+
+    /// Heartbeats, reduced to what they tell the seat.
+    fn exchange(&mut self, index: usize, other: usize) {
+        if index == other {
+            return;
+        }
+        let is_heard = !self.is_link_cut(index, other) && !self.is_paused(other);
+        if is_heard {
+            self.hosts[index].heard[other] = self.quantum;
+            let member = member(other, self.hosts[other].incarnation);
+            self.handle(index, SeatEvent::MemberSeen { member });
+        } else if self.quantum > self.hosts[index].heard[other] + SILENT_QUANTA {
+            let host = HostName::from(NAMES[other]);
+            self.handle(index, SeatEvent::MemberGone { host });
+        }
+    }
+
+    fn send_log(&mut self, message: Message) {
+        let slow = self.log_slow_until > self.quantum;
+        let delay = self.rng.random_range(if slow { 5..60 } else { 1..3 });
+        self.send(delay, message);
+    }
+
+    fn send(&mut self, delay: u64, message: Message) {
+        let arrives_at = self.quantum + delay;
+        self.messages.entry(arrives_at).or_default().push(message);
+    }
+
+    fn arrive(&mut self, message: Message) {
+        match message {
+            Message::Read(host, run, sent_at) if !self.is_log_cut(host) => {
+                let answer = Message::ReadAnswer(host, run, sent_at, self.log.len());
+                self.send_log(answer);
+            }
+            Message::Read(host, run, sent_at) => {
+                self.send(10, Message::ReadAnswer(host, run, sent_at, usize::MAX));
+            }
+            Message::ReadAnswer(host, ..) | Message::Event(_, host, _) if self.is_paused(host) => {
+                let wakes_in = self.hosts[host].paused_until - self.quantum;
+                self.send(wakes_in, message);
+            }
+            Message::ReadAnswer(host, run, sent_at, tail) => {
+                if run == self.hosts[host].incarnation {
+                    self.take_answer(host, sent_at, tail);
+                }
+            }
+            Message::Append(host, record) => {
+                // One in five appends is lost, one in five takes effect late.
+                match self.rng.random_range(0..5) {
+                    _ if self.is_log_cut(host) => {}
+                    0 => {}
+                    1 => self.send(50, Message::Append(host, record)),
+                    _ => self.log.push(record),
+                }
+            }
+            Message::Event(from, to, event) => {
+                if !self.is_link_cut(from, to) {
+                    self.take_event(to, event);
+                }
+            }
+        }
+    }
+
+    fn take_answer(&mut self, host: usize, sent_at: MonotonicTime, tail: usize) {
+        self.hosts[host].reading = false;
+        if tail == usize::MAX {
+            self.handle(host, SeatEvent::LogFailed);
+            return;
+        }
+        while self.hosts[host].read < tail {
+            let offset = self.hosts[host].read;
+            self.hosts[host].read += 1;
+            let record = self.log[offset].clone();
+            let offset = offset as u64;
+            self.handle(host, SeatEvent::LogRecord { offset, record });
+        }
+        self.handle(host, SeatEvent::LogTailRead { sent_at });
+    }
+
+    /// The answer to a promise request carries the time of the request's number.
+    fn take_event(&mut self, to: usize, event: SeatEvent) {
+        let SeatEvent::PromiseAnswered {
+            from,
+            incarnation,
+            term,
+            sent_at: MonotonicTime(request),
+            granted,
+        } = event
+        else {
+            self.handle(to, event);
+            return;
+        };
+        if let Some(sent_at) = self.hosts[to].asked_at.remove(&request) {
+            let event = SeatEvent::PromiseAnswered {
+                from,
+                incarnation,
+                term,
+                sent_at,
+                granted,
+            };
+            self.handle(to, event);
+        }
+    }
+
+    fn handle(&mut self, index: usize, event: SeatEvent) {
+        let mut actions = Vec::new();
+        let host = &mut self.hosts[index];
+        let now = host.now(self.quantum);
+        host.state.handle(now, event, &mut actions);
+        for action in actions {
+            self.carry_out(index, now, action);
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, now: MonotonicTime, action: SeatAction) {
+        let from = HostName::from(NAMES[index]);
+        match action {
+            SeatAction::AppendClaim { base_term, roster } => {
+                let holder = member(index, self.hosts[index].incarnation);
+                let record = SeatRecord::Claim {
+                    base_term,
+                    holder,
+                    roster,
+                };
+                self.send_log(Message::Append(index, record));
+            }
+            SeatAction::AppendActive { term } => {
+                self.send_log(Message::Append(index, SeatRecord::Active { term }));
+            }
+            SeatAction::AppendRoster {
+                term,
+                base_roster,
+                roster,
+            } => {
+                let record = SeatRecord::Roster {
+                    term,
+                    base_roster,
+                    roster,
+                };
+                self.send_log(Message::Append(index, record));
+            }
+            SeatAction::AppendYield { term, successor } => {
+                let record = SeatRecord::Yield { term, successor };
+                self.send_log(Message::Append(index, record));
+            }
+            SeatAction::AskPromise { to, term } => {
+                self.requests += 1;
+                let request = self.requests;
+                self.hosts[index].asked_at.insert(request, now);
+                let event = SeatEvent::PromiseAsked {
+                    from,
+                    term,
+                    incarnation: to.incarnation,
+                    request,
+                };
+                self.send_peer(index, &to.host, event);
+            }
+            SeatAction::AnswerPromise {
+                to,
+                term,
+                request,
+                granted,
+                incarnation,
+            } => {
+                let event = SeatEvent::PromiseAnswered {
+                    from,
+                    incarnation,
+                    term,
+                    sent_at: MonotonicTime(request),
+                    granted,
+                };
+                self.send_peer(index, &to, event);
+            }
+            SeatAction::AskRefusal { to, term } => {
+                let event = SeatEvent::RefusalAsked {
+                    from,
+                    term,
+                    request: 0,
+                };
+                self.send_peer(index, &to.host, event);
+            }
+            SeatAction::AnswerRefusal {
+                to,
+                term,
+                refused,
+                incarnation,
+                ..
+            } => {
+                let event = SeatEvent::RefusalAnswered {
+                    from,
+                    incarnation,
+                    term,
+                    refused,
+                };
+                self.send_peer(index, &to, event);
+            }
+            SeatAction::Gained { .. } | SeatAction::Lost => {}
+        }
+    }
+
+    fn send_peer(&mut self, from: usize, to: &HostName, event: SeatEvent) {
+        let is_late = self.rng.random_range(0..8) == 0;
+        let delay = self.rng.random_range(if is_late { 10..60 } else { 1..4 });
+        self.send(delay, Message::Event(from, index_of(to), event));
+    }
+}
+
+impl Display for FakeZone {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        for host in &self.hosts {
+            write!(f, "now {} {}", host.now(self.quantum), host.state)?;
+        }
+        for (offset, record) in self.log.iter().enumerate() {
+            writeln!(f, "{offset}: {record:?}")?;
+        }
+        Ok(())
+    }
+}
