--- a/crates/core/tests/seat_machine.rs
+++ b/crates/core/tests/seat_machine.rs
@@ -24,6 +24,8 @@
             .prop_map(|(one, other, quanta)| ZoneFault::CutLink(one, other, quanta)),
         host.clone().prop_map(ZoneFault::Restart),
         host.clone().prop_map(ZoneFault::Yield),
+        (host.clone(), 50..400_u64).prop_map(|(host, quanta)| ZoneFault::Blind(host, quanta)),
+        (20..200_u64).prop_map(ZoneFault::CutHolderLog),
         Just(ZoneFault::RestartHolder),
         Just(ZoneFault::LoseMessages),
     ]
--- a/crates/core/tests/seat_machine/zone.rs
+++ b/crates/core/tests/seat_machine/zone.rs
@@ -31,6 +31,9 @@
     LogSlow(u64),
     Pause(usize, u64),
     CutLog(usize, u64),
+    /// The host's heartbeats fail although its other messages pass.
+    Blind(usize, u64),
+    CutHolderLog(u64),
     CutLink(usize, usize, u64),
     Restart(usize),
     RestartHolder,
@@ -55,6 +58,7 @@
     speed: u64,
     paused_until: u64,
     log_cut_until: u64,
+    blind_until: u64,
     /// Records handed over.
     read: usize,
     reading: bool,
@@ -74,6 +78,7 @@
             speed,
             paused_until: 0,
             log_cut_until: 0,
+            blind_until: 0,
             read: 0,
             reading: false,
             draining: false,
@@ -142,6 +147,12 @@
             ZoneFault::LogSlow(quanta) => self.log_slow_until = now + quanta,
             ZoneFault::Pause(host, quanta) => self.hosts[host].paused_until = now + quanta,
             ZoneFault::CutLog(host, quanta) => self.hosts[host].log_cut_until = now + quanta,
+            ZoneFault::Blind(host, quanta) => self.hosts[host].blind_until = now + quanta,
+            ZoneFault::CutHolderLog(quanta) => {
+                if let Some(holder) = self.holder() {
+                    self.hosts[holder].log_cut_until = now + quanta;
+                }
+            }
             ZoneFault::CutLink(one, other, quanta) => {
                 self.link_cut_until[one][other] = now + quanta;
                 self.link_cut_until[other][one] = now + quanta;
@@ -174,6 +185,7 @@
         for index in 0..HOSTS {
             self.hosts[index].paused_until = 0;
             self.hosts[index].log_cut_until = 0;
+            self.hosts[index].blind_until = 0;
             if self.hosts[index].draining {
                 self.restart(index);
             }
@@ -281,7 +293,9 @@
         if index == other {
             return;
         }
-        let is_heard = !self.is_link_cut(index, other) && !self.is_paused(other);
+        let is_blind = self.hosts[index].blind_until > self.quantum;
+        let is_cut = is_blind || self.is_link_cut(index, other);
+        let is_heard = !is_cut && !self.is_paused(other);
         if is_heard {
             self.hosts[index].heard[other] = self.quantum;
             let member = member(other, self.hosts[other].incarnation);
