--- /dev/null
+++ b/crates/core/src/process/planner/verifier.rs
@@ -0,0 +1,254 @@
+//! Checks of the planner's state, apart from the code that changes it. It reports
+//! every broken invariant; debug builds call it after each event.
+
+use thiserror::Error;
+
+use crate::prelude::*;
+use crate::process::planner::event::TaskKey;
+use crate::process::planner::guarantee::GuaranteedBlock;
+use crate::process::planner::job_entry::{JobEntry, JobStage, MemberState};
+use crate::process::planner::ledger::{AcceleratorSet, CapacityLedger, WorkerCapacity};
+use crate::process::planner::state::{PlannerPolicy, PlannerState};
+use crate::version::settings::BlockAdjacency;
+
+/// One broken invariant.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum PlannerFault {
+    /// The free or spare resources of a worker differ from a recount.
+    #[error("free resources of {0} differ from a recount of its holdings; recount after changes")]
+    Miscounted(WorkerName),
+    /// The index of holdings disagrees with the workers.
+    #[error("holding of {0} is not indexed by its worker; change both together")]
+    Misindexed(TaskKey),
+    /// Two tasks were granted one accelerator.
+    #[error("{first} and {second} were granted the same accelerator of {worker}; list its tasks")]
+    GrantedTwice {
+        /// The worker.
+        worker: WorkerName,
+        /// One task.
+        first: TaskKey,
+        /// The other task.
+        second: TaskKey,
+    },
+    /// A member that may hold something is not in the ledger.
+    #[error("{0} may hold resources that the ledger counts as free; hold them until it is over")]
+    Unheld(TaskKey),
+    /// A job is queued but not in the queue, or the other way round.
+    #[error("{0} queued jobs but {1} in the queue; change stage and queue together")]
+    Misqueued(usize, usize),
+    /// The members of a job do not match its stage.
+    #[error("{0} has members that do not match stage {1}; stop the gang as a whole")]
+    Mismatched(JobId, String),
+    /// A job that may run once was started again.
+    #[error("{0} may run once and was started {1} times; end it as failed instead")]
+    Restarted(JobId, u32),
+    /// Two guaranteed blocks are on one accelerator.
+    #[error("guaranteed blocks on {0} overlap; bind each accelerator once")]
+    BoundTwice(WorkerName),
+    /// A guaranteed block is not of the shape that was declared.
+    #[error("a block of {0} with {1} accelerators has another shape; bind it anew")]
+    Misshapen(CustomerName, u32),
+    /// Work that cannot be taken back is on a block of another customer.
+    #[error("{0} cannot be taken back and sits on the block of {1}; place it elsewhere")]
+    Unreclaimable(TaskKey, CustomerName),
+    /// Work that cannot be taken back leaves a block without its other resources.
+    #[error("slots, cores or memory of {0} do not reach for its blocks; place less there")]
+    Starved(WorkerName),
+    /// Work is placed without a seat.
+    #[error("{0} has members although the seat is not held; drop them with the seat")]
+    Unseated(JobId),
+}
+
+/// Every broken invariant of a planner's state; empty when all hold.
+pub fn verify_state(state: &PlannerState) -> Vec<PlannerFault> {
+    let mut faults = verify_ledger(&state.ledger);
+    for (id, entry) in &state.jobs {
+        verify_job(state, id, entry, &mut faults);
+    }
+    if state.policy == PlannerPolicy::Guarantees && state.is_active() && !state.plan_stale {
+        verify_plan(state, &mut faults);
+    }
+    let queued = state
+        .jobs
+        .values()
+        .filter(|entry| entry.stage == JobStage::Queued)
+        .count();
+    if queued != state.queue.len() {
+        faults.push(PlannerFault::Misqueued(queued, state.queue.len()));
+    }
+    faults
+}
+
+/// Every broken invariant of a ledger.
+pub fn verify_ledger(ledger: &CapacityLedger) -> Vec<PlannerFault> {
+    let mut faults = Vec::new();
+    for (name, capacity) in ledger.workers() {
+        let is_exact = capacity.free == capacity.recounted_free()
+            && capacity.spare == capacity.recounted_spare();
+        if !is_exact {
+            faults.push(PlannerFault::Miscounted(name.clone()));
+        }
+        verify_grants(name, capacity, &mut faults);
+        for key in capacity.holdings.keys() {
+            if ledger.holders().get(key) != Some(name) {
+                faults.push(PlannerFault::Misindexed(key.clone()));
+            }
+        }
+    }
+    for (key, worker) in ledger.holders() {
+        let is_held = ledger
+            .worker(worker)
+            .is_some_and(|w| w.holdings.contains_key(key));
+        if !is_held {
+            faults.push(PlannerFault::Misindexed(key.clone()));
+        }
+    }
+    faults
+}
+
+fn verify_grants(name: &WorkerName, capacity: &WorkerCapacity, faults: &mut Vec<PlannerFault>) {
+    let granted: Vec<(&TaskKey, AcceleratorSet)> = capacity
+        .holdings
+        .iter()
+        .filter(|(_, holding)| holding.granted)
+        .map(|(key, holding)| (key, holding.accelerators))
+        .collect();
+    for (index, (first, accelerators)) in granted.iter().enumerate() {
+        for (second, others) in &granted[index + 1..] {
+            if !accelerators.intersection(*others).is_empty() {
+                faults.push(PlannerFault::GrantedTwice {
+                    worker: name.clone(),
+                    first: (*first).clone(),
+                    second: (*second).clone(),
+                });
+            }
+        }
+    }
+}
+
+fn verify_job(state: &PlannerState, id: &JobId, entry: &JobEntry, faults: &mut Vec<PlannerFault>) {
+    if state.seat.is_none() && !entry.members.is_empty() {
+        faults.push(PlannerFault::Unseated(id.clone()));
+    }
+    if !matches_stage(entry) {
+        let text = format!("{:?}", entry.stage);
+        faults.push(PlannerFault::Mismatched(id.clone(), text));
+    }
+    let may_repeat = entry.is_idempotent() || !entry.checkpoints.is_empty();
+    if entry.starts > 1 && entry.job.attempts_started <= 1 && !may_repeat {
+        faults.push(PlannerFault::Restarted(id.clone(), entry.starts));
+    }
+    for (index, member) in entry.members.iter().enumerate() {
+        let key = entry.key(index);
+        let is_known = state.ledger.worker(&member.worker).is_some();
+        let holder = state.ledger.holders().get(&key);
+        if is_known && !member.is_over() && holder != Some(&member.worker) {
+            faults.push(PlannerFault::Unheld(key));
+        }
+    }
+}
+
+/// Checks that all guaranteed shapes fit at the same time into what is free or can
+/// be taken back. It counts from the blocks and holdings alone.
+fn verify_plan(state: &PlannerState, faults: &mut Vec<PlannerFault>) {
+    let mut bound: BTreeMap<&WorkerName, AcceleratorSet> = BTreeMap::new();
+    for block in state.plan.blocks().iter().filter(|block| block.is_bound()) {
+        if !is_shaped(state, block) {
+            faults.push(PlannerFault::Misshapen(block.customer.clone(), block.size));
+        }
+        for part in &block.parts {
+            let before = bound.entry(&part.worker).or_default();
+            if !before.intersection(part.accelerators).is_empty() {
+                faults.push(PlannerFault::BoundTwice(part.worker.clone()));
+            }
+            *before = before.union(part.accelerators);
+            verify_part(state, block, &part.worker, part.accelerators, faults);
+        }
+    }
+    for name in bound.keys() {
+        let Some(capacity) = state.ledger.worker(name) else {
+            continue;
+        };
+        if !state
+            .plan
+            .leaves_shares(name, &state.worker_view(capacity), None)
+        {
+            faults.push(PlannerFault::Starved((*name).clone()));
+        }
+    }
+}
+
+fn verify_part(
+    state: &PlannerState,
+    block: &GuaranteedBlock,
+    worker: &WorkerName,
+    accelerators: AcceleratorSet,
+    faults: &mut Vec<PlannerFault>,
+) {
+    let holdings = state
+        .ledger
+        .worker(worker)
+        .map(|capacity| &capacity.holdings);
+    for (key, holding) in holdings.into_iter().flatten() {
+        let overlaps = !holding.accelerators.intersection(accelerators).is_empty();
+        let is_pinned = state
+            .job_of(key)
+            .is_some_and(|entry| entry.job.customer != block.customer && state.is_pinned(entry));
+        if holding.granted && overlaps && is_pinned {
+            faults.push(PlannerFault::Unreclaimable(
+                key.clone(),
+                block.customer.clone(),
+            ));
+        }
+    }
+}
+
+/// Whether a block has its size and is as close as declared.
+fn is_shaped(state: &PlannerState, block: &GuaranteedBlock) -> bool {
+    let size: u32 = block
+        .parts
+        .iter()
+        .map(|part| part.accelerators.count())
+        .sum();
+    let racks: BTreeSet<Option<&RackName>> = block
+        .parts
+        .iter()
+        .map(|part| {
+            state
+                .ledger
+                .worker(&part.worker)
+                .map(|capacity| &capacity.record.rack)
+        })
+        .collect();
+    let is_close = match block.adjacency {
+        BlockAdjacency::Worker => {
+            block.parts.len() == 1 && block.parts[0].accelerators.longest_run() == block.size
+        }
+        BlockAdjacency::Rack => racks.len() == 1,
+        BlockAdjacency::Zone => true,
+    };
+    size == block.size && is_close && !racks.contains(&None)
+}
+
+/// Whether a job has the members that its stage calls for.
+fn matches_stage(entry: &JobEntry) -> bool {
+    let size = entry.class.as_ref().map_or(0, |class| class.tasks) as usize;
+    let is_whole = entry.members.len() == size;
+    let all = |states: &[MemberState]| entry.members.iter().all(|m| states.contains(&m.state));
+    match &entry.stage {
+        JobStage::Unsettled | JobStage::Queued | JobStage::Ending(_) => entry.members.is_empty(),
+        JobStage::Reserving => is_whole && all(&[MemberState::ReserveAsked, MemberState::Held]),
+        JobStage::Recording => is_whole && all(&[MemberState::Held]),
+        JobStage::Starting => {
+            is_whole
+                && all(&[
+                    MemberState::StartAsked,
+                    MemberState::StartUnknown,
+                    MemberState::Running,
+                    MemberState::Finished,
+                ])
+        }
+        JobStage::Running => is_whole && all(&[MemberState::Running, MemberState::Finished]),
+        JobStage::Stopping(_) => is_whole,
+    }
+}
--- /dev/null
+++ b/crates/node/src/process/entry_host.rs
@@ -0,0 +1,249 @@
+//! Starts an entry host: binds its port, starts the tasks around the loop and
+//! gives back a handle. Must run inside a `tokio::task::LocalSet`.
+
+use std::io;
+use std::net::SocketAddr;
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::config_book::ConfigBook;
+use flamingowalk_core::process::seat::{RosterMember, SeatState, SeatTimes};
+use flamingowalk_core::process::snapshot::SnapshotTimes;
+use flamingowalk_core::version::settings::{ConfigVersion, SystemSettings};
+use metrics_exporter_prometheus::PrometheusHandle;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinHandle, spawn_local};
+
+use crate::border::hosts::HostListing;
+use crate::connection::http_client::HttpClient;
+use crate::connection::http_server::{ServePhase, serve_connections};
+use crate::connection::peer_link::LinkIdentity;
+use crate::connection::target_pool::TargetPool;
+use crate::process::call_port::CallPort;
+use crate::process::event_loop::run_loop;
+use crate::process::host_clock::HostClock;
+use crate::process::host_event::{EventSender, HostEvent, LogStream};
+use crate::process::host_poll::poll_hosts;
+use crate::process::host_settings::HostSettings;
+use crate::process::host_state::{HostState, StreamState};
+use crate::process::job_desk::JobDesk;
+use crate::process::log_link::LogLink;
+use crate::process::log_port::LogPort;
+use crate::process::peer_port::PeerPort;
+use crate::process::peer_server::serve_peers;
+use crate::process::seat_port::SeatPort;
+use crate::request::call::CallContext;
+use crate::request::route::route_request;
+
+/// Interval between ticks of the loop.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Why a host did not start.
+#[derive(Debug, Error)]
+pub enum StartFault {
+    /// An address of the settings cannot be listened on.
+    #[error("cannot listen on {address} ({error}); free the port or change [listen] {key}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Key of the setting.
+        key: &'static str,
+        /// What the system said.
+        error: io::Error,
+    },
+}
+
+/// A running entry host.
+#[derive(Debug)]
+pub struct EntryHandle {
+    /// Address for callers, with the port that the system picked.
+    pub address: SocketAddr,
+    /// Address for peers, with the port that the system picked.
+    pub peer_address: SocketAddr,
+    /// Incarnation of the process.
+    pub incarnation: u64,
+    events: EventSender,
+    /// Ends when the shutdown is over.
+    event_loop: JoinHandle<()>,
+    server: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl EntryHandle {
+    /// Begins a graceful shutdown.
+    pub fn drain(&self) {
+        let _ = self.events.send(HostEvent::DrainAsked);
+    }
+
+    /// Waits until the shutdown is over: every connection of a caller and every
+    /// call has ended, or the limit of the drain has passed.
+    pub async fn finished(mut self) {
+        let _ = (&mut self.event_loop).await;
+    }
+}
+
+impl Drop for EntryHandle {
+    fn drop(&mut self) {
+        self.event_loop.abort();
+        self.server.abort();
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Starts an entry host.
+///
+/// # Errors
+/// A [`StartFault`] that names what to change.
+pub async fn start_host(
+    settings: HostSettings,
+    recorder: Option<PrometheusHandle>,
+) -> Result<EntryHandle, StartFault> {
+    let peer_listener = bind_listener(settings.peer_address, "peer").await?;
+    let peer_address = peer_listener.local_addr().unwrap_or(settings.peer_address);
+    let settings = HostSettings {
+        peer_address,
+        ..settings
+    };
+    let listener = bind_listener(settings.caller_address, "caller").await?;
+    let address = listener.local_addr().unwrap_or(settings.caller_address);
+    let incarnation = HostClock::wall().0;
+    let clock = HostClock::start();
+    let client = HttpClient::default();
+    let (events, arrivals) = mpsc::unbounded_channel();
+    let (phase, phase_watch) = watch::channel(ServePhase::default());
+    let identity = LinkIdentity {
+        host: settings.name.to_string(),
+        zone: settings.zone.to_string(),
+        incarnation,
+        secret: settings.peer_secret.clone(),
+    };
+    let peers = PeerPort::new(identity.clone(), events.clone());
+    let mut state = new_state(settings, incarnation, clock, phase, peers);
+    start_streams(&mut state, &client, &events);
+    let mut tasks = Vec::new();
+    let interval = state.settings.list_interval;
+    let list_address = state.settings.list_address;
+    tasks.push(spawn_local(poll_hosts(
+        client.clone(),
+        list_address,
+        interval,
+        events.clone(),
+    )));
+    tasks.push(spawn_local(send_ticks(events.clone())));
+    tasks.push(spawn_local(serve_peers(
+        peer_listener,
+        identity,
+        events.clone(),
+    )));
+    let pool = TargetPool::default();
+    let calls = CallContext {
+        events: events.clone(),
+        pool,
+        clock,
+    };
+    let event_loop = spawn_local(run_loop(state, client, calls.clone(), arrivals));
+    let server_events = events.clone();
+    let serving = serve_connections(listener, phase_watch, move |request, remote| {
+        route_request(request, remote, calls.clone(), recorder.clone())
+    });
+    let server = spawn_local(async move {
+        serving.await;
+        // A loop that has ended needs no word.
+        let _ = server_events.send(HostEvent::ServerEnded);
+    });
+    Ok(EntryHandle {
+        address,
+        peer_address,
+        incarnation,
+        events,
+        event_loop,
+        server,
+        tasks,
+    })
+}
+
+async fn bind_listener(address: SocketAddr, key: &'static str) -> Result<TcpListener, StartFault> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| StartFault::Listen {
+        address,
+        key,
+        error,
+    })
+}
+
+fn new_state(
+    settings: HostSettings,
+    incarnation: u64,
+    clock: HostClock,
+    phase: watch::Sender<ServePhase>,
+    peers: PeerPort,
+) -> HostState {
+    let zone = settings.zone.clone();
+    let seat = SeatPort::new(new_seat(&settings, incarnation), zone.clone());
+    HostState {
+        incarnation,
+        clock,
+        config_version: ConfigVersion(0),
+        system: Arc::new(SystemSettings::default()),
+        peers,
+        config: ConfigBook::default(),
+        streams: BTreeMap::new(),
+        listing: HostListing::default(),
+        calls: CallPort::new(zone, ChaCha8Rng::seed_from_u64(incarnation), clock.now()),
+        jobs: JobDesk::default(),
+        seat,
+        planner: None,
+        drain_since: None,
+        phase,
+        server_ended: false,
+        settings,
+    }
+}
+
+fn new_seat(settings: &HostSettings, incarnation: u64) -> SeatState {
+    let own = RosterMember {
+        host: settings.name.clone(),
+        incarnation,
+        address: settings.peer_address,
+    };
+    let times = SeatTimes {
+        t: settings.seat_time,
+        w: settings.seat_outage,
+        drift: settings.seat_drift,
+    };
+    SeatState::new(own, settings.zone.clone(), times)
+}
+
+fn start_streams(state: &mut HostState, client: &HttpClient, events: &EventSender) {
+    let settings = &state.settings;
+    let streams = [
+        LogStream::Config,
+        LogStream::Jobs,
+        LogStream::Seat(settings.zone.clone()),
+    ];
+    let run = format!("{}/{}", settings.name, state.incarnation);
+    let times = SnapshotTimes::for_retention(settings.log_retention);
+    let address = settings.log_address;
+    let now = state.clock.now();
+    for stream in streams {
+        let port = LogPort::new(now, run.clone(), state.incarnation, times);
+        let link = LogLink::new(client.clone(), address, stream.clone(), events.clone());
+        let streamed = StreamState {
+            port,
+            link,
+            is_failing: false,
+        };
+        state.streams.insert(stream, streamed);
+    }
+}
+
+async fn send_ticks(events: EventSender) {
+    while events.send(HostEvent::Ticked).is_ok() {
+        tokio::time::sleep(TICK_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/process/host_state.rs
@@ -0,0 +1,207 @@
+//! The state of an entry host: what the event loop owns and no other task sees.
+
+use std::net::SocketAddr;
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::config_book::ConfigBook;
+use flamingowalk_core::process::planner::state::PlannerState;
+use flamingowalk_core::version::settings::{ConfigVersion, SystemSettings};
+use flamingowalk_wire::caller::HostStatus;
+use tokio::sync::watch;
+
+use crate::border::hosts::{HostListing, ListedHost};
+use crate::connection::http_server::ServePhase;
+use crate::process::call_port::CallPort;
+use crate::process::host_clock::HostClock;
+use crate::process::host_event::LogStream;
+use crate::process::host_settings::HostSettings;
+use crate::process::job_desk::{JobDesk, job_status};
+use crate::process::log_link::LogLink;
+use crate::process::log_port::LogPort;
+use crate::process::peer_port::PeerPort;
+use crate::process::planner_port::PlannerPort;
+use crate::process::seat_port::SeatPort;
+use crate::process::state_dump::{
+    HostSection, JobSection, MemberSection, SeatSection, StateDump, StreamSection, TargetSection,
+};
+
+/// A stream of the log.
+#[derive(Debug)]
+pub struct StreamState {
+    /// What is followed and written.
+    pub port: LogPort,
+    /// Connections.
+    pub link: LogLink,
+    /// Whether the newest read failed.
+    pub is_failing: bool,
+}
+
+/// The planner while this host holds the seat.
+#[derive(Debug)]
+pub struct SeatedPlanner {
+    /// Decisions.
+    pub state: PlannerState,
+    /// Carries out its actions.
+    pub port: PlannerPort,
+}
+
+/// State of an entry host.
+#[derive(Debug)]
+pub struct HostState {
+    /// Settings; fixed for the process.
+    pub settings: HostSettings,
+    /// Incarnation of the process.
+    pub incarnation: u64,
+    /// Clocks.
+    pub clock: HostClock,
+    /// Version in force; never decreases.
+    pub config_version: ConfigVersion,
+    /// Settings of the version in force.
+    pub system: Arc<SystemSettings>,
+    /// Links to other entry hosts.
+    pub peers: PeerPort,
+    /// Configurations of the log; `config_version` and `system` are the adopted one.
+    pub config: ConfigBook,
+    /// Streams that are followed and written.
+    pub streams: BTreeMap<LogStream, StreamState>,
+    /// Newest reading of the host list.
+    pub listing: HostListing,
+    /// Calls and their targets.
+    pub calls: CallPort,
+    /// Jobs of the log.
+    pub jobs: JobDesk,
+    /// Seat of the zone.
+    pub seat: SeatPort,
+    /// Planner; present only while the seat is held.
+    pub planner: Option<SeatedPlanner>,
+    /// When the drain began.
+    pub drain_since: Option<MonotonicTime>,
+    /// Tells the server how far the shutdown is.
+    pub phase: watch::Sender<ServePhase>,
+    /// Whether the last connection of a caller has ended.
+    pub server_ended: bool,
+}
+
+impl HostState {
+    /// Whether the host takes requests: a configuration is in force, the host
+    /// list has been read, and no drain has begun. A log that answers has been read
+    /// to its tail; one that does not is not waited for, since calls do without.
+    pub fn is_ready(&self) -> bool {
+        let is_settled =
+            |stream: &StreamState| stream.port.caught_up_at().is_some() || stream.is_failing;
+        self.config_version > ConfigVersion(0)
+            && !self.listing.workers.is_empty()
+            && self.drain_since.is_none()
+            && self.streams.values().all(is_settled)
+    }
+
+    /// Whether every stream has been read to its tail once, which job requests
+    /// and the planner need.
+    pub fn is_caught_up(&self) -> bool {
+        self.streams
+            .values()
+            .all(|stream| stream.port.caught_up_at().is_some())
+    }
+
+    /// Address of a listed worker.
+    pub fn worker_address(&self, name: &WorkerName) -> Option<SocketAddr> {
+        self.calls.target_address(name)
+    }
+
+    /// Summary for callers and operators.
+    pub fn status(&self) -> HostStatus {
+        HostStatus {
+            host: self.settings.name.to_string(),
+            zone: self.settings.zone.to_string(),
+            ready: self.is_ready(),
+            draining: self.drain_since.is_some(),
+            config_version: self.config_version.0,
+            seat_holder: self.seat.holder().map(|holder| holder.host.to_string()),
+            seat_term: self.seat.term().0,
+            jobs: self.jobs.statuses(),
+        }
+    }
+
+    /// Everything a dump shows.
+    pub fn dump(&self) -> StateDump {
+        let now = self.clock.now();
+        StateDump {
+            host: self.host_section(),
+            seat: SeatSection {
+                term: self.seat.term().0,
+                holder: self.seat.holder().map(|holder| holder.host.to_string()),
+                may_start: self.seat.may_start(now),
+            },
+            streams: self.stream_sections(now),
+            members: self.member_sections(),
+            targets: self.target_sections(),
+            jobs: self.job_sections(),
+            planner: self
+                .planner
+                .as_ref()
+                .map(|planner| planner.state.to_string()),
+        }
+    }
+
+    fn host_section(&self) -> HostSection {
+        HostSection {
+            name: self.settings.name.to_string(),
+            zone: self.settings.zone.to_string(),
+            incarnation: self.incarnation,
+            ready: self.is_ready(),
+            draining: self.drain_since.is_some(),
+            calls: self.calls.open_calls(),
+            config_version: self.config_version.0,
+        }
+    }
+
+    fn stream_sections(&self, now: MonotonicTime) -> Vec<StreamSection> {
+        let age = |at: MonotonicTime| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
+        let section = |(stream, state): (&LogStream, &StreamState)| StreamSection {
+            name: stream.name(),
+            next: state.port.position().0,
+            age_ms: state.port.caught_up_at().map(age),
+            open: state.port.open_records(),
+        };
+        self.streams.iter().map(section).collect()
+    }
+
+    fn target_sections(&self) -> Vec<TargetSection> {
+        let targets = self.calls.desk.table.entries().values();
+        let sections = targets.map(|entry| TargetSection {
+            name: entry.record.name.to_string(),
+            zone: entry.record.zone.to_string(),
+            in_flight: entry.in_flight,
+            slots: entry.record.slots,
+            leaving: entry.record.leaving,
+            health: entry.health.state().to_string(),
+        });
+        sections.collect()
+    }
+
+    fn member_sections(&self) -> Vec<MemberSection> {
+        let section = |host: &ListedHost| {
+            let entry = self.peers.peers.get(&host.name);
+            MemberSection {
+                name: host.name.to_string(),
+                zone: host.zone.to_string(),
+                incarnation: entry.and_then(|entry| entry.incarnation),
+                linked: entry.is_some(),
+                leaving: host.leaving,
+            }
+        };
+        self.listing.hosts.iter().map(section).collect()
+    }
+
+    fn job_sections(&self) -> Vec<JobSection> {
+        let open = self.jobs.book.open_jobs();
+        let sections = open.map(|(id, job)| JobSection {
+            id: id.to_string(),
+            customer: job.accepted.entry.customer.to_string(),
+            class: job.accepted.entry.class.to_string(),
+            zone: job.home().to_string(),
+            phase: job_status(job).phase.to_string(),
+        });
+        sections.collect()
+    }
+}
--- /dev/null
+++ b/crates/node/src/process/job_desk.rs
@@ -0,0 +1,217 @@
+//! Jobs as the log tells them, and the callers that wait for a record.
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::job_book::{JobBook, JobRecord};
+use flamingowalk_core::process::log_appender::NotWrittenReason;
+use flamingowalk_core::process::planner::action::JobEnding;
+use flamingowalk_core::process::planner::event::AcceptedJob;
+use flamingowalk_core::process::record::AcceptedEntry;
+use flamingowalk_wire::caller::{JobPhase, JobStatus};
+use tokio::sync::oneshot;
+
+use crate::border::caller::JobFault;
+use crate::process::host_clock::HostClock;
+
+/// Suggested delay before a refused request is repeated.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Where the answer to a job request goes.
+pub type JobReply = oneshot::Sender<Result<JobStatus, JobFault>>;
+
+/// What a caller waits for.
+#[derive(Clone, Debug)]
+pub enum JobWish {
+    /// The job's acceptance.
+    Accepted(AcceptedEntry),
+    /// The job's cancellation, or its ending.
+    Cancelled,
+}
+
+/// A caller that waits for a record to be read back.
+#[derive(Debug)]
+pub struct JobWaiter {
+    /// The job.
+    pub job: JobId,
+    /// Record that this host submitted for the request.
+    pub record: RecordId,
+    /// What the caller waits for.
+    pub wish: JobWish,
+    /// When to answer that the outcome is unknown.
+    pub until: MonotonicTime,
+    /// Where the answer goes.
+    pub reply: JobReply,
+}
+
+/// Jobs and waiting callers.
+#[derive(Debug, Default)]
+pub struct JobDesk {
+    /// What the records say.
+    pub book: JobBook,
+    /// Callers in order of arrival.
+    waiters: Vec<JobWaiter>,
+}
+
+impl JobDesk {
+    /// The job as callers see it.
+    pub fn status(&self, job: &JobId) -> Option<JobStatus> {
+        self.book.get(job).map(job_status)
+    }
+
+    /// All jobs as callers see them, by identifier.
+    pub fn statuses(&self) -> Vec<JobStatus> {
+        self.book.jobs().map(|(_, job)| job_status(job)).collect()
+    }
+
+    /// Jobs that have not ended.
+    pub fn open_count(&self) -> usize {
+        self.book.open_jobs().count()
+    }
+
+    /// Keeps a caller until the job's record is read back.
+    pub fn wait(&mut self, waiter: JobWaiter) {
+        self.waiters.push(waiter);
+    }
+
+    /// Answers callers whose record was read back, and those whose time is over.
+    pub fn answer_waiters(&mut self, now: MonotonicTime) {
+        for waiter in std::mem::take(&mut self.waiters) {
+            let job = self.book.get(&waiter.job);
+            if let Some(answer) = job.and_then(|job| settled_answer(job, &waiter.wish)) {
+                let _ = waiter.reply.send(answer);
+            } else if now >= waiter.until {
+                let _ = waiter.reply.send(Err(unknown_outcome()));
+            } else {
+                self.waiters.push(waiter);
+            }
+        }
+    }
+
+    /// Answers the caller whose record certainly is not in the log.
+    pub fn refuse(&mut self, record: &RecordId, reason: &NotWrittenReason) {
+        let message = match reason {
+            NotWrittenReason::TimeOver => "the log did not take the request in time; try again, \
+                and ask for the id first if it was sent before"
+                .to_owned(),
+            NotWrittenReason::Refused(text) => format!("the log refused the record: {text}"),
+        };
+        self.answer(record, Err(not_run(message)));
+    }
+
+    /// Answers the caller whose record is in the log but counts for no reader,
+    /// since this host's clock is wrong.
+    pub fn refuse_clock(&mut self, record: &RecordId) {
+        let message = "the clocks of this host and of the log differ by more than an hour; use \
+            another host and correct the clock";
+        self.answer(record, Err(not_run(message.to_owned())));
+    }
+
+    /// Answers the caller of whom it is unknown whether the record is in the log.
+    pub fn doubt(&mut self, record: &RecordId) {
+        self.answer(record, Err(unknown_outcome()));
+    }
+
+    /// Open jobs whose home is the zone, in the order of their acceptance.
+    pub fn open_jobs(&self, zone: &ZoneName) -> Vec<AcceptedJob> {
+        let open = self.book.open_jobs().map(|(_, job)| job);
+        let own = open.filter(|job| job.home() == zone);
+        let mut jobs: Vec<AcceptedJob> = own.map(accepted_job).collect();
+        jobs.sort_by_key(|job| job.offset);
+        jobs
+    }
+
+    fn answer(&mut self, record: &RecordId, answer: Result<JobStatus, JobFault>) {
+        let is_own = |waiter: &JobWaiter| &waiter.record == record;
+        if let Some(index) = self.waiters.iter().position(is_own) {
+            let _ = self.waiters.remove(index).reply.send(answer);
+        }
+    }
+}
+
+/// The answer that the job's records allow, if any.
+pub fn settled_answer(job: &JobRecord, wish: &JobWish) -> Option<Result<JobStatus, JobFault>> {
+    match wish {
+        JobWish::Accepted(entry) if !job.accepted.entry.is_same_work(entry) => {
+            let text = format!(
+                "the id {} belongs to another job; choose a new one",
+                entry.job
+            );
+            Some(Err(JobFault::Invalid(text)))
+        }
+        JobWish::Cancelled if job.cancelled.is_none() && job.is_open() => None,
+        JobWish::Accepted(_) | JobWish::Cancelled => Some(Ok(job_status(job))),
+    }
+}
+
+/// The fault of a request that did not run and will not.
+pub fn not_run(message: String) -> JobFault {
+    JobFault::NotRun {
+        message,
+        retry_after: Some(RETRY_AFTER),
+    }
+}
+
+fn unknown_outcome() -> JobFault {
+    let text = "the log has not confirmed the request; ask again with this id";
+    JobFault::OutcomeUnknown(text.to_owned())
+}
+
+/// The job as the planner takes it.
+pub fn accepted_job(job: &JobRecord) -> AcceptedJob {
+    let accepted = &job.accepted.entry;
+    let wall = HostClock::wall();
+    let left = |before: WallTime| Duration::from_millis(before.0.saturating_sub(wall.0));
+    AcceptedJob {
+        id: accepted.job.clone(),
+        customer: accepted.customer.clone(),
+        class: accepted.class.clone(),
+        zone: job.home().clone(),
+        offset: job.accepted.offset.0,
+        accepted_at: accepted.accepted_at,
+        start_within: accepted.start_before.map(left),
+        attempts_started: job.attempts_started(),
+    }
+}
+
+/// The job as callers see it.
+pub fn job_status(job: &JobRecord) -> JobStatus {
+    let accepted = &job.accepted.entry;
+    let started = job.started.as_ref().map(|started| &started.entry);
+    let ended = job.ended.as_ref().map(|ended| &ended.entry);
+    JobStatus {
+        id: accepted.job.to_string(),
+        customer: accepted.customer.to_string(),
+        class: accepted.class.to_string(),
+        zone: Some(job.home().to_string()),
+        phase: job_phase(job),
+        reason: ended.and_then(|ended| ending_reason(&ended.ending)),
+        workers: started.map_or_else(Vec::new, |started| {
+            started.workers.iter().map(WorkerName::to_string).collect()
+        }),
+        accepted_offset: Some(job.accepted.offset.0),
+        accepted_at_ms: Some(accepted.accepted_at.0),
+        started_at_ms: started.map(|started| started.started_at.0),
+        ended_at_ms: ended.map(|ended| ended.ended_at.0),
+    }
+}
+
+fn ending_reason(ending: &JobEnding) -> Option<String> {
+    match ending {
+        JobEnding::Failed(reason) | JobEnding::Refused(reason) => {
+            Some(reason.clone()).filter(|reason| !reason.is_empty())
+        }
+        JobEnding::Finished | JobEnding::Cancelled => None,
+    }
+}
+
+fn job_phase(job: &JobRecord) -> JobPhase {
+    match (&job.ended, &job.started) {
+        (Some(ended), _) => match ended.entry.ending {
+            JobEnding::Finished => JobPhase::Finished,
+            JobEnding::Failed(_) => JobPhase::Failed,
+            JobEnding::Cancelled => JobPhase::Cancelled,
+            JobEnding::Refused(_) => JobPhase::Refused,
+        },
+        (None, Some(_)) => JobPhase::Running,
+        (None, None) => JobPhase::Accepted,
+    }
+}
