--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -2,6 +2,7 @@
 //! follow the log and the host list.
 
 pub mod call_port;
+pub mod config_reader;
 pub mod counters;
 pub mod entry_host;
 pub mod event_loop;
@@ -21,3 +22,5 @@
 pub mod planner_port;
 pub mod seat_port;
 pub mod state_dump;
+pub mod usage_poll;
+pub mod zone_outlook;
