--- a/crates/node/src/border.rs
+++ b/crates/node/src/border.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod hosts;
 pub mod log;
+pub mod peer;
 pub mod records;
 pub mod seat;
 pub mod target;
--- a/crates/node/src/process/event_loop.rs
+++ b/crates/node/src/process/event_loop.rs
@@ -27,7 +27,9 @@
 use crate::process::job_desk::{JobReply, JobWaiter, JobWish, not_run, settled_answer};
 use crate::process::log_events::{flush_streams, submit, submit_kept, tick_streams, with_port};
 use crate::process::log_port::LogPort;
+use crate::process::peer_exchange::{answer_peer, own_digest, take_report};
 use crate::process::planner_port::PlannerPort;
+use crate::process::seat_port::SeatOutput;
 use crate::request::call::CallContext;
 
 /// Time a caller of a job request waits for the log.
@@ -125,9 +127,19 @@
                 plan(state, event, actions);
             }
         }
+        HostEvent::PeerReported { host, report } => take_report(state, &host, report, actions),
+        HostEvent::PeerAsked {
+            peer,
+            message,
+            reply,
+        } => {
+            if let Some(answer) = answer_peer(state, &peer, message) {
+                let _ = reply.send(answer);
+            }
+        }
         HostEvent::Ticked => tick(state, client, calls, actions),
     }
-    append_seat_records(state);
+    carry_out_seat(state);
     carry_out(state, actions);
     flush_streams(state, actions);
     carry_out(state, actions);
@@ -193,6 +205,10 @@
         let message = "the host is starting or draining; use another host".to_owned();
         return Err(not_run(message));
     }
+    if !state.is_caught_up() {
+        let message = "the host has not read the log; use another host".to_owned();
+        return Err(not_run(message));
+    }
     let invalid = |text: String| Err(JobFault::Invalid(text));
     let AcceptedEntry {
         customer,
@@ -276,10 +292,8 @@
     let hosts = listing.hosts.iter().filter(|host| !host.leaving).count() as u32;
     let records = listing.workers.iter().map(target_record).collect();
     state.calls.update(records, hosts);
-    let now = state.clock.now();
     let before = std::mem::replace(&mut state.listing, listing);
-    let peers = state.zone_hosts();
-    state.seat.update_peers(now, peers);
+    state.peers.update(&state.listing.hosts);
     let zone = state.settings.zone.clone();
     let own = |listing: &HostListing| -> BTreeMap<WorkerName, _> {
         let workers = listing.workers.iter().filter(|worker| worker.zone == zone);
@@ -335,7 +349,7 @@
     tick_streams(state, actions);
     let may_start = state.seat.may_start(now);
     gauge!(SEAT_HELD).set(f64::from(u8::from(may_start)));
-    if may_start && state.planner.is_none() && state.is_ready() {
+    if may_start && state.planner.is_none() && state.is_ready() && state.is_caught_up() {
         gain_seat(state, client, &calls.events, actions);
     } else if !may_start && state.planner.is_some() {
         log::info!(host = state.settings.name.as_str(); "planner seat lost");
@@ -343,6 +357,7 @@
     }
     plan(state, PlannerEvent::Tick, actions);
     state.seat.handle(now, SeatEvent::Tick);
+    state.peers.publish_digest(own_digest(state));
 }
 
 fn probe_targets(state: &mut HostState, calls: &CallContext, now: MonotonicTime) {
@@ -364,11 +379,24 @@
     }
 }
 
-fn append_seat_records(state: &mut HostState) {
-    let entries = state.seat.take_entries();
-    let stream = LogStream::Seat(state.settings.zone.clone());
-    for entry in entries {
-        submit_kept(state, &stream, LogEntry::Seat(entry));
+fn carry_out_seat(state: &mut HostState) {
+    let zone = state.settings.zone.clone();
+    for output in state.seat.take_outputs() {
+        let now = state.clock.now();
+        match output {
+            SeatOutput::Append(entry) => {
+                let stream = LogStream::Seat(zone.clone());
+                submit_kept(state, &stream, LogEntry::Seat(entry));
+            }
+            SeatOutput::AskPromise { to, term } => {
+                state
+                    .peers
+                    .ask_promise(now, &to.host, to.incarnation, &zone, term);
+            }
+            SeatOutput::AskRefusal { to, term } => {
+                state.peers.ask_refusal(&to.host, &zone, term);
+            }
+        }
     }
 }
 
--- a/crates/node/src/process/seat_port.rs
+++ b/crates/node/src/process/seat_port.rs
@@ -1,4 +1,5 @@
-//! Connects the seat's state machine with the log: records in, appends out.
+//! Connects the seat's state machine with the log and the peers: records and
+//! answers in, appends and questions out.
 
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::planner::event::SeatTerm;
@@ -7,8 +8,32 @@
     PlacedRecord, RosterMember, SeatAction, SeatEvent, SeatRecord, SeatState,
 };
 use flamingowalk_core::process::snapshot::Snapshot;
+use flamingowalk_wire::peer::{PromiseAnswer, RefusalAnswer};
 
-/// The seat of the zone and its way to the log.
+use crate::border::peer::PeerMessage;
+
+/// What the seat asks of the node.
+#[derive(Clone, Debug)]
+pub enum SeatOutput {
+    /// Append a record to the zone's seat stream.
+    Append(SeatEntry),
+    /// Ask a member for a promise.
+    AskPromise {
+        /// Member to ask.
+        to: RosterMember,
+        /// Term of this host.
+        term: SeatTerm,
+    },
+    /// Ask a member to promise nothing to a term any more.
+    AskRefusal {
+        /// Member to ask.
+        to: RosterMember,
+        /// Term that is to lose its promises.
+        term: SeatTerm,
+    },
+}
+
+/// The seat of the zone and its way to the log and the peers.
 #[derive(Debug)]
 pub struct SeatPort {
     /// Decisions.
@@ -16,8 +41,6 @@
     zone: ZoneName,
     /// Actions that wait to be carried out; kept to save allocation.
     actions: Vec<SeatAction>,
-    /// Peers last told to the state machine.
-    peers: BTreeMap<HostName, RosterMember>,
 }
 
 impl SeatPort {
@@ -27,7 +50,6 @@
             state,
             zone,
             actions: Vec::new(),
-            peers: BTreeMap::new(),
         }
     }
 
@@ -81,28 +103,78 @@
         self.state.handle(now, event, &mut self.actions);
     }
 
-    /// Passes on which hosts of the zone are listed.
-    pub fn update_peers(&mut self, now: MonotonicTime, peers: Vec<RosterMember>) {
-        let newer: BTreeMap<_, _> = peers
+    /// What the actions so far ask of the node.
+    pub fn take_outputs(&mut self) -> Vec<SeatOutput> {
+        let actions = std::mem::take(&mut self.actions);
+        actions
             .into_iter()
-            .map(|peer| (peer.host.clone(), peer))
-            .collect();
-        let older = std::mem::replace(&mut self.peers, newer.clone());
-        for host in older.into_keys().filter(|host| !newer.contains_key(host)) {
-            self.handle(now, SeatEvent::MemberGone { host });
-        }
-        for member in newer.into_values() {
-            self.handle(now, SeatEvent::MemberSeen { member });
+            .filter_map(|action| self.seat_output(action))
+            .collect()
+    }
+
+    /// Answer to the peer's question that was just handled.
+    pub fn take_answer(&mut self) -> Option<PeerMessage> {
+        let is_answer = |action: &SeatAction| {
+            matches!(
+                action,
+                SeatAction::AnswerPromise { .. } | SeatAction::AnswerRefusal { .. }
+            )
+        };
+        let place = self.actions.iter().position(is_answer)?;
+        let action = self.actions.remove(place);
+        self.answer_message(&action)
+    }
+
+    fn answer_message(&self, action: &SeatAction) -> Option<PeerMessage> {
+        let zone = self.zone.to_string();
+        match action {
+            SeatAction::AnswerPromise {
+                term,
+                request,
+                granted,
+                incarnation,
+                ..
+            } => {
+                let (term, request) = (term.0, *request);
+                let answer = PromiseAnswer {
+                    granted: *granted,
+                    incarnation: *incarnation,
+                    request,
+                    term,
+                    zone,
+                };
+                Some(PeerMessage::PromiseAnswer(answer))
+            }
+            SeatAction::AnswerRefusal {
+                term,
+                request,
+                refused,
+                incarnation,
+                ..
+            } => {
+                let (term, request) = (term.0, *request);
+                let answer = RefusalAnswer {
+                    incarnation: *incarnation,
+                    refused: *refused,
+                    request,
+                    term,
+                    zone,
+                };
+                Some(PeerMessage::RefusalAnswer(answer))
+            }
+            _ => None,
         }
     }
 
-    /// Records to append for the actions so far. Messages to other hosts wait for
-    /// the peer links and are dropped; the seat then rests on the log alone.
-    pub fn take_entries(&mut self) -> Vec<SeatEntry> {
-        let actions = std::mem::take(&mut self.actions);
-        let records = actions.into_iter().filter_map(|a| self.seat_record(a));
-        let entries = records.map(|record| self.entry(record));
-        entries.collect()
+    fn seat_output(&self, action: SeatAction) -> Option<SeatOutput> {
+        match action {
+            SeatAction::AskPromise { to, term } => Some(SeatOutput::AskPromise { to, term }),
+            SeatAction::AskRefusal { to, term } => Some(SeatOutput::AskRefusal { to, term }),
+            other => {
+                let record = self.seat_record(other)?;
+                Some(SeatOutput::Append(self.entry(record)))
+            }
+        }
     }
 
     fn entry(&self, record: SeatRecord) -> SeatEntry {
