--- a/crates/node/src/border/records.rs
+++ b/crates/node/src/border/records.rs
@@ -40,19 +40,6 @@
     }
 }
 
-/// The record of a configuration as a peer sends it, whose offset is its version
-/// less one.
-pub fn read_pushed_config(version: u64, body: serde_json::Value) -> Option<StoredEntry> {
-    let config = read_config(parse(body)?);
-    let id = format!("config/{}/{}", config.base.0, config.content_hash);
-    Some(StoredEntry {
-        offset: LogOffset(version.checked_sub(1)?),
-        id: RecordId::from(id),
-        appended_at: WallTime(0),
-        entry: LogEntry::Config(config),
-    })
-}
-
 fn read_entry(stored: StoredRecord) -> LogEntry {
     let kind = stored.record.kind.clone();
     if stored.record.schema != RECORD_SCHEMA {
--- a/crates/node/src/process/event_loop.rs
+++ b/crates/node/src/process/event_loop.rs
@@ -385,8 +385,7 @@
         let now = state.clock.now();
         match output {
             SeatOutput::Append(entry) => {
-                let stream = LogStream::Seat(zone.clone());
-                submit_kept(state, &stream, LogEntry::Seat(entry));
+                submit_kept(state, &LogStream::Seat(zone.clone()), LogEntry::Seat(entry));
             }
             SeatOutput::AskPromise { to, term } => {
                 state
--- a/crates/node/src/process/log_events.rs
+++ b/crates/node/src/process/log_events.rs
@@ -146,7 +146,7 @@
     }
 }
 
-/// Takes a configuration that a peer holds as in force.
+/// Takes over a configuration that a peer holds as in force.
 pub fn learn_config(state: &mut HostState, record: &StoredEntry, actions: &mut Vec<PlannerAction>) {
     if let Some(change) = state.config.learn(record) {
         take_config_change(state, &change, actions);
--- a/crates/node/src/process/peer_exchange.rs
+++ b/crates/node/src/process/peer_exchange.rs
@@ -7,8 +7,9 @@
 use flamingowalk_core::process::seat::{RosterMember, SeatEvent};
 use flamingowalk_wire::peer as wire;
 
+use crate::border::log::StoredRecord;
 use crate::border::peer::PeerMessage;
-use crate::border::records::{read_pushed_config, write_record};
+use crate::border::records::{read_record, write_record};
 use crate::process::host_state::HostState;
 use crate::process::log_events::learn_config;
 use crate::process::peer_client::PeerReport;
@@ -98,8 +99,8 @@
             state.seat.handle(now, event);
         }
         PeerMessage::ConfigPush(push) => {
-            if let Some(record) = read_pushed_config(push.version, push.record) {
-                learn_config(state, &record, actions);
+            if let Ok(stored) = serde_json::from_value::<StoredRecord>(push.record) {
+                learn_config(state, &read_record(stored), actions);
             }
         }
         _ => {}
@@ -178,12 +179,21 @@
 }
 
 fn config_push(state: &HostState, have_version: u64) -> Option<PeerMessage> {
-    let config = state.config.adopted()?;
-    let version = config.version.0;
-    (version > have_version).then(|| {
-        let record = write_record(&config.record.id, &config.record.entry).body;
-        PeerMessage::ConfigPush(wire::ConfigPush { record, version })
-    })
+    let adopted = state.config.adopted()?;
+    let version = adopted.version.0;
+    if version <= have_version {
+        return None;
+    }
+    let stored = StoredRecord {
+        appended_at_ms: adopted.record.appended_at.0,
+        offset: adopted.record.offset.0,
+        record: write_record(&adopted.record.id, &adopted.record.entry),
+    };
+    let record = serde_json::to_value(stored).ok()?;
+    Some(PeerMessage::ConfigPush(wire::ConfigPush {
+        record,
+        version,
+    }))
 }
 
 /// Soft state of this host for its peers.
