--- a/crates/node/src/process/log_port.rs
+++ b/crates/node/src/process/log_port.rs
@@ -102,6 +102,8 @@
     next_record: u64,
     /// Whether a record was submitted since the last event.
     is_submitted: bool,
+    /// Whether the newest answer to a read was none.
+    is_read_failed: bool,
     caught_up_at: Option<MonotonicTime>,
     requests: Vec<LogRequest>,
     notices: Vec<LogNotice>,
@@ -122,6 +124,7 @@
             run,
             next_record: 0,
             is_submitted: false,
+            is_read_failed: false,
             caught_up_at: None,
             requests: Vec::new(),
             notices: Vec::new(),
@@ -139,6 +142,11 @@
         self.follower.caught_up_at()
     }
 
+    /// Whether the log does not answer reads, or has let one wait for long.
+    pub fn is_failing(&self) -> bool {
+        self.is_read_failed || self.follower.counters().impatient > 0
+    }
+
     /// Submitted records that are not known to be in the log.
     pub fn open_records(&self) -> usize {
         self.appender.open_records()
@@ -223,6 +231,7 @@
         read: ReadId,
         result: Result<LogPage, ReadFault>,
     ) {
+        self.is_read_failed = result.is_err();
         let event = match result {
             Ok(page) => FollowerEvent::ReadAnswered {
                 read,
