Measure calls beside plain routing; mend what the first trials showed

Change: the command flamingowalk-measure calls; a zone that fails as a whole is left for the others and found again by idempotent trials; recent outcomes are 16 instead of 32; a target's limit falls only if it stands out from its zone; a kept connection is probed before a non-idempotent call after 5 ms of silence, not 20; a probe waits until its connection is ready.

--- a/crates/core/src/connection/liveness.rs
+++ b/crates/core/src/connection/liveness.rs
@@ -24,7 +24,7 @@
 impl Default for LivenessRules {
     fn default() -> Self {
         Self {
-            fresh_non_idempotent: Duration::from_millis(20),
+            fresh_non_idempotent: Duration::from_millis(5),
             fresh_idempotent: Duration::from_millis(500),
             idle_limit: Duration::from_secs(20),
             age_limit: Duration::from_mins(10),
--- a/crates/core/src/process/health.rs
+++ b/crates/core/src/process/health.rs
@@ -10,7 +10,7 @@
 /// When targets enter and leave quarantine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HealthRules {
-    /// Outcomes that must be known before a failure share counts; at most 32.
+    /// Outcomes that must be known before a failure share counts; at most 16.
     pub least_outcomes: u32,
     /// Failure share from which a target is suspect.
     pub failure_share: f64,
@@ -92,9 +92,10 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetHealth {
     state: HealthState,
-    /// Last outcomes, newest in the lowest bit; a set bit is a failure.
-    outcomes: u32,
-    /// Number of bits of `outcomes` in use, at most 32.
+    /// Last outcomes, newest in the lowest bit; a set bit is a failure. Few, so that
+    /// a target that turns bad is found soon after a long good time.
+    outcomes: u16,
+    /// Number of bits of `outcomes` in use, at most 16.
     known: u32,
     /// Failed connection attempts since the last success.
     refused_connects: u32,
@@ -187,6 +188,12 @@
         true
     }
 
+    /// Forgets outcomes that a good answer has overtaken after a long silence.
+    pub const fn forget_outcomes(&mut self) {
+        self.outcomes = 0;
+        self.known = 0;
+    }
+
     /// Takes in a failure that is blamed on the target.
     pub fn record_failure(&mut self, rules: &HealthRules, is_trial: bool, now: MonotonicTime) {
         self.push(true, rules);
@@ -260,9 +267,9 @@
 
     /// Adds an outcome. A full history of good ones forgives earlier quarantines.
     fn push(&mut self, is_failure: bool, rules: &HealthRules) {
-        self.outcomes = (self.outcomes << 1) | u32::from(is_failure);
-        self.known = (self.known + 1).min(u32::BITS);
-        if self.known == u32::BITS && self.outcomes == 0 {
+        self.outcomes = (self.outcomes << 1) | u16::from(is_failure);
+        self.known = (self.known + 1).min(u16::BITS);
+        if self.known == u16::BITS && self.outcomes == 0 {
             self.next_wait = rules.first_wait;
         }
     }
--- a/crates/core/src/process/router/choice.rs
+++ b/crates/core/src/process/router/choice.rs
@@ -1,7 +1,7 @@
 //! The choice of a target for one attempt: the better of two random targets by
 //! expected cost, own zone first. Other zones are used when no target of the own
-//! zone has room; quarantined targets get one trial at a time, and carry calls
-//! only when no healthy target is left at all.
+//! zone has room, or when the own zone as a whole fails. Quarantined targets get
+//! one trial at a time, and carry calls only when no healthy target is left at all.
 
 use std::cmp::Ordering;
 
@@ -18,6 +18,12 @@
 /// Lowest share of good outcomes that the cost of a target is divided by.
 const LEAST_SUCCESS: f64 = 0.05;
 
+/// Outcomes that must be known of a zone before it can be doubtful.
+const DOUBT_OUTCOMES: u32 = 10;
+
+/// Failure share from which a zone is doubtful.
+const DOUBT_SHARE: f64 = 0.4;
+
 /// What an attempt asks for.
 #[derive(Clone, Copy, Debug)]
 pub struct RouteQuery<'a> {
@@ -60,15 +66,22 @@
         if let Some(key) = query.key {
             return pinned_target(&candidates, key, now);
         }
-        let own = |candidate: &&Candidate<'_>| candidate.entry.record.zone == self.own_zone;
+        let doubtful = doubtful_zones(&candidates);
+        let is_sound = |candidate: &&Candidate<'_>| !doubtful.contains(candidate.zone());
+        let is_own = |candidate: &&Candidate<'_>| *candidate.zone() == self.own_zone;
         let is_ready = |candidate: &&Candidate<'_>| {
             candidate.entry.health.is_healthy() && candidate.entry.has_room(now)
         };
         let ready = || candidates.iter().filter(is_ready);
-        self.due_trial(candidates.iter().filter(own), query, now)
-            .or_else(|| better_of_two(&ready().filter(own).collect::<Vec<_>>(), now, rng))
+        let sound = || ready().filter(is_sound);
+        let zone_trial = || zone_trial(ready().filter(|one| !is_sound(one)), query, now);
+        let better = |choices: Vec<&Candidate<'_>>, rng: &mut _| better_of_two(&choices, now, rng);
+        self.due_trial(candidates.iter().filter(is_own), query, now)
+            .or_else(zone_trial)
+            .or_else(|| better(sound().filter(is_own).collect(), rng))
             .or_else(|| self.due_trial(candidates.iter(), query, now))
-            .or_else(|| better_of_two(&ready().collect::<Vec<_>>(), now, rng))
+            .or_else(|| better(sound().collect(), rng))
+            .or_else(|| better(ready().collect(), rng))
             .or_else(|| last_resort(&candidates, now, rng))
             .ok_or(RouteRefusal::AllFull)
     }
@@ -126,6 +139,45 @@
     entry: &'a TargetEntry,
 }
 
+impl<'a> Candidate<'a> {
+    const fn zone(&self) -> &'a ZoneName {
+        &self.entry.record.zone
+    }
+}
+
+/// Zones whose targets together fail so much that calls are better sent elsewhere.
+/// No single target stands out in them, so that none is in quarantine.
+fn doubtful_zones<'a>(candidates: &[Candidate<'a>]) -> BTreeSet<&'a ZoneName> {
+    let mut counts = BTreeMap::new();
+    for candidate in candidates {
+        let (failures, known) = candidate.entry.health.recent();
+        let sum: &mut (u32, u32) = counts.entry(candidate.zone()).or_default();
+        *sum = (sum.0 + failures, sum.1 + known);
+    }
+    let is_doubtful = |(_, (failures, known)): &(_, (u32, u32))| {
+        *known >= DOUBT_OUTCOMES && f64::from(*failures) >= f64::from(*known) * DOUBT_SHARE
+    };
+    counts
+        .into_iter()
+        .filter(is_doubtful)
+        .map(|(zone, _)| zone)
+        .collect()
+}
+
+/// A target of a doubtful zone that has not been judged for a while. Idempotent
+/// calls find out in this way whether the zone works again.
+fn zone_trial<'a>(
+    mut candidates: impl Iterator<Item = &'a Candidate<'a>>,
+    query: &RouteQuery<'_>,
+    now: MonotonicTime,
+) -> Option<TargetIndex> {
+    let may_try = query.safety == RepeatSafety::Idempotent && query.tried.is_empty();
+    let is_due = |entry: &TargetEntry| entry.is_stale(now) && entry.in_flight == 0;
+    candidates
+        .find(|candidate| may_try && is_due(candidate.entry))
+        .map(|candidate| candidate.index)
+}
+
 /// The cheaper of two distinct random candidates.
 fn better_of_two(
     candidates: &[&Candidate<'_>],
--- a/crates/core/src/process/router/limit.rs
+++ b/crates/core/src/process/router/limit.rs
@@ -1,6 +1,7 @@
 //! The adaptive concurrency limit of one target. It starts at the declared slots,
-//! falls by a factor when the target refuses or slows down, and rises by one after
-//! each limit's worth of answers.
+//! falls by a factor when the target refuses, or slows down by itself, and rises by
+//! one after each limit's worth of answers. When all targets slow down together,
+//! this host or the network is slow, and fewer calls at once would only add to it.
 
 use crate::prelude::*;
 
@@ -13,6 +14,9 @@
 /// Slowdown against the best recent mean that counts as congestion.
 const CONGESTION_FACTOR: f64 = 3.0;
 
+/// Slowdown against the other targets of the zone that counts as the target's own.
+const STANDOUT_FACTOR: f64 = 2.0;
+
 /// Share by which the remembered best mean rises with every answer, so that a
 /// lasting change of the workload is not taken for congestion for ever.
 const BASELINE_DRIFT: f64 = 0.001;
@@ -46,14 +50,16 @@
         self.limit as u32
     }
 
-    /// Takes in an answer, with the target's mean latency after it.
-    pub fn record_answer(&mut self, mean_micros: f64, now: MonotonicTime) {
+    /// Takes in an answer, with the target's mean latency after it and the median of
+    /// the other targets of its zone.
+    pub fn record_answer(&mut self, mean_micros: f64, others: Option<f64>, now: MonotonicTime) {
         let baseline = match self.baseline {
             Some(best) => (best * (1.0 + BASELINE_DRIFT)).min(mean_micros),
             None => mean_micros,
         };
         self.baseline = Some(baseline);
-        if mean_micros > baseline * CONGESTION_FACTOR {
+        let stands_out = others.is_some_and(|median| mean_micros > median * STANDOUT_FACTOR);
+        if stands_out && mean_micros > baseline * CONGESTION_FACTOR {
             self.decrease(now);
         } else {
             self.limit = (self.limit + 1.0 / self.limit).min(self.ceiling);
--- a/crates/core/src/process/router/table.rs
+++ b/crates/core/src/process/router/table.rs
@@ -344,6 +344,9 @@
         let Some(entry) = self.entries.get_mut(&ticket.index) else {
             return;
         };
+        if entry.is_stale(now) {
+            entry.health.forget_outcomes();
+        }
         entry.judged_at = now;
         let micros = latency.as_secs_f64() * 1e6;
         let is_slow = |value: f64| median.is_some_and(|median| value > median * rules.slow_factor);
@@ -365,7 +368,7 @@
         let Some(mean) = entry.latency.mean_micros(rules.least_answers) else {
             return;
         };
-        entry.limit.record_answer(mean, now);
+        entry.limit.record_answer(mean, median, now);
         if entry.health.is_healthy() && is_slow(mean) {
             self.quarantine_within_cap(ticket.index, QuarantineCause::Slow, now);
         }
--- a/crates/core/tests/target_table.rs
+++ b/crates/core/tests/target_table.rs
@@ -181,6 +181,26 @@
     assert_eq!((chooser.cause(3), causes.len()), (Some(cause), 1));
 }
 
+#[test]
+fn failing_zone_is_left_and_found_again() {
+    let mut chooser = Chooser::new(table(8, 8));
+    chooser.run(400, |_| GOOD);
+    let own_calls = |counts: &BTreeMap<TargetIndex, u32>| -> u32 {
+        counts
+            .iter()
+            .filter(|(index, _)| index.0 < 8)
+            .map(|(_, calls)| calls)
+            .sum()
+    };
+    let failing = |index: TargetIndex| if index.0 < 8 { BAD } else { GOOD };
+    let before = own_calls(&chooser.run(300, failing));
+    assert!(before < 120, "{before} calls until the zone was left");
+    let after = own_calls(&chooser.run(300, failing));
+    assert!(after < 90, "{after} trials in 30 s");
+    chooser.run(300, |_| GOOD);
+    assert_eq!(own_calls(&chooser.run(100, |_| GOOD)), 100);
+}
+
 #[test]
 fn quarantine_bad_calls_everywhere() {
     let mut chooser = Chooser::new(table(8, 0));
--- /dev/null
+++ b/crates/measure/src/calls.rs
@@ -0,0 +1,117 @@
+//! Measures calls over loopback: what an entry host adds to a direct call, and how
+//! calls end under faults, beside two plain ways of routing them. Arrivals, faults
+//! and choices are seeded; times are real, so that only ratios within one run are
+//! to be compared.
+
+mod direct_route;
+mod fault_case;
+mod load_run;
+mod page;
+mod route_overhead;
+mod thread_usage;
+mod world;
+
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use thiserror::Error;
+
+use self::direct_route::{DirectRoute, RoutePolicy};
+use self::fault_case::FaultCase;
+use self::load_run::{CaseSummary, LoadPlan, run_load};
+use self::page::render_page;
+use self::route_overhead::measure_overhead;
+use self::world::{CallWorld, WorldPlan};
+
+/// Time that a call takes on a healthy worker of the fault cases.
+const CALL_TIME: Duration = Duration::from_millis(20);
+
+/// Failure of the measurement.
+#[derive(Debug, Error)]
+pub enum CallMeasureError {
+    /// A stand-in, the host or the runtime did not start.
+    #[error("{0}; free ports, memory or file handles and run it again")]
+    Start(String),
+    /// The page could not be written.
+    #[error("{path}: {source}; run from the root of the repository")]
+    File {
+        /// The page.
+        path: PathBuf,
+        /// What went wrong.
+        source: io::Error,
+    },
+}
+
+/// How the calls of a run are routed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum CallRoute {
+    /// Through an entry host.
+    EntryHost,
+    /// Straight from the caller by a plain policy.
+    Plain(RoutePolicy),
+}
+
+impl CallRoute {
+    const ALL: [Self; 3] = [
+        Self::EntryHost,
+        Self::Plain(RoutePolicy::RandomOnce),
+        Self::Plain(RoutePolicy::RoundRobin),
+    ];
+
+    const fn title(self) -> &'static str {
+        match self {
+            Self::EntryHost => "entry host",
+            Self::Plain(RoutePolicy::RandomOnce) => "random, no retry",
+            Self::Plain(RoutePolicy::RoundRobin) => "round robin, 3 retries",
+        }
+    }
+}
+
+/// Runs everything and writes the page.
+///
+/// # Errors
+/// A [`CallMeasureError`] that names what to change.
+pub fn measure(seed: u64, seconds: u64, output: &Path) -> Result<(), CallMeasureError> {
+    let length = Duration::from_secs(seconds);
+    let overhead = measure_overhead(seed, length)?;
+    let mut summaries = Vec::new();
+    for case in FaultCase::ALL {
+        for route in CallRoute::ALL {
+            eprintln!("{}: {}", case.title(), route.title());
+            summaries.push(run_case(seed, length, case, route)?);
+        }
+    }
+    let page = render_page(seed, seconds, &overhead, &summaries);
+    println!("{page}");
+    let written = fs::write(output, page);
+    written.map_err(|source| CallMeasureError::File {
+        path: output.to_owned(),
+        source,
+    })
+}
+
+fn run_case(
+    seed: u64,
+    length: Duration,
+    case: FaultCase,
+    route: CallRoute,
+) -> Result<CaseSummary, CallMeasureError> {
+    let plan = WorldPlan {
+        call_time: CALL_TIME,
+        case,
+    };
+    let world = CallWorld::start(plan)?;
+    let target = match route {
+        CallRoute::EntryHost => DirectRoute::to_host(world.host_address()),
+        CallRoute::Plain(policy) => DirectRoute::to_workers(policy, world.worker_addresses(), seed),
+    };
+    let load = LoadPlan {
+        seed,
+        length,
+        case,
+        rate: fault_case::BASE_RATE,
+    };
+    run_load(&world, &target, &load, route)
+}
--- /dev/null
+++ b/crates/measure/src/calls/load_run.rs
@@ -0,0 +1,195 @@
+//! One run of a fault case: open-loop arrivals with exponential gaps, half of the
+//! calls non-idempotent, and the count of what callers were told against what the
+//! workers ran.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use super::direct_route::{CallEnd, DirectRoute, PlannedCall};
+use super::fault_case::FaultCase;
+use super::world::{CUSTOMERS, CallWorld, failed, new_runtime};
+use super::{CallMeasureError, CallRoute};
+
+/// Deadline of every call.
+const DEADLINE: Duration = Duration::from_secs(1);
+/// Time for the host to read its configuration and the host list.
+const SETTLE_LIMIT: Duration = Duration::from_secs(10);
+/// Longest latency that is told apart, in microseconds.
+const LATENCY_CEILING: u64 = 60_000_000;
+
+/// What to send.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LoadPlan {
+    /// Seed of the arrivals.
+    pub seed: u64,
+    /// Length of the run.
+    pub length: Duration,
+    /// What goes wrong.
+    pub case: FaultCase,
+    /// Calls per second outside bursts.
+    pub rate: f64,
+}
+
+/// Counts of one run.
+#[derive(Clone, Debug)]
+pub(crate) struct CaseSummary {
+    /// What went wrong.
+    pub case: FaultCase,
+    /// How calls were routed.
+    pub route: CallRoute,
+    /// Calls sent.
+    pub calls: usize,
+    /// Idempotent calls sent.
+    pub idempotent: usize,
+    /// Calls answered.
+    pub answered: usize,
+    /// Idempotent calls answered.
+    pub idempotent_answered: usize,
+    /// Calls that callers were told had failed.
+    pub failed: usize,
+    /// Calls that callers were told had not run.
+    pub not_run: usize,
+    /// Calls whose outcome callers were told is unknown.
+    pub unknown: usize,
+    /// Non-idempotent calls that ran more than once.
+    pub doubled: usize,
+    /// Calls said not to have run that ran.
+    pub wrongly_not_run: usize,
+    /// Runs beyond the first of each call.
+    pub repeated_runs: usize,
+    /// Latencies of answered calls in microseconds.
+    pub latency: Histogram<u64>,
+}
+
+/// One call that has ended.
+#[derive(Clone, Debug)]
+struct EndedCall {
+    call: PlannedCall,
+    end: CallEnd,
+    latency: Duration,
+}
+
+/// Sends the calls of a plan and counts their ends.
+pub(crate) fn run_load(
+    world: &CallWorld,
+    target: &DirectRoute,
+    plan: &LoadPlan,
+    route: CallRoute,
+) -> Result<CaseSummary, CallMeasureError> {
+    let runtime = new_runtime()?;
+    let ended = runtime.block_on(async {
+        wait_settled(target).await?;
+        Ok::<_, CallMeasureError>(send_all(world, target, plan).await)
+    })?;
+    Ok(summarise(world, plan.case, route, &ended))
+}
+
+/// Waits until a call is answered.
+pub(crate) async fn wait_settled(target: &DirectRoute) -> Result<(), CallMeasureError> {
+    let call = planned_call(usize::MAX, true);
+    let began = Instant::now();
+    while began.elapsed() < SETTLE_LIMIT {
+        if target.send(&call).await == CallEnd::Answered {
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Err(failed("no call is answered"))
+}
+
+/// A call by its number; the identifier is unique within a run.
+pub(crate) fn planned_call(number: usize, idempotent: bool) -> PlannedCall {
+    PlannedCall {
+        id: format!("call-{number}"),
+        customer: CUSTOMERS[number % CUSTOMERS.len()],
+        idempotent,
+        deadline: DEADLINE,
+    }
+}
+
+async fn send_all(world: &CallWorld, target: &DirectRoute, plan: &LoadPlan) -> Vec<EndedCall> {
+    let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
+    let mut calls = JoinSet::new();
+    let began = Instant::now();
+    let mut due = Duration::ZERO;
+    let mut next_act = FaultCase::step();
+    let mut step = 0;
+    while due < plan.length {
+        tokio::time::sleep_until(began + due).await;
+        if due >= next_act {
+            plan.case.act(world, due, plan.length, step);
+            next_act += FaultCase::step();
+            step += 1;
+        }
+        let call = planned_call(calls.len(), rng.random_bool(0.5));
+        calls.spawn(send_one(target.clone(), call));
+        let rate = plan.case.rate(plan.rate, due, plan.length);
+        due += Duration::from_secs_f64(-rng.random::<f64>().max(1e-12).ln() / rate);
+    }
+    calls.join_all().await
+}
+
+async fn send_one(target: DirectRoute, call: PlannedCall) -> EndedCall {
+    let began = Instant::now();
+    let end = target.send(&call).await;
+    EndedCall {
+        call,
+        end,
+        latency: began.elapsed(),
+    }
+}
+
+fn summarise(
+    world: &CallWorld,
+    case: FaultCase,
+    route: CallRoute,
+    ended: &[EndedCall],
+) -> CaseSummary {
+    let runs = total_runs(world);
+    let runs_of = |ended: &EndedCall| runs.get(&ended.call.id).copied().unwrap_or_default();
+    let count = |test: &dyn Fn(&EndedCall) -> bool| ended.iter().filter(|one| test(one)).count();
+    let with_end = |end: CallEnd| count(&|one| one.end == end);
+    let mut latency = new_histogram();
+    for one in ended.iter().filter(|one| one.end == CallEnd::Answered) {
+        latency.saturating_record(one.latency.as_micros() as u64);
+    }
+    CaseSummary {
+        case,
+        route,
+        calls: ended.len(),
+        idempotent: count(&|one| one.call.idempotent),
+        answered: with_end(CallEnd::Answered),
+        idempotent_answered: count(&|one| one.call.idempotent && one.end == CallEnd::Answered),
+        failed: with_end(CallEnd::Failed),
+        not_run: with_end(CallEnd::NotRun),
+        unknown: with_end(CallEnd::Unknown),
+        doubled: count(&|one| !one.call.idempotent && runs_of(one) > 1),
+        wrongly_not_run: count(&|one| one.end == CallEnd::NotRun && runs_of(one) > 0),
+        repeated_runs: ended
+            .iter()
+            .map(|one| runs_of(one).saturating_sub(1) as usize)
+            .sum(),
+        latency,
+    }
+}
+
+fn total_runs(world: &CallWorld) -> BTreeMap<String, u32> {
+    let mut total = BTreeMap::new();
+    for worker in world.workers() {
+        for (id, runs) in worker.call_runs() {
+            *total.entry(id).or_default() += runs;
+        }
+    }
+    total
+}
+
+/// An empty histogram of microseconds.
+pub(crate) fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_max(LATENCY_CEILING, 3).expect("the bounds are constants that fit")
+}
--- a/crates/node/src/connection/target_connection.rs
+++ b/crates/node/src/connection/target_connection.rs
@@ -155,8 +155,11 @@
         headers.insert("flamingowalk-request-id", "probe".parse().ok()?);
         let path = Uri::from_static(PROBE_PATH);
         let request = TargetRequest::new(Method::GET, path, self.address, headers, Bytes::new());
-        let sent = self.sender.send_request(request.into_hyper());
-        let response = tokio::time::timeout(timeout, sent).await.ok()?.ok()?;
+        let sent = async {
+            self.sender.ready().await.ok()?;
+            self.sender.send_request(request.into_hyper()).await.ok()
+        };
+        let response = tokio::time::timeout(timeout, sent).await.ok()??;
         if response.status() != StatusCode::NO_CONTENT || !response.body().is_end_stream() {
             return None;
         }
