Running tasks keep their leases while the holder of the seat may not start

Cause: a holder without proof dropped its planner, so during a log outage with one dead peer nobody renewed leases and running jobs ended after 15 s. Ruled out: renewing without a term; a successor's higher term fences the old holder. Change: the planner is kept while the log names this host's term and pauses starts only; the task lease is 30 s, of which two thirds outlast a takeover; a reclaim bound within the lease is a fault. Before: starts_paused_keeps_leases cannot be expressed; after: it passes. Conclusion: losing the right to start is not losing the duty to renew.

--- a/crates/core/src/process/planner/event.rs
+++ b/crates/core/src/process/planner/event.rs
@@ -166,6 +166,12 @@
     },
     /// The seat is lost: no action may start work from now on.
     SeatLost,
+    /// Whether anything may be started for now. While paused, running tasks keep
+    /// their leases and nothing new is reserved or started.
+    StartsPaused {
+        /// Whether starts are paused.
+        paused: bool,
+    },
     /// A worker of the zone is listed or changed.
     WorkerSeen {
         /// Its resources.
--- a/crates/core/src/process/planner/gang.rs
+++ b/crates/core/src/process/planner/gang.rs
@@ -150,7 +150,8 @@
         });
     }
 
-    /// Starts every member, once the record is in the log and if all still hold.
+    /// Starts every member, once the record is in the log and if all still hold. A
+    /// gang that may not start now gives its reservations back and is tried again.
     pub(super) fn start_gang(
         &mut self,
         now: MonotonicTime,
@@ -160,6 +161,7 @@
     ) {
         let lease = self.lease();
         let is_active = self.is_active();
+        let is_paused = self.starts_paused;
         let Some(entry) = self.jobs.get_mut(id) else {
             return;
         };
@@ -168,7 +170,7 @@
         }
         let holds =
             |m: &GangMember| m.state == MemberState::Held && m.valid_until > now + START_MARGIN;
-        if !entry.members.iter().all(holds) {
+        if is_paused || !entry.members.iter().all(holds) {
             self.begin_stop(now, id, StopPurpose::Retry, actions);
             return;
         }
--- a/crates/core/src/process/planner/placement.rs
+++ b/crates/core/src/process/planner/placement.rs
@@ -13,7 +13,7 @@
 impl PlannerState {
     /// Starts what can be started.
     pub(super) fn schedule(&mut self, now: MonotonicTime, actions: &mut Vec<PlannerAction>) {
-        if !self.is_active() {
+        if !self.may_start() {
             return;
         }
         while let Some(job) = self.queue.pop_due(now) {
--- a/crates/core/src/process/planner/state.rs
+++ b/crates/core/src/process/planner/state.rs
@@ -62,6 +62,8 @@
     pub(super) settings: Arc<SystemSettings>,
     /// The seat, while held.
     pub(super) seat: Option<SeatHold>,
+    /// Whether the holder of the seat may start nothing for now.
+    pub(super) starts_paused: bool,
     /// Workers of the zone; the same ones as in the ledger.
     pub(super) workers: BTreeMap<WorkerName, WorkerEntry>,
     /// Capacity of the workers.
@@ -109,6 +111,7 @@
             version: ConfigVersion::default(),
             settings: Arc::new(SystemSettings::default()),
             seat: None,
+            starts_paused: false,
             workers: BTreeMap::new(),
             ledger: CapacityLedger::default(),
             jobs: BTreeMap::new(),
@@ -154,6 +157,7 @@
             }
             PlannerEvent::SeatGained { term } => self.gain_seat(now, term, actions),
             PlannerEvent::SeatLost => self.lose_seat(),
+            PlannerEvent::StartsPaused { paused } => self.starts_paused = paused,
             PlannerEvent::WorkerSeen { worker } => self.see_worker(now, worker, actions),
             PlannerEvent::WorkerGone { worker } => self.lose_worker(&worker),
             PlannerEvent::TasksListed {
@@ -234,6 +238,11 @@
         self.work
     }
 
+    /// Whether something may be started now.
+    pub(super) fn may_start(&self) -> bool {
+        self.is_active() && !self.starts_paused
+    }
+
     /// Whether the seat is held and the state of the workers is known.
     pub fn is_active(&self) -> bool {
         self.seat.is_some_and(|seat| seat.rebuilt)
--- a/crates/core/src/version/folder_check.rs
+++ b/crates/core/src/version/folder_check.rs
@@ -412,6 +412,11 @@
     );
     let quarantine = reader.number_or("quarantine-share", &SHARE, default.quarantine_share);
     let retry = reader.number_or("retry-share", &SHARE, default.retry_share);
+    if let (Some(reclaim), Some(lease)) = (reclaim, lease)
+        && reclaim <= lease
+    {
+        reader.fault("reclaim-bound-s", FaultKind::BoundTooShort { lease });
+    }
     Some(PolicySettings {
         weight: weight?,
         reclaim_bound: Duration::from_secs(reclaim?),
--- a/crates/core/src/version/folder_fault.rs
+++ b/crates/core/src/version/folder_fault.rs
@@ -108,6 +108,12 @@
         /// Most workers of a zone.
         limit: u64,
     },
+    /// A reclaim bound that a silent worker's lease outlasts.
+    #[error("is not above task-lease-s, which is {lease}; raise it or lower task-lease-s")]
+    BoundTooShort {
+        /// Task lease in seconds.
+        lease: u64,
+    },
     /// A job that would wait for ever.
     #[error(
         "fits no zone even when it is empty; lower tasks, accelerators, cores, memory-gb or adjacency"
--- a/crates/core/src/version/settings.rs
+++ b/crates/core/src/version/settings.rs
@@ -147,9 +147,11 @@
     /// Weight of completion time against fragmentation, between 0 and 1.
     /// One looks at completion time alone, zero at fragmentation alone.
     pub weight: f64,
-    /// Longest time from a claim on a guarantee to the capacity being free.
+    /// Longest time from a claim on a guarantee to the capacity being free; longer
+    /// than the task lease, since the lease of a silent worker has to lapse first.
     pub reclaim_bound: Duration,
-    /// Length of a task lease.
+    /// Length of a task lease. Two thirds of it outlast the takeover of the planner
+    /// seat, so that running tasks survive the failure of an entry host.
     pub task_lease: Duration,
     /// Age after which a waiting gang is no longer passed by smaller jobs.
     pub gang_age_bound: Duration,
@@ -163,8 +165,8 @@
     fn default() -> Self {
         Self {
             weight: 0.5,
-            reclaim_bound: Duration::from_secs(30),
-            task_lease: Duration::from_secs(15),
+            reclaim_bound: Duration::from_mins(1),
+            task_lease: Duration::from_secs(30),
             gang_age_bound: Duration::from_hours(1),
             quarantine_share: 0.25,
             retry_share: 0.1,
--- a/crates/core/tests/folder.rs
+++ b/crates/core/tests/folder.rs
@@ -308,3 +308,9 @@
         }
     }
 }
+
+#[test]
+fn check_reclaim_bound_too_short() {
+    let faults = faults_with("[policy]\nreclaim-bound-s = 20\ntask-lease-s = 20\n");
+    insta::assert_snapshot!(faults.expect_err("a bound within the lease"));
+}
--- a/crates/core/tests/planner_gang.rs
+++ b/crates/core/tests/planner_gang.rs
@@ -215,3 +215,50 @@
         "a worker that holds a task is listed every second"
     );
 }
+
+#[test]
+fn starts_paused_keeps_leases() {
+    let mut zone = open_zone();
+    zone.submit("j1", "gang");
+    zone.run();
+    zone.send(PlannerEvent::StartsPaused { paused: true });
+    zone.submit("j2", "small");
+    zone.pass(40);
+    assert_eq!(
+        zone.phase("j1"),
+        Some(JobPhase::Running),
+        "its leases were renewed"
+    );
+    assert_eq!(
+        zone.phase("j2"),
+        Some(JobPhase::Queued),
+        "nothing starts while paused"
+    );
+    zone.send(PlannerEvent::StartsPaused { paused: false });
+    zone.pass(2);
+    assert_eq!(zone.phase("j2"), Some(JobPhase::Running));
+    zone.pass(70);
+    assert_eq!(zone.ending("j1"), Some(&JobEnding::Finished));
+}
+
+#[test]
+fn starts_paused_after_record() {
+    let mut zone = open_zone();
+    zone.submit("j1", "once");
+    while !matches!(zone.pending[0], PlannerAction::RecordStart { .. }) {
+        let action = zone.pending.pop_front().unwrap();
+        zone.carry_out(action, RequestFate::Answered);
+    }
+    zone.send(PlannerEvent::StartsPaused { paused: true });
+    zone.run();
+    zone.pass(3);
+    assert!(
+        zone.start_orders.is_empty(),
+        "a start was sent while paused"
+    );
+    assert_eq!(zone.live_tasks(), 0, "a reservation was kept");
+    zone.send(PlannerEvent::StartsPaused { paused: false });
+    zone.pass(90);
+    assert_eq!(zone.ending("j1"), Some(&JobEnding::Finished));
+    assert_eq!(zone.start_orders.len(), 2);
+}
--- a/crates/node/src/process/event_loop.rs
+++ b/crates/node/src/process/event_loop.rs
@@ -359,10 +359,8 @@
     gauge!(SEAT_HELD).set(f64::from(u8::from(may_start)));
     if may_start && state.planner.is_none() && state.is_ready() && state.is_caught_up() {
         gain_seat(state, client, &calls.events, actions);
-    } else if !may_start && state.planner.is_some() {
-        log::info!(host = state.settings.name.as_str(); "planner seat lost");
-        state.planner = None;
     }
+    lose_or_pause(state, may_start, actions);
     plan(state, PlannerEvent::Tick, actions);
     state.seat.handle(now, SeatEvent::Tick);
     poll_usage(state, client, now);
@@ -426,12 +424,33 @@
         state: planner,
         port,
         usage_asked_at: state.clock.now(),
+        is_paused: false,
     });
     for event in seat_events(state, term) {
         plan(state, event, actions);
     }
 }
 
+/// Drops the planner once the log names another term. While this host's term is
+/// the newest it knows but nothing proves it, running tasks keep their leases and
+/// nothing is started; a successor's higher term fences such renewals.
+fn lose_or_pause(state: &mut HostState, may_start: bool, actions: &mut Vec<PlannerAction>) {
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let host = state.settings.name.as_str();
+    if state.seat.state.held_term() != Some(planner.port.term) {
+        log::info!(host = host; "planner seat lost");
+        state.planner = None;
+        return;
+    }
+    let paused = !may_start;
+    if std::mem::replace(&mut planner.is_paused, paused) != paused {
+        log::info!(host = host, paused = paused; "starts paused or resumed");
+        plan(state, PlannerEvent::StartsPaused { paused }, actions);
+    }
+}
+
 /// What a new planner has to know, in the order in which it takes it.
 fn seat_events(state: &HostState, term: SeatTerm) -> Vec<PlannerEvent> {
     let settings = Arc::clone(&state.system);
--- a/crates/node/src/process/host_state.rs
+++ b/crates/node/src/process/host_state.rs
@@ -43,6 +43,8 @@
     pub port: PlannerPort,
     /// When the use of the tasks was last asked for.
     pub usage_asked_at: MonotonicTime,
+    /// Whether the planner was told to start nothing.
+    pub is_paused: bool,
 }
 
 /// State of an entry host.
