--- a/crates/node/src/process/event_loop.rs
+++ b/crates/node/src/process/event_loop.rs
@@ -3,14 +3,10 @@
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::log_follower::{ReadFault, ReadId};
 use flamingowalk_core::process::planner::action::PlannerAction;
-use flamingowalk_core::process::planner::event::{PlannerEvent, SeatTerm};
-use flamingowalk_core::process::planner::state::PlannerState;
-use flamingowalk_core::process::record::{
-    AcceptedEntry, CancelledEntry, EndedEntry, LogEntry, StartedEntry,
-};
+use flamingowalk_core::process::planner::event::PlannerEvent;
+use flamingowalk_core::process::record::LogEntry;
 use flamingowalk_core::process::router::table::TargetRecord;
 use flamingowalk_core::process::seat::SeatEvent;
-use flamingowalk_wire::caller::JobSubmission;
 use metrics::{counter, gauge};
 use tokio::sync::mpsc;
 
@@ -21,24 +17,17 @@
 use crate::connection::http_server::ServePhase;
 use crate::process::call_port::CallMessage;
 use crate::process::counters::{LIST_READS, SEAT_HELD};
-use crate::process::host_clock::HostClock;
-use crate::process::host_event::{EventSender, HostEvent, LogStream};
-use crate::process::host_state::{HostState, SeatedPlanner};
-use crate::process::job_desk::{JobReply, JobWaiter, JobWish, not_run, settled_answer};
-use crate::process::log_events::{flush_streams, submit, submit_kept, tick_streams, with_port};
+use crate::process::host_event::{HostEvent, LogStream};
+use crate::process::host_state::HostState;
+use crate::process::job_events::{accept_cancel, accept_job};
+use crate::process::log_events::{flush_streams, submit_kept, tick_streams, with_port};
 use crate::process::log_port::LogPort;
 use crate::process::peer_exchange::{answer_peer, own_digest, take_report};
-use crate::process::planner_port::PlannerPort;
+use crate::process::planner_events::{carry_out, gain_seat, lose_or_pause, pass_workers, plan};
 use crate::process::seat_port::SeatOutput;
 use crate::process::usage_poll::poll_usage;
-use crate::process::zone_outlook::choose_zone;
 use crate::request::call::CallContext;
 
-/// Time a caller of a job request waits for the log.
-const RECORD_WAIT: Duration = Duration::from_secs(5);
-/// Time beyond it for a record that is in the log to be read back.
-const READ_BACK_WAIT: Duration = Duration::from_secs(1);
-
 /// Runs until the drain is over.
 pub async fn run_loop(
     mut state: HostState,
@@ -147,120 +136,6 @@
     carry_out(state, actions);
 }
 
-fn accept_job(state: &mut HostState, submission: &JobSubmission, reply: JobReply) {
-    let entry = accepted_entry(state, submission);
-    let is_known = state.jobs.book.get(&entry.job).is_some();
-    if !is_known && let Err(fault) = check_submission(state, &entry) {
-        let _ = reply.send(Err(fault));
-        return;
-    }
-    let job = entry.job.clone();
-    let wish = JobWish::Accepted(entry.clone());
-    let record = LogEntry::JobAccepted(entry);
-    await_record(state, job, wish, record, reply);
-}
-
-/// Submits the record unless the job's records give the answer already.
-fn await_record(
-    state: &mut HostState,
-    job: JobId,
-    wish: JobWish,
-    record: LogEntry,
-    reply: JobReply,
-) {
-    let known = state.jobs.book.get(&job);
-    if let Some(answer) = known.and_then(|known| settled_answer(known, &wish)) {
-        let _ = reply.send(answer);
-        return;
-    }
-    match submit(state, &LogStream::Jobs, record, Some(RECORD_WAIT)) {
-        Ok(record) => state.jobs.wait(JobWaiter {
-            job,
-            record,
-            wish,
-            until: state.clock.now() + RECORD_WAIT + READ_BACK_WAIT,
-            reply,
-        }),
-        Err(error) => {
-            let _ = reply.send(Err(not_run(error.to_string())));
-        }
-    }
-}
-
-fn accepted_entry(state: &HostState, submission: &JobSubmission) -> AcceptedEntry {
-    let class = state.system.classes.get(&submission.class.as_str().into());
-    let customer = submission.customer.as_str().into();
-    let best_zone = || class.and_then(|class| choose_zone(state, &customer, class));
-    let free_zone = || best_zone().unwrap_or_else(|| state.settings.zone.clone());
-    let accepted_at = HostClock::wall();
-    let within = |ms| WallTime(accepted_at.0.saturating_add(ms));
-    AcceptedEntry {
-        job: submission.id.as_str().into(),
-        customer: submission.customer.as_str().into(),
-        class: submission.class.as_str().into(),
-        zone: submission
-            .zone
-            .as_deref()
-            .map_or_else(free_zone, Into::into),
-        config: state.config_version,
-        accepted_at,
-        start_before: submission.start_within_ms.map(within),
-    }
-}
-
-fn check_submission(state: &HostState, entry: &AcceptedEntry) -> Result<(), JobFault> {
-    if !state.is_ready() {
-        let message = "the host is starting or draining; use another host".to_owned();
-        return Err(not_run(message));
-    }
-    if !state.is_caught_up() {
-        let message = "the host has not read the log; use another host".to_owned();
-        return Err(not_run(message));
-    }
-    let invalid = |text: String| Err(JobFault::Invalid(text));
-    let AcceptedEntry {
-        customer,
-        class,
-        zone,
-        ..
-    } = entry;
-    if !state.system.customers.contains_key(customer) {
-        return invalid(format!(
-            "customer {customer} is not declared; add it to the folder"
-        ));
-    }
-    let Some(declared) = state.system.classes.get(class) else {
-        return invalid(format!(
-            "job class {class} is not declared; add it to the folder"
-        ));
-    };
-    if declared
-        .customer
-        .as_ref()
-        .is_some_and(|owner| owner != customer)
-    {
-        return invalid(format!("job class {class} is not for customer {customer}"));
-    }
-    if !state.system.zones.contains_key(zone) {
-        return invalid(format!(
-            "availability zone {zone} is not declared; check its name"
-        ));
-    }
-    Ok(())
-}
-
-fn accept_cancel(state: &mut HostState, job: JobId, reply: JobReply) {
-    if state.jobs.book.get(&job).is_none() {
-        let _ = reply.send(Err(JobFault::UnknownJob(job)));
-        return;
-    }
-    let record = LogEntry::JobCancelled(CancelledEntry {
-        job: job.clone(),
-        requested_at: HostClock::wall(),
-    });
-    await_record(state, job, JobWish::Cancelled, record, reply);
-}
-
 fn begin_drain(state: &mut HostState) {
     if state.drain_since.is_none() {
         state.drain_since = Some(state.clock.now());
@@ -302,34 +177,7 @@
     state.calls.update(records, hosts);
     let before = std::mem::replace(&mut state.listing, listing);
     state.peers.update(&state.listing.hosts);
-    let zone = state.settings.zone.clone();
-    let own = |listing: &HostListing| -> BTreeMap<WorkerName, _> {
-        let workers = listing.workers.iter().filter(|worker| worker.zone == zone);
-        workers
-            .map(|worker| (worker.record.name.clone(), worker.record.clone()))
-            .collect()
-    };
-    let (old, new) = (own(&before), own(&state.listing));
-    for (name, worker) in &new {
-        if old.get(name) != Some(worker) {
-            plan(
-                state,
-                PlannerEvent::WorkerSeen {
-                    worker: worker.clone(),
-                },
-                actions,
-            );
-        }
-    }
-    for name in old.keys().filter(|name| !new.contains_key(*name)) {
-        plan(
-            state,
-            PlannerEvent::WorkerGone {
-                worker: name.clone(),
-            },
-            actions,
-        );
-    }
+    pass_workers(state, &before, actions);
 }
 
 fn target_record(worker: &ListedWorker) -> TargetRecord {
@@ -405,137 +253,3 @@
         }
     }
 }
-
-fn gain_seat(
-    state: &mut HostState,
-    client: &HttpClient,
-    events: &EventSender,
-    actions: &mut Vec<PlannerAction>,
-) {
-    let term = state.seat.term();
-    log::info!(host = state.settings.name.as_str(), term = term.0; "planner seat gained");
-    let port = PlannerPort {
-        client: client.clone(),
-        events: events.clone(),
-        term,
-    };
-    let planner = PlannerState::new(state.settings.zone.clone(), state.incarnation);
-    state.planner = Some(SeatedPlanner {
-        state: planner,
-        port,
-        usage_asked_at: state.clock.now(),
-        is_paused: false,
-    });
-    for event in seat_events(state, term) {
-        plan(state, event, actions);
-    }
-}
-
-/// Drops the planner once the log names another term. While this host's term is
-/// the newest it knows but nothing proves it, running tasks keep their leases and
-/// nothing is started; a successor's higher term fences such renewals.
-fn lose_or_pause(state: &mut HostState, may_start: bool, actions: &mut Vec<PlannerAction>) {
-    let Some(planner) = &mut state.planner else {
-        return;
-    };
-    let host = state.settings.name.as_str();
-    if state.seat.state.held_term() != Some(planner.port.term) {
-        log::info!(host = host; "planner seat lost");
-        state.planner = None;
-        return;
-    }
-    let paused = !may_start;
-    if std::mem::replace(&mut planner.is_paused, paused) != paused {
-        log::info!(host = host, paused = paused; "starts paused or resumed");
-        plan(state, PlannerEvent::StartsPaused { paused }, actions);
-    }
-}
-
-/// What a new planner has to know, in the order in which it takes it.
-fn seat_events(state: &HostState, term: SeatTerm) -> Vec<PlannerEvent> {
-    let settings = Arc::clone(&state.system);
-    let mut events = vec![PlannerEvent::ConfigAdopted {
-        version: state.config_version,
-        settings,
-    }];
-    let workers = state
-        .listing
-        .workers
-        .iter()
-        .filter(|w| w.zone == state.settings.zone);
-    let seen = workers.map(|w| PlannerEvent::WorkerSeen {
-        worker: w.record.clone(),
-    });
-    events.extend(seen);
-    for job in state.jobs.open_jobs(&state.settings.zone) {
-        let entry = state.jobs.book.get(&job.id);
-        let cancelled = entry
-            .is_some_and(|entry| entry.cancelled.is_some())
-            .then(|| job.id.clone());
-        events.push(PlannerEvent::JobAccepted { job });
-        events.extend(cancelled.map(|job| PlannerEvent::JobCancelled { job }));
-    }
-    events.push(PlannerEvent::SeatGained { term });
-    events
-}
-
-/// Passes an event to the planner, if this host holds the seat.
-pub fn plan(state: &mut HostState, event: PlannerEvent, actions: &mut Vec<PlannerAction>) {
-    let now = state.clock.now();
-    if let Some(planner) = &mut state.planner {
-        planner.state.handle(now, event, actions);
-    }
-}
-
-fn carry_out(state: &mut HostState, actions: &mut Vec<PlannerAction>) {
-    let Some(planner) = &state.planner else {
-        actions.clear();
-        return;
-    };
-    let port = planner.port.clone();
-    for action in actions.drain(..) {
-        match action {
-            PlannerAction::RecordStart {
-                job,
-                attempt,
-                workers,
-            } => {
-                let entry = LogEntry::JobStarted(StartedEntry {
-                    job,
-                    attempt,
-                    term: port.term,
-                    zone: state.settings.zone.clone(),
-                    workers,
-                    started_at: HostClock::wall(),
-                });
-                submit_kept(state, &LogStream::Jobs, entry);
-            }
-            PlannerAction::RecordEnd { job, ending } => {
-                let entry = LogEntry::JobEnded(EndedEntry {
-                    job,
-                    ending,
-                    term: port.term,
-                    ended_at: HostClock::wall(),
-                });
-                submit_kept(state, &LogStream::Jobs, entry);
-            }
-            PlannerAction::ListTasks { ref worker }
-            | PlannerAction::Reserve { ref worker, .. }
-            | PlannerAction::Release { ref worker, .. }
-            | PlannerAction::Start { ref worker, .. }
-            | PlannerAction::Renew { ref worker, .. }
-            | PlannerAction::Checkpoint { ref worker, .. }
-            | PlannerAction::Throttle { ref worker, .. }
-            | PlannerAction::Stop { ref worker, .. } => {
-                let address = state.worker_address(worker);
-                // The clock is read again before every start: a pause may have ended the seat.
-                let starts = matches!(
-                    action,
-                    PlannerAction::Start { .. } | PlannerAction::Reserve { .. }
-                );
-                let allowed = !starts || state.seat.may_start(state.clock.now());
-                port.send(action, address.filter(|_| allowed));
-            }
-        }
-    }
-}
--- /dev/null
+++ b/crates/node/src/process/job_events.rs
@@ -0,0 +1,135 @@
+//! Job requests of callers in the event loop: what is checked, and which record
+//! each waits for.
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::record::{AcceptedEntry, CancelledEntry, LogEntry};
+use flamingowalk_wire::caller::JobSubmission;
+
+use crate::border::caller::JobFault;
+use crate::process::host_clock::HostClock;
+use crate::process::host_event::LogStream;
+use crate::process::host_state::HostState;
+use crate::process::job_desk::{JobReply, JobWaiter, JobWish, not_run, settled_answer};
+use crate::process::log_events::submit;
+use crate::process::zone_outlook::choose_zone;
+
+/// Time a caller of a job request waits for the log.
+const RECORD_WAIT: Duration = Duration::from_secs(5);
+/// Time beyond it for a record that is in the log to be read back.
+const READ_BACK_WAIT: Duration = Duration::from_secs(1);
+
+/// Takes a submission; the reply is sent once the job's record settles it.
+pub fn accept_job(state: &mut HostState, submission: &JobSubmission, reply: JobReply) {
+    let entry = accepted_entry(state, submission);
+    let is_known = state.jobs.book.get(&entry.job).is_some();
+    if !is_known && let Err(fault) = check_submission(state, &entry) {
+        let _ = reply.send(Err(fault));
+        return;
+    }
+    let job = entry.job.clone();
+    let wish = JobWish::Accepted(entry.clone());
+    let record = LogEntry::JobAccepted(entry);
+    await_record(state, job, wish, record, reply);
+}
+
+/// Submits the record unless the job's records give the answer already.
+fn await_record(
+    state: &mut HostState,
+    job: JobId,
+    wish: JobWish,
+    record: LogEntry,
+    reply: JobReply,
+) {
+    let known = state.jobs.book.get(&job);
+    if let Some(answer) = known.and_then(|known| settled_answer(known, &wish)) {
+        let _ = reply.send(answer);
+        return;
+    }
+    match submit(state, &LogStream::Jobs, record, Some(RECORD_WAIT)) {
+        Ok(record) => state.jobs.wait(JobWaiter {
+            job,
+            record,
+            wish,
+            until: state.clock.now() + RECORD_WAIT + READ_BACK_WAIT,
+            reply,
+        }),
+        Err(error) => {
+            let _ = reply.send(Err(not_run(error.to_string())));
+        }
+    }
+}
+
+fn accepted_entry(state: &HostState, submission: &JobSubmission) -> AcceptedEntry {
+    let class = state.system.classes.get(&submission.class.as_str().into());
+    let customer = submission.customer.as_str().into();
+    let best_zone = || class.and_then(|class| choose_zone(state, &customer, class));
+    let free_zone = || best_zone().unwrap_or_else(|| state.settings.zone.clone());
+    let accepted_at = HostClock::wall();
+    let within = |ms| WallTime(accepted_at.0.saturating_add(ms));
+    AcceptedEntry {
+        job: submission.id.as_str().into(),
+        customer: submission.customer.as_str().into(),
+        class: submission.class.as_str().into(),
+        zone: submission
+            .zone
+            .as_deref()
+            .map_or_else(free_zone, Into::into),
+        config: state.config_version,
+        accepted_at,
+        start_before: submission.start_within_ms.map(within),
+    }
+}
+
+fn check_submission(state: &HostState, entry: &AcceptedEntry) -> Result<(), JobFault> {
+    if !state.is_ready() {
+        let message = "the host is starting or draining; use another host".to_owned();
+        return Err(not_run(message));
+    }
+    if !state.is_caught_up() {
+        let message = "the host has not read the log; use another host".to_owned();
+        return Err(not_run(message));
+    }
+    let invalid = |text: String| Err(JobFault::Invalid(text));
+    let AcceptedEntry {
+        customer,
+        class,
+        zone,
+        ..
+    } = entry;
+    if !state.system.customers.contains_key(customer) {
+        return invalid(format!(
+            "customer {customer} is not declared; add it to the folder"
+        ));
+    }
+    let Some(declared) = state.system.classes.get(class) else {
+        return invalid(format!(
+            "job class {class} is not declared; add it to the folder"
+        ));
+    };
+    if declared
+        .customer
+        .as_ref()
+        .is_some_and(|owner| owner != customer)
+    {
+        return invalid(format!("job class {class} is not for customer {customer}"));
+    }
+    if !state.system.zones.contains_key(zone) {
+        return invalid(format!(
+            "availability zone {zone} is not declared; check its name"
+        ));
+    }
+    Ok(())
+}
+
+/// Takes a cancellation; the reply is sent once its record is read back.
+pub fn accept_cancel(state: &mut HostState, job: JobId, reply: JobReply) {
+    if state.jobs.book.get(&job).is_none() {
+        let _ = reply.send(Err(JobFault::UnknownJob(job)));
+        return;
+    }
+    let record = LogEntry::JobCancelled(CancelledEntry {
+        job: job.clone(),
+        requested_at: HostClock::wall(),
+    });
+    await_record(state, job, JobWish::Cancelled, record, reply);
+}
--- a/crates/node/src/process/log_events.rs
+++ b/crates/node/src/process/log_events.rs
@@ -12,12 +12,12 @@
 use metrics::{counter, gauge};
 
 use crate::process::counters::{CONFIG_VERSION, OPEN_JOBS, RECORDS_SKIPPED};
-use crate::process::event_loop::plan;
 use crate::process::host_clock::HostClock;
 use crate::process::host_event::LogStream;
 use crate::process::host_state::HostState;
 use crate::process::job_desk::accepted_job;
 use crate::process::log_port::{LogNotice, LogPort};
+use crate::process::planner_events::plan;
 
 /// Lets time pass for all streams.
 pub fn tick_streams(state: &mut HostState, actions: &mut Vec<PlannerAction>) {
--- /dev/null
+++ b/crates/node/src/process/planner_events.rs
@@ -0,0 +1,184 @@
+//! The planner in the event loop: when there is one, what it is told, and how its
+//! actions are carried out.
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::planner::action::PlannerAction;
+use flamingowalk_core::process::planner::event::{PlannerEvent, SeatTerm};
+use flamingowalk_core::process::planner::state::PlannerState;
+use flamingowalk_core::process::record::{EndedEntry, LogEntry, StartedEntry};
+
+use crate::border::hosts::HostListing;
+use crate::connection::http_client::HttpClient;
+use crate::process::host_clock::HostClock;
+use crate::process::host_event::{EventSender, LogStream};
+use crate::process::host_state::{HostState, SeatedPlanner};
+use crate::process::log_events::submit_kept;
+use crate::process::planner_port::PlannerPort;
+
+/// Tells the planner which workers of the zone are new, changed or gone.
+pub fn pass_workers(state: &mut HostState, before: &HostListing, actions: &mut Vec<PlannerAction>) {
+    let zone = state.settings.zone.clone();
+    let own = |listing: &HostListing| -> BTreeMap<WorkerName, _> {
+        let workers = listing.workers.iter().filter(|worker| worker.zone == zone);
+        workers
+            .map(|worker| (worker.record.name.clone(), worker.record.clone()))
+            .collect()
+    };
+    let (old, new) = (own(before), own(&state.listing));
+    for (name, worker) in &new {
+        if old.get(name) != Some(worker) {
+            plan(
+                state,
+                PlannerEvent::WorkerSeen {
+                    worker: worker.clone(),
+                },
+                actions,
+            );
+        }
+    }
+    for name in old.keys().filter(|name| !new.contains_key(*name)) {
+        plan(
+            state,
+            PlannerEvent::WorkerGone {
+                worker: name.clone(),
+            },
+            actions,
+        );
+    }
+}
+
+/// Sets up a planner for a new term and gives it all that is known.
+pub fn gain_seat(
+    state: &mut HostState,
+    client: &HttpClient,
+    events: &EventSender,
+    actions: &mut Vec<PlannerAction>,
+) {
+    let term = state.seat.term();
+    log::info!(host = state.settings.name.as_str(), term = term.0; "planner seat gained");
+    let port = PlannerPort {
+        client: client.clone(),
+        events: events.clone(),
+        term,
+    };
+    let planner = PlannerState::new(state.settings.zone.clone(), state.incarnation);
+    state.planner = Some(SeatedPlanner {
+        state: planner,
+        port,
+        usage_asked_at: state.clock.now(),
+        is_paused: false,
+    });
+    for event in seat_events(state, term) {
+        plan(state, event, actions);
+    }
+}
+
+/// Drops the planner once the log names another term. While this host's term is
+/// the newest it knows but nothing proves it, running tasks keep their leases and
+/// nothing is started; a successor's higher term fences such renewals.
+pub fn lose_or_pause(state: &mut HostState, may_start: bool, actions: &mut Vec<PlannerAction>) {
+    let Some(planner) = &mut state.planner else {
+        return;
+    };
+    let host = state.settings.name.as_str();
+    if state.seat.state.held_term() != Some(planner.port.term) {
+        log::info!(host = host; "planner seat lost");
+        state.planner = None;
+        return;
+    }
+    let paused = !may_start;
+    if std::mem::replace(&mut planner.is_paused, paused) != paused {
+        log::info!(host = host, paused = paused; "starts paused or resumed");
+        plan(state, PlannerEvent::StartsPaused { paused }, actions);
+    }
+}
+
+/// What a new planner has to know, in the order in which it takes it.
+fn seat_events(state: &HostState, term: SeatTerm) -> Vec<PlannerEvent> {
+    let settings = Arc::clone(&state.system);
+    let mut events = vec![PlannerEvent::ConfigAdopted {
+        version: state.config_version,
+        settings,
+    }];
+    let workers = state
+        .listing
+        .workers
+        .iter()
+        .filter(|w| w.zone == state.settings.zone);
+    let seen = workers.map(|w| PlannerEvent::WorkerSeen {
+        worker: w.record.clone(),
+    });
+    events.extend(seen);
+    for job in state.jobs.open_jobs(&state.settings.zone) {
+        let entry = state.jobs.book.get(&job.id);
+        let cancelled = entry
+            .is_some_and(|entry| entry.cancelled.is_some())
+            .then(|| job.id.clone());
+        events.push(PlannerEvent::JobAccepted { job });
+        events.extend(cancelled.map(|job| PlannerEvent::JobCancelled { job }));
+    }
+    events.push(PlannerEvent::SeatGained { term });
+    events
+}
+
+/// Passes an event to the planner, if this host holds the seat.
+pub fn plan(state: &mut HostState, event: PlannerEvent, actions: &mut Vec<PlannerAction>) {
+    let now = state.clock.now();
+    if let Some(planner) = &mut state.planner {
+        planner.state.handle(now, event, actions);
+    }
+}
+
+/// Carries out the planner's actions: records go to the log, requests to workers.
+pub fn carry_out(state: &mut HostState, actions: &mut Vec<PlannerAction>) {
+    let Some(planner) = &state.planner else {
+        actions.clear();
+        return;
+    };
+    let port = planner.port.clone();
+    for action in actions.drain(..) {
+        match action {
+            PlannerAction::RecordStart {
+                job,
+                attempt,
+                workers,
+            } => {
+                let entry = LogEntry::JobStarted(StartedEntry {
+                    job,
+                    attempt,
+                    term: port.term,
+                    zone: state.settings.zone.clone(),
+                    workers,
+                    started_at: HostClock::wall(),
+                });
+                submit_kept(state, &LogStream::Jobs, entry);
+            }
+            PlannerAction::RecordEnd { job, ending } => {
+                let entry = LogEntry::JobEnded(EndedEntry {
+                    job,
+                    ending,
+                    term: port.term,
+                    ended_at: HostClock::wall(),
+                });
+                submit_kept(state, &LogStream::Jobs, entry);
+            }
+            PlannerAction::ListTasks { ref worker }
+            | PlannerAction::Reserve { ref worker, .. }
+            | PlannerAction::Release { ref worker, .. }
+            | PlannerAction::Start { ref worker, .. }
+            | PlannerAction::Renew { ref worker, .. }
+            | PlannerAction::Checkpoint { ref worker, .. }
+            | PlannerAction::Throttle { ref worker, .. }
+            | PlannerAction::Stop { ref worker, .. } => {
+                let address = state.worker_address(worker);
+                // The clock is read again before every start: a pause may have ended the seat.
+                let starts = matches!(
+                    action,
+                    PlannerAction::Start { .. } | PlannerAction::Reserve { .. }
+                );
+                let allowed = !starts || state.seat.may_start(state.clock.now());
+                port.send(action, address.filter(|_| allowed));
+            }
+        }
+    }
+}
