--- a/crates/core/src/process/router/choice.rs
+++ b/crates/core/src/process/router/choice.rs
@@ -24,6 +24,9 @@
 /// Failure share from which a zone is doubtful.
 const DOUBT_SHARE: f64 = 0.4;
 
+/// Targets of one zone that a call tries before it goes to another zone.
+const ZONE_ATTEMPTS: usize = 2;
+
 /// What an attempt asks for.
 #[derive(Clone, Copy, Debug)]
 pub struct RouteQuery<'a> {
@@ -76,6 +79,13 @@
         let sound = || ready().filter(is_sound);
         let zone_trial = || zone_trial(ready().filter(|one| !is_sound(one)), query, now);
         let better = |choices: Vec<&Candidate<'_>>, rng: &mut _| better_of_two(&choices, now, rng);
+        let tried = self.tried_zones(query);
+        if tried.len() == 1 && query.tried.len() >= ZONE_ATTEMPTS {
+            let is_other = |one: &&Candidate<'_>| !tried.contains(one.zone());
+            if let Some(index) = better(sound().filter(is_other).collect(), rng) {
+                return Ok(index);
+            }
+        }
         self.due_trial(candidates.iter().filter(is_own), query, now)
             .or_else(zone_trial)
             .or_else(|| better(sound().filter(is_own).collect(), rng))
@@ -86,6 +96,11 @@
             .ok_or(RouteRefusal::AllFull)
     }
 
+    fn tried_zones(&self, query: &RouteQuery<'_>) -> BTreeSet<&ZoneName> {
+        let tried = query.tried.iter().filter_map(|index| self.entry(*index));
+        tried.map(|entry| &entry.record.zone).collect()
+    }
+
     /// Whether any target may take calls of the service, now or later.
     pub fn is_served(&self, service: &ServiceName) -> bool {
         self.serving(service).next().is_some()
--- a/crates/core/tests/target_table.rs
+++ b/crates/core/tests/target_table.rs
@@ -120,6 +120,30 @@
     assert_eq!(chooser.choose(None), Err(RouteRefusal::AllFull));
 }
 
+#[rstest]
+#[case(&[0], 0)]
+#[case(&[0, 1], 1)]
+#[case(&[0, 4], 0)]
+fn choose_after_failures_in_one_zone(#[case] tried: &[u32], #[case] zone: u32) {
+    let mut chooser = Chooser::new(table(4, 4));
+    let service = ServiceName::from("plan");
+    let tried = tried.iter().copied().map(TargetIndex).collect();
+    let query = RouteQuery {
+        service: &service,
+        safety: Idempotent,
+        tried: &tried,
+        key: None,
+    };
+    for _ in 0..20 {
+        let index = chooser
+            .table
+            .choose(&query, chooser.now, &mut chooser.rng)
+            .unwrap();
+        assert_eq!(index.0 / 4, zone);
+        assert!(!tried.contains(&index));
+    }
+}
+
 #[test]
 fn choose_no_service() {
     assert_eq!(
--- a/crates/measure/src/calls/page.rs
+++ b/crates/measure/src/calls/page.rs
@@ -48,8 +48,8 @@
          - Calls per second with 64 busy callers: {:.0}\n\
          - Processor time of the host's thread per call: {thread_time}\n\
          - Resident memory per idle connection of a caller: {memory}\n\n\
-         One call in five goes directly to a worker, in the same seconds. The generator's timer\n\
-         sends calls in bunches each millisecond, which the host's one thread takes in turn.\n\n\
+         One call in five goes directly to a worker, in the same seconds. The generators'\n\
+         timers send calls in bunches each millisecond, which the host takes in turn.\n\n\
          | calls per second | quantile | direct | through the host | added |\n\
          | --- | --- | --- | --- | --- |",
         overhead.calls_per_second
--- a/crates/measure/src/calls/route_overhead.rs
+++ b/crates/measure/src/calls/route_overhead.rs
@@ -4,6 +4,7 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
@@ -17,13 +18,15 @@
 use super::fault_case::FaultCase;
 use super::load_run::{new_histogram, planned_call, wait_settled};
 use super::thread_usage::{resident_bytes, thread_time};
-use super::world::{CallWorld, WorldPlan, new_runtime};
+use super::world::{CallWorld, WorldPlan, failed, new_runtime};
 
 /// Callers that each have one call in flight when the throughput is measured.
 const CALLERS: usize = 64;
 /// Calls per second of the light load.
 const LIGHT_RATE: f64 = 1_000.0;
-/// One call in so many of the latency run is a direct one.
+/// Threads that send the calls of a latency run.
+const GENERATORS: u64 = 3;
+/// One call in so many of a latency run is a direct one.
 const DIRECT_SHARE: usize = 5;
 /// Idle connections opened for the memory per connection.
 const IDLE_CONNECTIONS: usize = 2_000;
@@ -58,12 +61,11 @@
     runtime.block_on(wait_settled(&host))?;
     let (calls, elapsed, thread_time_per_call) = runtime.block_on(run_busy(&world, &host, length));
     let calls_per_second = calls as f64 / elapsed.as_secs_f64();
+    let bytes_per_connection = idle_memory(&world);
     let mut latencies = Vec::new();
     for rate in [LIGHT_RATE, calls_per_second / 2.0] {
-        let run = run_latency(&host, &direct, rate, seed, length);
-        latencies.push(runtime.block_on(run));
+        latencies.push(run_latency(&host, &direct, rate, seed, length)?);
     }
-    let bytes_per_connection = idle_memory(&world);
     Ok(RouteOverhead {
         calls_per_second,
         thread_time_per_call,
@@ -117,14 +119,55 @@
     pub unanswered: usize,
 }
 
-/// Sends calls through the host, and one in some directly, in the same seconds.
-async fn run_latency(
+/// Sends calls through the host, and one in some directly, in the same seconds;
+/// from several threads, so that the generator is not what is measured.
+fn run_latency(
     host: &DirectRoute,
     direct: &DirectRoute,
     rate: f64,
     seed: u64,
     length: Duration,
-) -> LatencyRun {
+) -> Result<LatencyRun, CallMeasureError> {
+    let part = rate / GENERATORS as f64;
+    let start = |number: u64| {
+        let (host, direct) = (host.clone(), direct.clone());
+        thread::spawn(move || {
+            let sent = generate(host, direct, part, seed + number, length);
+            Ok::<_, CallMeasureError>(new_runtime()?.block_on(sent))
+        })
+    };
+    let threads: Vec<_> = (0..GENERATORS).map(start).collect();
+    let mut run = LatencyRun {
+        rate,
+        direct: new_histogram(),
+        routed: new_histogram(),
+        unanswered: 0,
+    };
+    for generator in threads {
+        let ended = generator
+            .join()
+            .map_err(|_panic| failed("a generator panicked"))?;
+        for call in ended? {
+            run.record(&call);
+        }
+    }
+    Ok(run)
+}
+
+/// One call of a latency run that has ended.
+struct TimedCall {
+    is_direct: bool,
+    end: CallEnd,
+    latency: Duration,
+}
+
+async fn generate(
+    host: DirectRoute,
+    direct: DirectRoute,
+    rate: f64,
+    seed: u64,
+    length: Duration,
+) -> Vec<TimedCall> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut calls = JoinSet::new();
     let began = Instant::now();
@@ -142,29 +185,30 @@
         calls.spawn(async move {
             let sent = Instant::now();
             let end = target.send(&call).await;
-            (is_direct, end, sent.elapsed())
+            TimedCall {
+                is_direct,
+                end,
+                latency: sent.elapsed(),
+            }
         });
         due += Duration::from_secs_f64(-rng.random::<f64>().max(1e-12).ln() / all_rate);
     }
-    let mut run = LatencyRun {
-        rate,
-        direct: new_histogram(),
-        routed: new_histogram(),
-        unanswered: 0,
-    };
-    for (is_direct, end, latency) in calls.join_all().await {
-        if end != CallEnd::Answered {
-            run.unanswered += 1;
-            continue;
+    calls.join_all().await
+}
+
+impl LatencyRun {
+    fn record(&mut self, call: &TimedCall) {
+        if call.end != CallEnd::Answered {
+            self.unanswered += 1;
+            return;
         }
-        let histogram = if is_direct {
-            &mut run.direct
+        let histogram = if call.is_direct {
+            &mut self.direct
         } else {
-            &mut run.routed
+            &mut self.routed
         };
-        histogram.saturating_record(latency.as_micros() as u64);
+        histogram.saturating_record(call.latency.as_micros() as u64);
     }
-    run
 }
 
 /// Growth of the process per connection that has carried one request and is idle.
