--- a/crates/node/src/connection/peer_link.rs
+++ b/crates/node/src/connection/peer_link.rs
@@ -22,6 +22,9 @@
 
 /// Time for connecting, upgrading and proving.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for the connection to take a message. A connection that went silent takes
+/// none once its buffers are full.
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 /// Random bytes of a nonce, as hexadecimal digits.
 const NONCE_DIGITS: usize = 32;
 
@@ -101,9 +104,11 @@
     /// Sends a message.
     ///
     /// # Errors
-    /// [`LinkFault::Closed`] when the connection has ended.
+    /// [`LinkFault::Closed`] when the connection has ended or takes nothing.
     pub async fn send(&mut self, message: &PeerMessage) -> Result<(), LinkFault> {
-        send_message(&mut self.socket, message).await
+        let sending = send_message(&mut self.socket, message);
+        let sent = tokio::time::timeout(SEND_TIMEOUT, sending).await;
+        sent.unwrap_or(Err(LinkFault::Closed))
     }
 
     /// Receives the next message; messages of unknown kinds are counted and skipped.
--- a/crates/node/tests/peer_links.rs
+++ b/crates/node/tests/peer_links.rs
@@ -5,7 +5,7 @@
     verify_proof,
 };
 use flamingowalk_node::connection::peer_link::{LinkFault, LinkIdentity, PeerLink};
-use flamingowalk_wire::peer::PeerHeartbeat;
+use flamingowalk_wire::peer::{ConfigPush, PeerHeartbeat};
 use rstest::rstest;
 use tokio::net::TcpListener;
 
@@ -107,3 +107,18 @@
     ciborium::into_writer(&value, &mut newer).expect("encoded");
     assert_eq!(decode_message(&newer), Ok(known));
 }
+
+#[tokio::test]
+async fn send_unread() {
+    let (caller, answerer) = open_link(identity("a0", "s"), identity("a1", "s")).await;
+    let (mut caller, _unread) = (caller.expect("a link"), answerer.expect("a link"));
+    let record = serde_json::Value::from("x".repeat(1 << 20));
+    let message = PeerMessage::ConfigPush(ConfigPush { record, version: 1 });
+    // The buffers of the connection take some messages before it stops.
+    let fault = loop {
+        if let Err(fault) = caller.send(&message).await {
+            break fault;
+        }
+    };
+    assert_eq!(fault, LinkFault::Closed);
+}
