Aged jobs go by arrival; claims outrank kept space on own blocks

Cause: aged jobs were still ordered by share and priority, and two of them at most had space kept, so aged small jobs held back a waiting gang; and space kept for an aged gang could hold back a claim on a guarantee. Change: aged jobs are ordered by arrival alone, four jobs may have space kept, and a claim passes over space kept on its customer's own blocks.

--- a/crates/core/src/process/planner/drain.rs
+++ b/crates/core/src/process/planner/drain.rs
@@ -193,6 +193,7 @@
             accelerators,
             demand: subtract(demand, ending),
             until: None,
+            is_claim: false,
         })
     }
 }
--- a/crates/core/src/process/planner/reclaim.rs
+++ b/crates/core/src/process/planner/reclaim.rs
@@ -55,6 +55,17 @@
     victims: BTreeSet<JobId>,
 }
 
+/// What a claim came to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum ClaimOutcome {
+    /// There is nothing to claim.
+    None,
+    /// What the job needs is being cleared.
+    Clearing,
+    /// These workers have room, kept for others on the customer's own blocks.
+    Free(Vec<WorkerName>),
+}
+
 /// A way to place every member.
 #[derive(Clone, Debug)]
 struct ClaimChoice {
@@ -71,24 +82,28 @@
 }
 
 impl PlannerState {
-    /// Takes back what a job may claim, and keeps its space meanwhile. Whether
-    /// there is a way.
+    /// Takes back what a job may claim, and keeps its space meanwhile.
     pub(super) fn claim(
         &mut self,
         now: MonotonicTime,
         need: &JobNeed,
         pass: &mut SchedulePass,
         actions: &mut Vec<PlannerAction>,
-    ) -> bool {
+    ) -> ClaimOutcome {
         let is_urgent = need.class.priority == JobPriority::Urgent;
         if !is_urgent && !self.plan.has_blocks(&need.customer) {
-            return false;
+            return ClaimOutcome::None;
         }
         let rooms = self.claim_rooms(need, pass);
-        let choice = self.choose_claim(now, need, &rooms);
-        let Some(choice) = choice.filter(|choice| !choice.victims.is_empty()) else {
-            return false;
+        let Some(choice) = self.choose_claim(now, need, &rooms) else {
+            return ClaimOutcome::None;
         };
+        if choice.victims.is_empty() {
+            let mut workers: Vec<WorkerName> =
+                choice.spots.into_iter().map(|spot| spot.worker).collect();
+            workers.sort();
+            return ClaimOutcome::Free(workers);
+        }
         if let Some(entry) = self.jobs.get_mut(&need.id) {
             entry.claimed = choice
                 .spots
@@ -101,13 +116,14 @@
                 accelerators: spot.accelerators,
                 demand: need.demand,
                 until: None,
+                is_claim: true,
             };
             pass.keep(spot.worker, space);
         }
         for victim in &choice.victims {
             self.begin_stop(now, victim, StopPurpose::Retry, actions);
         }
-        true
+        ClaimOutcome::Clearing
     }
 
     fn claim_rooms(&self, need: &JobNeed, pass: &SchedulePass) -> Vec<ClaimRoom> {
@@ -127,7 +143,13 @@
     ) -> ClaimRoom {
         let mut kept_set = AcceleratorSet::default();
         let mut spare = capacity.spare;
+        let own = self.plan.owned_by(name, &need.customer);
         for kept in pass.kept_from(name, need.ends_by) {
+            let on_own = kept.accelerators.intersection(own);
+            if !kept.is_claim && !on_own.is_empty() {
+                kept_set = kept_set.union(kept.accelerators.difference(own));
+                continue;
+            }
             kept_set = kept_set.union(kept.accelerators);
             spare = subtract(spare, kept.demand);
         }
--- a/crates/core/src/process/planner/schedule.rs
+++ b/crates/core/src/process/planner/schedule.rs
@@ -10,14 +10,16 @@
 use crate::process::planner::job_entry::{JobEntry, task_demand};
 use crate::process::planner::job_queue::{JobKind, QueuedJob};
 use crate::process::planner::ledger::{AcceleratorSet, covers};
+use crate::process::planner::reclaim::ClaimOutcome;
 use crate::process::planner::room::RoomSearch;
 use crate::process::planner::state::PlannerState;
 use crate::version::settings::{BlockAdjacency, JobClass, JobPriority};
 
 /// Most waiting jobs that space is kept for in one pass.
-const MAX_KEPT: usize = 2;
+const MAX_KEPT: usize = 4;
 
-/// Order of waiting jobs; the least is first.
+/// Order of waiting jobs; the least is first. Aged jobs are ordered by arrival
+/// alone, so that shares and priorities cannot push one back for ever.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct JobRank {
     /// Claimants whose space is being cleared come first, so that nobody takes it.
@@ -64,6 +66,9 @@
     pub demand: TaskDemand,
     /// When it is needed; jobs that end before may use it. Nothing if no job may.
     pub until: Option<MonotonicTime>,
+    /// Whether it is being cleared by a claim. Other space gives way to claims of
+    /// those whose blocks it is on.
+    pub is_claim: bool,
 }
 
 /// What one pass has decided so far.
@@ -204,6 +209,15 @@
             JobStanding::Ordinary
         };
         let customer = &entry.job.customer;
+        if standing == JobStanding::Aged {
+            return Some(JobRank {
+                standing,
+                exceeds: false,
+                priority: JobPriority::Normal,
+                share: 0,
+                job: job.clone(),
+            });
+        }
         Some(JobRank {
             standing,
             exceeds: self.exceeds_guarantee(customer, class),
@@ -237,19 +251,16 @@
             return false;
         }
         if let RoomSearch::Found(workers) = room {
-            let count = workers.len() as u32;
-            if let Some(entry) = self.jobs.get_mut(id) {
-                entry.claimed.clear();
-                entry.drained.clear();
-            }
-            self.begin_reserve(now, id, workers, actions);
-            for _ in 0..count {
-                self.note_use(&need.customer, need.demand);
-            }
+            self.place(now, &need, workers, actions);
             return true;
         }
-        if self.claim(now, &need, pass, actions) {
-            return true;
+        match self.claim(now, &need, pass, actions) {
+            ClaimOutcome::None => {}
+            ClaimOutcome::Clearing => return true,
+            ClaimOutcome::Free(workers) => {
+                self.place(now, &need, workers, actions);
+                return true;
+            }
         }
         if let Some(entry) = self.jobs.get_mut(id) {
             entry.claimed.clear();
@@ -260,6 +271,24 @@
         false
     }
 
+    /// Places a job on workers that have room for it.
+    fn place(
+        &mut self,
+        now: MonotonicTime,
+        need: &JobNeed,
+        workers: Vec<WorkerName>,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        if let Some(entry) = self.jobs.get_mut(&need.id) {
+            entry.claimed.clear();
+            entry.drained.clear();
+        }
+        for _ in &workers {
+            self.note_use(&need.customer, need.demand);
+        }
+        self.begin_reserve(now, &need.id, workers, actions);
+    }
+
     pub(super) fn need(&self, now: MonotonicTime, entry: &JobEntry) -> Option<JobNeed> {
         let class = entry.class.clone()?;
         let customer = &entry.job.customer;
