--- a/crates/core/tests/support/planner_zone.rs
+++ b/crates/core/tests/support/planner_zone.rs
@@ -12,8 +12,8 @@
 use flamingowalk_core::process::planner::job_entry::{JobPhase, JobView};
 use flamingowalk_core::process::planner::state::{PlannerPolicy, PlannerState};
 use flamingowalk_core::version::settings::{
-    BlockAdjacency, ConfigVersion, JobClass, JobPriority, PolicySettings, SystemSettings,
-    ZoneSettings,
+    BlockAdjacency, ConfigVersion, CustomerSettings, GuaranteedShape, JobClass, JobPriority,
+    PolicySettings, SystemSettings, ZoneSettings,
 };
 
 /// What becomes of one request to a worker.
@@ -70,6 +70,8 @@
     pub next_offset: u64,
     pub term: u64,
     pub log_is_up: bool,
+    /// Records that wait for the log.
+    pub unwritten: Vec<PlannerAction>,
 }
 
 impl FakeZone {
@@ -89,6 +91,7 @@
             next_offset: 1,
             term: 0,
             log_is_up: true,
+            unwritten: Vec::new(),
         };
         for index in 0..racks * workers_per_rack {
             let record = worker_record(index, index / workers_per_rack);
@@ -132,7 +135,12 @@
     }
 
     pub fn submit(&mut self, id: &str, class: &str) {
-        let job = self.accepted(id, class);
+        self.submit_for("north", id, class);
+    }
+
+    pub fn submit_for(&mut self, customer: &str, id: &str, class: &str) {
+        let mut job = self.accepted(id, class);
+        job.customer = customer.into();
         self.send(PlannerEvent::JobAccepted { job });
     }
 
@@ -202,6 +210,34 @@
         self.workers.get_mut(&name).unwrap().is_dead = true;
     }
 
+    /// The worker's process starts anew, without its tasks.
+    pub fn restart(&mut self, worker: &str) {
+        let entry = self.workers.get_mut(&WorkerName::from(worker)).unwrap();
+        entry.is_dead = false;
+        entry.tasks.clear();
+        entry.record.leaving = false;
+        entry.record.incarnation += 1;
+        let worker = entry.record.clone();
+        self.send(PlannerEvent::WorkerSeen { worker });
+    }
+
+    /// The worker is to receive no new work.
+    pub fn leave(&mut self, worker: &str) {
+        let entry = self.workers.get_mut(&WorkerName::from(worker)).unwrap();
+        entry.record.leaving = true;
+        let worker = entry.record.clone();
+        self.send(PlannerEvent::WorkerSeen { worker });
+    }
+
+    /// The log goes down, or comes up and takes what waits for it.
+    pub fn set_log(&mut self, is_up: bool) {
+        self.log_is_up = is_up;
+        if is_up {
+            let waiting = std::mem::take(&mut self.unwritten);
+            self.pending.extend(waiting);
+        }
+    }
+
     pub fn live_tasks(&self) -> usize {
         let tasks = self
             .workers
@@ -213,8 +249,17 @@
     /// Carries out one action with the given fate and tells the planner.
     pub fn carry_out(&mut self, action: PlannerAction, fate: RequestFate) {
         match action {
-            PlannerAction::RecordStart { job, attempt, .. } => {
+            PlannerAction::RecordStart {
+                job,
+                attempt,
+                workers,
+            } => {
                 if !self.log_is_up {
+                    self.unwritten.push(PlannerAction::RecordStart {
+                        job,
+                        attempt,
+                        workers,
+                    });
                     return;
                 }
                 *self.recorded_starts.entry(job.clone()).or_default() += 1;
@@ -222,6 +267,8 @@
             }
             PlannerAction::RecordEnd { job, ending } => {
                 if !self.log_is_up {
+                    self.unwritten
+                        .push(PlannerAction::RecordEnd { job, ending });
                     return;
                 }
                 self.endings.entry(job.clone()).or_default().push(ending);
@@ -532,6 +579,20 @@
     }
 }
 
+pub fn customer(blocks: u32, size: u32, adjacency: BlockAdjacency) -> CustomerSettings {
+    CustomerSettings {
+        weight: 1,
+        max_calls: 0,
+        max_queued_jobs: 1_000,
+        guarantees: vec![GuaranteedShape {
+            zone: "zone-a".into(),
+            blocks,
+            size,
+            adjacency,
+        }],
+    }
+}
+
 fn settings(racks: u32, workers_per_rack: u32) -> SystemSettings {
     let zone = ZoneSettings {
         region: "region".into(),
@@ -548,14 +609,47 @@
         attempts: 1,
         ..class(2, 8)
     };
+    let saved = JobClass {
+        idempotent: false,
+        checkpoint: true,
+        attempts: 1,
+        ..class(3, 2)
+    };
+    let light = JobClass {
+        idempotent: false,
+        attempts: 1,
+        ..class(1, 0)
+    };
+    let lent = JobClass {
+        checkpoint: true,
+        ..class(2, 8)
+    };
+    let urgent = JobClass {
+        priority: JobPriority::Urgent,
+        ..class(1, 4)
+    };
     SystemSettings {
         zones: BTreeMap::from([("zone-a".into(), zone)]),
         classes: BTreeMap::from([
             ("small".into(), class(1, 1)),
             ("gang".into(), class(2, 8)),
             ("once".into(), once),
+            ("saved".into(), saved),
+            ("light".into(), light),
+            ("urgent".into(), urgent),
+            ("lent".into(), lent),
+            ("half".into(), class(1, 4)),
+            ("whole".into(), class(1, 8)),
+            ("wide".into(), class(4, 8)),
+        ]),
+        customers: BTreeMap::from([
+            ("north".into(), customer(1, 8, BlockAdjacency::Worker)),
+            ("south".into(), customer(1, 16, BlockAdjacency::Rack)),
         ]),
-        policy: PolicySettings::default(),
+        policy: PolicySettings {
+            weight: 1.0,
+            ..PolicySettings::default()
+        },
         ..SystemSettings::default()
     }
 }
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,13 +4,28 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use flamingowalk_measure::calls::{self, CallMeasureError};
+use flamingowalk_measure::calls;
+use flamingowalk_measure::error::MeasureError;
+use flamingowalk_measure::policy::{self, PolicyChoice};
 
 /// A measurement to run.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
 /// Measure the scheduler; run from the root of the repository
 enum MeasureCommand {
+    /// Drive the planner with the arrivals of both examples on a virtual clock
+    #[bpaf(command)]
+    Policy {
+        #[bpaf(external(policy_options))]
+        choice: PolicyOptions,
+        /// Folder for the page and its plots
+        #[bpaf(
+            argument("FOLDER"),
+            fallback(PathBuf::from("docs/measurements")),
+            debug_fallback
+        )]
+        output: PathBuf,
+    },
     /// Send calls over loopback through an entry host to stand-in workers
     #[bpaf(command)]
     Calls {
@@ -26,10 +41,41 @@
             fallback(PathBuf::from("docs/measurements/CALLS.md")),
             debug_fallback
         )]
-        output: PathBuf,
+        page: PathBuf,
     },
 }
 
+/// Which cases to run.
+#[derive(Bpaf, Clone, Debug)]
+struct PolicyOptions {
+    /// Seed of arrivals and faults
+    #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Days of arrivals
+    #[bpaf(argument("DAYS"), fallback(1), display_fallback)]
+    days: u32,
+    /// Only this example; prints in place of writing the page
+    #[bpaf(argument("NAME"), optional)]
+    example: Option<String>,
+    /// Only this load; prints in place of writing the page
+    #[bpaf(argument("SHARE"), optional)]
+    load: Option<f64>,
+    /// Only the planner as it is; prints in place of writing the page
+    current: bool,
+}
+
+impl From<PolicyOptions> for PolicyChoice {
+    fn from(options: PolicyOptions) -> Self {
+        Self {
+            seed: options.seed,
+            days: options.days,
+            example: options.example,
+            load: options.load,
+            only_current: options.current,
+        }
+    }
+}
+
 fn main() -> ExitCode {
     match run(measure_command().run()) {
         Ok(()) => ExitCode::SUCCESS,
@@ -40,12 +86,13 @@
     }
 }
 
-fn run(command: MeasureCommand) -> Result<(), CallMeasureError> {
+fn run(command: MeasureCommand) -> Result<(), MeasureError> {
     match command {
+        MeasureCommand::Policy { choice, output } => policy::measure(&choice.into(), &output),
         MeasureCommand::Calls {
             seed,
             seconds,
-            output,
-        } => calls::measure(seed, seconds, &output),
+            page,
+        } => Ok(calls::measure(seed, seconds, &page)?),
     }
 }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -2,6 +2,7 @@
 //! follow the log and the host list.
 
 pub mod call_port;
+pub mod config_reader;
 pub mod counters;
 pub mod entry_host;
 pub mod event_loop;
@@ -11,8 +12,15 @@
 pub mod host_settings;
 pub mod host_state;
 pub mod job_desk;
-pub mod log_reader;
-pub mod log_writer;
+pub mod log_events;
+pub mod log_link;
+pub mod log_port;
+pub mod peer_client;
+pub mod peer_exchange;
+pub mod peer_port;
+pub mod peer_server;
 pub mod planner_port;
 pub mod seat_port;
 pub mod state_dump;
+pub mod usage_poll;
+pub mod zone_outlook;
--- a/crates/node/src/process/seat_port.rs
+++ b/crates/node/src/process/seat_port.rs
@@ -1,18 +1,39 @@
-//! Connects the seat's state machine with the log: records in, appends out.
+//! Connects the seat's state machine with the log and the peers: records and
+//! answers in, appends and questions out.
 
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::planner::event::SeatTerm;
-use flamingowalk_core::process::seat::{RosterMember, SeatAction, SeatEvent, SeatState};
-use flamingowalk_wire::records as wire;
-use metrics::counter;
+use flamingowalk_core::process::record::{LogEntry, LogOffset, SeatEntry, StoredEntry};
+use flamingowalk_core::process::seat::{
+    PlacedRecord, RosterMember, SeatAction, SeatEvent, SeatRecord, SeatState,
+};
+use flamingowalk_core::process::snapshot::Snapshot;
+use flamingowalk_wire::peer::{PromiseAnswer, RefusalAnswer};
 
-use crate::border::log::{NewRecord, StoredRecord};
-use crate::border::seat::{read_seat_record, write_member};
-use crate::process::counters::RECORDS_SKIPPED;
-use crate::process::host_clock::HostClock;
-use crate::process::job_desk::new_record;
+use crate::border::peer::PeerMessage;
 
-/// The seat of the zone and its way to the log.
+/// What the seat asks of the node.
+#[derive(Clone, Debug)]
+pub enum SeatOutput {
+    /// Append a record to the zone's seat stream.
+    Append(SeatEntry),
+    /// Ask a member for a promise.
+    AskPromise {
+        /// Member to ask.
+        to: RosterMember,
+        /// Term of this host.
+        term: SeatTerm,
+    },
+    /// Ask a member to promise nothing to a term any more.
+    AskRefusal {
+        /// Member to ask.
+        to: RosterMember,
+        /// Term that is to lose its promises.
+        term: SeatTerm,
+    },
+}
+
+/// The seat of the zone and its way to the log and the peers.
 #[derive(Debug)]
 pub struct SeatPort {
     /// Decisions.
@@ -20,8 +41,6 @@
     zone: ZoneName,
     /// Actions that wait to be carried out; kept to save allocation.
     actions: Vec<SeatAction>,
-    /// Peers last told to the state machine.
-    peers: BTreeMap<HostName, RosterMember>,
 }
 
 impl SeatPort {
@@ -31,7 +50,6 @@
             state,
             zone,
             actions: Vec::new(),
-            peers: BTreeMap::new(),
         }
     }
 
@@ -50,22 +68,34 @@
         self.state.ledger().current().map(|tenure| &tenure.holder)
     }
 
-    /// Applies a record of the seat's stream.
-    pub fn apply(&mut self, stored: &StoredRecord, now: MonotonicTime) {
-        match read_seat_record(stored, &self.zone) {
-            Some(record) => {
-                self.handle(
-                    now,
-                    SeatEvent::LogRecord {
-                        offset: stored.offset,
-                        record,
-                    },
-                );
-            }
-            None => {
-                counter!(RECORDS_SKIPPED, "stream" => "seat", "cause" => "kind").increment(1);
+    /// Records from which the seat's state can be restored.
+    pub fn live_entries(&self) -> Vec<StoredEntry> {
+        let records = self.state.ledger().live_records();
+        let stored = records.into_iter().zip(0..).map(|(placed, index)| {
+            let id = format!("seat/{}/{}/{index}", self.zone, placed.offset);
+            StoredEntry {
+                offset: LogOffset(placed.offset),
+                id: RecordId::from(id),
+                appended_at: WallTime(0),
+                entry: LogEntry::Seat(self.entry(placed.record)),
             }
-        }
+        });
+        stored.collect()
+    }
+
+    /// Replaces what the records before the snapshot said.
+    pub fn restore(&mut self, now: MonotonicTime, snapshot: &Snapshot) {
+        let records = snapshot.records.iter().filter_map(|stored| {
+            let LogEntry::Seat(entry) = &stored.entry else {
+                return None;
+            };
+            (entry.zone == self.zone).then(|| PlacedRecord {
+                offset: stored.offset.0,
+                record: entry.record.clone(),
+            })
+        });
+        let records: Vec<PlacedRecord> = records.collect();
+        self.state.restore(now, &records, snapshot.covers_until.0);
     }
 
     /// Passes an event on.
@@ -73,85 +103,106 @@
         self.state.handle(now, event, &mut self.actions);
     }
 
-    /// Passes on which hosts of the zone are listed.
-    pub fn update_peers(&mut self, now: MonotonicTime, peers: Vec<RosterMember>) {
-        let newer: BTreeMap<_, _> = peers
-            .into_iter()
-            .map(|peer| (peer.host.clone(), peer))
-            .collect();
-        let older = std::mem::replace(&mut self.peers, newer.clone());
-        for host in older.into_keys().filter(|host| !newer.contains_key(host)) {
-            self.handle(now, SeatEvent::MemberGone { host });
-        }
-        for member in newer.into_values() {
-            self.handle(now, SeatEvent::MemberSeen { member });
-        }
-    }
-
-    /// Records to append for the actions so far. Messages to other hosts wait for
-    /// the peer links and are dropped; the seat then rests on the log alone.
-    pub fn take_records(&mut self) -> Vec<NewRecord> {
+    /// What the actions so far ask of the node.
+    pub fn take_outputs(&mut self) -> Vec<SeatOutput> {
         let actions = std::mem::take(&mut self.actions);
         actions
             .into_iter()
-            .filter_map(|action| self.seat_record(action))
+            .filter_map(|action| self.seat_output(action))
             .collect()
     }
 
-    fn seat_record(&self, action: SeatAction) -> Option<NewRecord> {
+    /// Answer to the peer's question that was just handled.
+    pub fn take_answer(&mut self) -> Option<PeerMessage> {
+        let is_answer = |action: &SeatAction| {
+            matches!(
+                action,
+                SeatAction::AnswerPromise { .. } | SeatAction::AnswerRefusal { .. }
+            )
+        };
+        let place = self.actions.iter().position(is_answer)?;
+        let action = self.actions.remove(place);
+        self.answer_message(&action)
+    }
+
+    fn answer_message(&self, action: &SeatAction) -> Option<PeerMessage> {
         let zone = self.zone.to_string();
-        let own = self.state.own();
-        let run = format!("{}/{}", own.host, own.incarnation);
-        let wall = HostClock::wall().0;
         match action {
-            SeatAction::AppendClaim { base_term, roster } => {
-                let body = wire::SeatClaim {
+            SeatAction::AnswerPromise {
+                term,
+                request,
+                granted,
+                incarnation,
+                ..
+            } => {
+                let (term, request) = (term.0, *request);
+                let answer = PromiseAnswer {
+                    granted: *granted,
+                    incarnation: *incarnation,
+                    request,
+                    term,
                     zone,
-                    base_term: base_term.0,
-                    holder: write_member(own),
-                    roster: roster.iter().map(write_member).collect(),
-                    claimed_at_ms: wall,
                 };
-                Some(new_record(
-                    format!("claim/{run}/{}/{wall}", base_term.0),
-                    "seat-claim",
-                    &body,
-                ))
-            }
-            SeatAction::AppendActive { term } => {
-                let body = wire::SeatActive { zone, term: term.0 };
-                Some(new_record(
-                    format!("active/{run}/{}/{wall}", term.0),
-                    "seat-active",
-                    &body,
-                ))
+                Some(PeerMessage::PromiseAnswer(answer))
             }
-            SeatAction::AppendRoster {
+            SeatAction::AnswerRefusal {
                 term,
-                base_roster,
-                roster,
+                request,
+                refused,
+                incarnation,
+                ..
             } => {
-                let body = wire::SeatRoster {
+                let (term, request) = (term.0, *request);
+                let answer = RefusalAnswer {
+                    incarnation: *incarnation,
+                    refused: *refused,
+                    request,
+                    term,
                     zone,
-                    term: term.0,
-                    base_roster: base_roster.0,
-                    roster: roster.iter().map(write_member).collect(),
                 };
-                let id = format!("roster/{run}/{}/{}/{wall}", term.0, base_roster.0);
-                Some(new_record(id, "seat-roster", &body))
+                Some(PeerMessage::RefusalAnswer(answer))
             }
+            _ => None,
+        }
+    }
+
+    fn seat_output(&self, action: SeatAction) -> Option<SeatOutput> {
+        match action {
+            SeatAction::AskPromise { to, term } => Some(SeatOutput::AskPromise { to, term }),
+            SeatAction::AskRefusal { to, term } => Some(SeatOutput::AskRefusal { to, term }),
+            other => {
+                let record = self.seat_record(other)?;
+                Some(SeatOutput::Append(self.entry(record)))
+            }
+        }
+    }
+
+    fn entry(&self, record: SeatRecord) -> SeatEntry {
+        SeatEntry {
+            zone: self.zone.clone(),
+            record,
+        }
+    }
+
+    fn seat_record(&self, action: SeatAction) -> Option<SeatRecord> {
+        match action {
+            SeatAction::AppendClaim { base_term, roster } => Some(SeatRecord::Claim {
+                base_term,
+                holder: self.state.own().clone(),
+                roster,
+            }),
+            SeatAction::AppendActive { term } => Some(SeatRecord::Active { term }),
+            SeatAction::AppendRoster {
+                term,
+                base_roster,
+                roster,
+            } => Some(SeatRecord::Roster {
+                term,
+                base_roster,
+                roster,
+            }),
             SeatAction::AppendYield { term, successor } => {
-                let successor = successor.map(|host| host.to_string());
-                let body = wire::SeatYield {
-                    zone,
-                    term: term.0,
-                    successor,
-                };
-                Some(new_record(
-                    format!("yield/{run}/{}/{wall}", term.0),
-                    "seat-yield",
-                    &body,
-                ))
+                Some(SeatRecord::Yield { term, successor })
             }
             SeatAction::AskPromise { .. }
             | SeatAction::AnswerPromise { .. }
--- a/crates/node/src/process/state_dump.rs
+++ b/crates/node/src/process/state_dump.rs
@@ -63,6 +63,8 @@
     pub next: u64,
     /// Milliseconds since the last whole read was sent; absent before the first.
     pub age_ms: Option<u64>,
+    /// Records of this host that are not known to be in the log.
+    pub open: usize,
 }
 
 /// One entry host.
@@ -72,8 +74,10 @@
     pub name: String,
     /// Availability zone.
     pub zone: String,
-    /// Incarnation.
-    pub incarnation: u64,
+    /// Proved incarnation while a link is open.
+    pub incarnation: Option<u64>,
+    /// Whether this host keeps a link to it.
+    pub linked: bool,
     /// Whether it is shutting down.
     pub leaving: bool,
 }
@@ -134,16 +138,18 @@
             let age = stream
                 .age_ms
                 .map_or_else(|| "never".to_owned(), |age| format!("{age}ms"));
-            writeln!(f, "stream {} next {} read {age}", stream.name, stream.next)?;
+            let (name, next, open) = (&stream.name, stream.next, stream.open);
+            writeln!(f, "stream {name} next {next} read {age} open {open}")?;
         }
         for member in &self.members {
             let leaving = if member.leaving { " leaving" } else { "" };
             let (name, zone) = (&member.name, &member.zone);
-            writeln!(
-                f,
-                "member {name} zone {zone} incarnation {}{leaving}",
-                member.incarnation
-            )?;
+            let link = match (member.linked, member.incarnation) {
+                (_, Some(incarnation)) => format!("linked incarnation {incarnation}"),
+                (true, None) => "no link".to_owned(),
+                (false, None) => "not linked by this host".to_owned(),
+            };
+            writeln!(f, "member {name} zone {zone} {link}{leaving}")?;
         }
         for target in &self.targets {
             let leaving = if target.leaving { " leaving" } else { "" };
