--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,16 +4,28 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use flamingowalk_measure::calls::{self, CallMeasureError};
+use flamingowalk_measure::calls;
 use flamingowalk_measure::error::MeasureError;
 use flamingowalk_measure::policy::{self, PolicyChoice};
-use thiserror::Error;
 
 /// A measurement to run.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
 /// Measure the scheduler; run from the root of the repository
 enum MeasureCommand {
+    /// Drive the planner with the arrivals of both examples on a virtual clock
+    #[bpaf(command)]
+    Policy {
+        #[bpaf(external(policy_options))]
+        choice: PolicyOptions,
+        /// Folder for the page and its plots
+        #[bpaf(
+            argument("FOLDER"),
+            fallback(PathBuf::from("docs/measurements")),
+            debug_fallback
+        )]
+        output: PathBuf,
+    },
     /// Send calls over loopback through an entry host to stand-in workers
     #[bpaf(command)]
     Calls {
@@ -29,20 +41,7 @@
             fallback(PathBuf::from("docs/measurements/CALLS.md")),
             debug_fallback
         )]
-        output: PathBuf,
-    },
-    /// Drive the planner with the arrivals of both examples on a virtual clock
-    #[bpaf(command)]
-    Policy {
-        #[bpaf(external(policy_options))]
-        choice: PolicyOptions,
-        /// Folder for the page and its plots
-        #[bpaf(
-            argument("FOLDER"),
-            fallback(PathBuf::from("docs/measurements")),
-            debug_fallback
-        )]
-        output: PathBuf,
+        page: PathBuf,
     },
 }
 
@@ -77,17 +76,6 @@
     }
 }
 
-/// Why a measurement gave no page.
-#[derive(Debug, Error)]
-enum CommandError {
-    /// The measurement of the planner.
-    #[error(transparent)]
-    Policy(#[from] MeasureError),
-    /// The measurement of calls.
-    #[error(transparent)]
-    Calls(#[from] CallMeasureError),
-}
-
 fn main() -> ExitCode {
     match run(measure_command().run()) {
         Ok(()) => ExitCode::SUCCESS,
@@ -98,14 +86,13 @@
     }
 }
 
-fn run(command: MeasureCommand) -> Result<(), CommandError> {
+fn run(command: MeasureCommand) -> Result<(), MeasureError> {
     match command {
-        MeasureCommand::Policy { choice, output } => policy::measure(&choice.into(), &output)?,
+        MeasureCommand::Policy { choice, output } => policy::measure(&choice.into(), &output),
         MeasureCommand::Calls {
             seed,
             seconds,
-            output,
-        } => calls::measure(seed, seconds, &output)?,
+            page,
+        } => Ok(calls::measure(seed, seconds, &page)?),
     }
-    Ok(())
 }
