--- a/crates/cli/src/bin/flamingowalk-standin.rs
+++ b/crates/cli/src/bin/flamingowalk-standin.rs
@@ -9,7 +9,7 @@
 use flamingowalk_cli::exit::CommandFault;
 use flamingowalk_cli::folder_verbs::checked_folder;
 use flamingowalk_cli::standin_settings::write_settings;
-use flamingowalk_cli::try_platform::{ExampleFolder, TrialPlatform, example_folder};
+use flamingowalk_cli::try_platform::{ExampleFolder, TrialPlatform, TrialTimes, example_folder};
 use flamingowalk_core::version::check_folder;
 use tokio::task::LocalSet;
 
@@ -66,7 +66,7 @@
         }
         Source::Example(name) => example_folder(name)?,
     };
-    let platform = TrialPlatform::start_platform(&folder.settings).await?;
+    let platform = TrialPlatform::start_platform(&folder.settings, &TrialTimes::default()).await?;
     let files = write_settings(
         &platform,
         &folder.settings,
--- a/crates/cli/src/try_platform.rs
+++ b/crates/cli/src/try_platform.rs
@@ -98,8 +98,16 @@
 /// # Errors
 /// [`CommandFault::Refused`] when there is no such example or it has faults.
 pub fn example_folder(name: &str) -> Result<ExampleFolder, CommandFault> {
+    example_with(name, &[])
+}
+
+/// Reads a built-in example with further files.
+///
+/// # Errors
+/// [`CommandFault::Refused`] when there is no such example or it has faults.
+pub fn example_with(name: &str, extra: &[FolderFile]) -> Result<ExampleFolder, CommandFault> {
     let chosen = EXAMPLE_FILES.iter().filter(|file| file.0 == name);
-    let files: Vec<_> = chosen
+    let mut files: Vec<_> = chosen
         .map(|file| FolderFile {
             name: file.1.to_owned(),
             text: file.2.to_owned(),
@@ -109,6 +117,7 @@
         let text = format!("there is no example {name:?}; use podlaga or escolta");
         return Err(CommandFault::Refused(text));
     }
+    files.extend_from_slice(extra);
     let refused = |faults: flamingowalk_core::version::FolderFaults| {
         CommandFault::Refused(faults.to_string())
     };
@@ -117,6 +126,27 @@
     Ok(ExampleFolder { merged, settings })
 }
 
+/// Times of a trial.
+#[derive(Clone, Copy, Debug)]
+pub struct TrialTimes {
+    /// Run time of every task.
+    pub task_run: Duration,
+    /// Proof time of the planner seat.
+    pub seat_time: Duration,
+    /// Bound on the divergence of clocks.
+    pub seat_drift: Duration,
+}
+
+impl Default for TrialTimes {
+    fn default() -> Self {
+        Self {
+            task_run: Duration::from_millis(300),
+            seat_time: Duration::from_secs(4),
+            seat_drift: Duration::from_secs(1),
+        }
+    }
+}
+
 /// The running platform.
 #[derive(Debug)]
 pub struct TrialPlatform {
@@ -128,6 +158,7 @@
     pub workers: Vec<WorkerStandin>,
     /// Entry hosts of all zones, in order of name.
     pub entries: Vec<TrialHost>,
+    times: TrialTimes,
 }
 
 /// One running entry host.
@@ -147,7 +178,18 @@
     /// # Errors
     /// [`CommandFault::Refused`] when a port cannot be bound.
     pub async fn start(settings: &SystemSettings) -> Result<Self, CommandFault> {
-        let mut platform = Self::start_platform(settings).await?;
+        Self::start_with(settings, &TrialTimes::default()).await
+    }
+
+    /// As [`Self::start`], with times of its own.
+    ///
+    /// # Errors
+    /// [`CommandFault::Refused`] when a port cannot be bound.
+    pub async fn start_with(
+        settings: &SystemSettings,
+        times: &TrialTimes,
+    ) -> Result<Self, CommandFault> {
+        let mut platform = Self::start_platform(settings, times).await?;
         for (zone, declared) in &settings.zones {
             platform.start_entries(zone, declared).await?;
         }
@@ -158,7 +200,10 @@
     ///
     /// # Errors
     /// [`CommandFault::Refused`] when a port cannot be bound.
-    pub async fn start_platform(settings: &SystemSettings) -> Result<Self, CommandFault> {
+    pub async fn start_platform(
+        settings: &SystemSettings,
+        times: &TrialTimes,
+    ) -> Result<Self, CommandFault> {
         let log = LogStandin::start().await.map_err(refused)?;
         let hosts = HostsStandin::start().await.map_err(refused)?;
         let mut platform = Self {
@@ -166,6 +211,7 @@
             hosts,
             workers: Vec::new(),
             entries: Vec::new(),
+            times: *times,
         };
         for (zone, declared) in &settings.zones {
             platform.start_workers(zone, declared, settings).await?;
@@ -181,7 +227,9 @@
     ) -> Result<(), CommandFault> {
         for rack in 0..declared.racks {
             for place in 0..declared.workers_per_rack {
+                let task_run = self.times.task_run;
                 let options = WorkerOptions {
+                    run_time: Arc::new(move |_| task_run),
                     name: format!("{zone}-r{rack}-w{place}"),
                     zone: zone.to_string(),
                     region: declared.region.to_string(),
@@ -321,7 +369,10 @@
         "[host]\nname = {name}\nzone = {zone}\nregion = {region}\n\
          [listen]\ncaller = {caller}\npeer = {peer}\n\
          [platform]\nlog = {log}\nhosts = {hosts}\nhosts-interval-ms = 200\n\
-         [peer]\nsecret = {TRIAL_SECRET}\n[drain]\nwait-ms = 100\nlimit-ms = 5000\n"
+         [peer]\nsecret = {TRIAL_SECRET}\n[drain]\nwait-ms = 100\nlimit-ms = 5000\n\
+         [seat]\ntime-ms = {}\ndrift-ms = {}\n",
+        platform.times.seat_time.as_millis(),
+        platform.times.seat_drift.as_millis()
     )
 }
 
--- a/crates/core/tests/planner_rebuild.rs
+++ b/crates/core/tests/planner_rebuild.rs
@@ -127,6 +127,8 @@
         "it may still run on the silent worker"
     );
     zone.pass(20);
+    assert_eq!(zone.ending("j1"), None, "its lease has not lapsed");
+    zone.pass(15);
     assert!(matches!(zone.ending("j1"), Some(JobEnding::Failed(_))));
 }
 
