--- a/crates/core/tests/planner_guarantee.rs
+++ b/crates/core/tests/planner_guarantee.rs
@@ -12,7 +12,8 @@
 use flamingowalk_core::process::planner::event::ListedState;
 use flamingowalk_core::process::planner::job_entry::JobPhase;
 use flamingowalk_core::process::planner::state::PlannerPolicy;
-use planner_zone::{FakeZone, RequestFate};
+use flamingowalk_core::version::settings::BlockAdjacency;
+use planner_zone::{FakeZone, RequestFate, customer};
 use rstest::rstest;
 
 /// Two racks of two workers; north is owed one worker, south one rack.
@@ -176,3 +177,38 @@
     let plan = zone.state.plan().to_string();
     assert!(plan.contains("block north 8 Worker w03"), "{plan}");
 }
+
+/// The worker picks the accelerators; a block in their place moves.
+#[test]
+fn pinned_work_moves_block() {
+    let mut zone = FakeZone::new(1, 1, PlannerPolicy::Guarantees);
+    zone.settings.customers.clear();
+    let north = customer(1, 4, BlockAdjacency::Worker);
+    zone.settings.customers.insert("north".into(), north);
+    zone.open();
+    let before = zone.state.plan().to_string();
+    assert_eq!(before, "block north 4 Worker w00[0,1,2,3]\n");
+    zone.submit_for("west", "pinned", "once-half");
+    zone.run();
+    assert_eq!(zone.phase("pinned"), Some(JobPhase::Running));
+    let after = zone.state.plan().to_string();
+    assert_eq!(after, "block north 4 Worker w00[4,5,6,7]\n");
+}
+
+/// Only one has room beside the guarantee; the other is not lent the block.
+#[test]
+fn pinned_work_second_waits() {
+    let mut zone = FakeZone::new(1, 1, PlannerPolicy::Guarantees);
+    zone.settings.customers.clear();
+    let north = customer(1, 4, BlockAdjacency::Worker);
+    zone.settings.customers.insert("north".into(), north);
+    zone.open();
+    zone.submit_for("west", "first", "once-half");
+    zone.submit_for("west", "second", "once-half");
+    zone.run();
+    zone.pass(5);
+    assert_eq!(running(&zone), 1);
+    zone.submit_for("north", "claim", "half");
+    zone.run();
+    assert_eq!(zone.phase("claim"), Some(JobPhase::Running));
+}
--- a/crates/core/tests/planner_property.rs
+++ b/crates/core/tests/planner_property.rs
@@ -12,7 +12,8 @@
 use flamingowalk_core::process::planner::event::{PlannerEvent, TargetFault, TaskKey};
 use flamingowalk_core::process::planner::state::PlannerPolicy;
 use flamingowalk_core::process::planner::verifier::verify_state;
-use planner_zone::{FakeZone, RequestFate};
+use flamingowalk_core::version::settings::BlockAdjacency;
+use planner_zone::{FakeZone, RequestFate, customer};
 use proptest::prelude::*;
 
 /// One thing that happens to the zone.
@@ -32,10 +33,18 @@
     LogUp(bool),
 }
 
-const CLASSES: [&str; 8] = [
-    "small", "gang", "once", "saved", "light", "urgent", "lent", "half",
+const CLASSES: [&str; 9] = [
+    "small",
+    "gang",
+    "once",
+    "saved",
+    "light",
+    "urgent",
+    "lent",
+    "half",
+    "once-half",
 ];
-const CUSTOMERS: [&str; 3] = ["north", "south", "west"];
+const CUSTOMERS: [&str; 4] = ["north", "south", "west", "east"];
 const WORKERS: usize = 4;
 
 fn fates() -> impl Strategy<Value = RequestFate> {
@@ -77,6 +86,8 @@
     fn new(policy: PlannerPolicy) -> Self {
         let mut zone = FakeZone::new(2, 2, policy);
         zone.run_time = Duration::from_secs(20);
+        let east = customer(1, 4, BlockAdjacency::Worker);
+        zone.settings.customers.insert("east".into(), east);
         zone.open();
         Self {
             zone,
@@ -191,7 +202,7 @@
         }
         for ((job, member), attempts) in attempts {
             let class = self.jobs.iter().find(|(id, _)| id == job).unwrap().1;
-            let is_once = class == "once" || class == "light";
+            let is_once = matches!(class, "once" | "light" | "once-half");
             assert!(
                 !is_once || attempts.len() == 1,
                 "{job} member {member}: {attempts:?}"
--- a/crates/core/tests/planner_rebuild.rs
+++ b/crates/core/tests/planner_rebuild.rs
@@ -169,3 +169,20 @@
     zone.pass(30);
     assert!(zone.start_orders.is_empty());
 }
+
+/// Nothing is reserved while one worker has neither answered nor failed to.
+#[test]
+fn rebuild_waits_for_every_list() {
+    let mut zone = open_zone();
+    change_planner(&mut zone, &[("j1", "small", 0)]);
+    let last = zone.pending.pop_back().unwrap();
+    zone.run();
+    assert_eq!(
+        zone.live_tasks(),
+        0,
+        "reserved before the last worker answered"
+    );
+    zone.carry_out(last, RequestFate::Answered);
+    zone.run();
+    assert_eq!(zone.phase("j1"), Some(JobPhase::Running));
+}
--- a/crates/core/tests/support/planner_zone.rs
+++ b/crates/core/tests/support/planner_zone.rs
@@ -615,6 +615,11 @@
         attempts: 1,
         ..class(3, 2)
     };
+    let once_half = JobClass {
+        idempotent: false,
+        attempts: 1,
+        ..class(1, 4)
+    };
     let light = JobClass {
         idempotent: false,
         attempts: 1,
@@ -636,6 +641,7 @@
             ("once".into(), once),
             ("saved".into(), saved),
             ("light".into(), light),
+            ("once-half".into(), once_half),
             ("urgent".into(), urgent),
             ("lent".into(), lent),
             ("half".into(), class(1, 4)),
