--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,14 +4,33 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use flamingowalk_measure::calls::{self, CallMeasureError};
 use flamingowalk_measure::error::MeasureError;
 use flamingowalk_measure::policy::{self, PolicyChoice};
+use thiserror::Error;
 
 /// A measurement to run.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
 /// Measure the scheduler; run from the root of the repository
 enum MeasureCommand {
+    /// Send calls over loopback through an entry host to stand-in workers
+    #[bpaf(command)]
+    Calls {
+        /// Seed of arrivals and choices
+        #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
+        seed: u64,
+        /// Seconds of each run
+        #[bpaf(argument("SECONDS"), fallback(8), display_fallback)]
+        seconds: u64,
+        /// Page to write
+        #[bpaf(
+            argument("FILE"),
+            fallback(PathBuf::from("docs/measurements/CALLS.md")),
+            debug_fallback
+        )]
+        output: PathBuf,
+    },
     /// Drive the planner with the arrivals of both examples on a virtual clock
     #[bpaf(command)]
     Policy {
@@ -58,6 +77,17 @@
     }
 }
 
+/// Why a measurement gave no page.
+#[derive(Debug, Error)]
+enum CommandError {
+    /// The measurement of the planner.
+    #[error(transparent)]
+    Policy(#[from] MeasureError),
+    /// The measurement of calls.
+    #[error(transparent)]
+    Calls(#[from] CallMeasureError),
+}
+
 fn main() -> ExitCode {
     match run(measure_command().run()) {
         Ok(()) => ExitCode::SUCCESS,
@@ -68,8 +98,14 @@
     }
 }
 
-fn run(command: MeasureCommand) -> Result<(), MeasureError> {
+fn run(command: MeasureCommand) -> Result<(), CommandError> {
     match command {
-        MeasureCommand::Policy { choice, output } => policy::measure(&choice.into(), &output),
+        MeasureCommand::Policy { choice, output } => policy::measure(&choice.into(), &output)?,
+        MeasureCommand::Calls {
+            seed,
+            seconds,
+            output,
+        } => calls::measure(seed, seconds, &output)?,
     }
+    Ok(())
 }
--- a/crates/node/src/border.rs
+++ b/crates/node/src/border.rs
@@ -5,5 +5,6 @@
 pub mod hosts;
 pub mod log;
 pub mod peer;
+pub mod records;
 pub mod seat;
 pub mod target;
