--- a/crates/core/tests/seat_machine.rs
+++ b/crates/core/tests/seat_machine.rs
@@ -102,3 +102,25 @@
     assert_eq!(zone.starters(), 1, "{zone}");
     assert_eq!(zone.terms(), 2, "{zone}");
 }
+
+/// Quanta until a zone whose holder was replaced has a holder again: patience,
+/// claim, short wait and active record, each record with a chance to get lost.
+#[test]
+fn takeover_after_restart() {
+    let mut longest = 0;
+    for seed in 0..32 {
+        let mut zone = FakeZone::new(seed);
+        for _ in 0..150 {
+            zone.step().unwrap();
+        }
+        zone.inject(ZoneFault::RestartHolder);
+        let mut quanta = 0;
+        while zone.starters() == 0 {
+            zone.step().unwrap();
+            quanta += 1;
+            assert!(quanta < HEALED_QUANTA, "{zone}");
+        }
+        longest = longest.max(quanta);
+    }
+    assert!((90..=250).contains(&longest), "took {longest} quanta");
+}
--- a/crates/node/src/process/peer_exchange.rs
+++ b/crates/node/src/process/peer_exchange.rs
@@ -213,10 +213,7 @@
     wire::ZoneDigest {
         config_version: state.config_version.0,
         draining: state.drain_since.is_some(),
-        free_accelerators: 0,
-        free_slots: 0,
         host: state.settings.name.to_string(),
-        largest_block: 0,
         leaving: words.take(LEAVING_LIMIT).collect(),
         queued_jobs: u32::try_from(state.jobs.open_jobs(zone).len()).unwrap_or(u32::MAX),
         seat_term: state.seat.term().0,
--- a/crates/node/tests/peer_client.rs
+++ b/crates/node/tests/peer_client.rs
@@ -62,10 +62,7 @@
     ZoneDigest {
         config_version: 980_000,
         draining: false,
-        free_accelerators: 670,
-        free_slots: 440,
         host: "celje-b-entry-2".to_owned(),
-        largest_block: 64,
         leaving: (0..leaving).map(word).collect(),
         queued_jobs: 660,
         seat_term: 1_000_000,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -946,10 +946,7 @@
 ///  "required": [
 ///    "config_version",
 ///    "draining",
-///    "free_accelerators",
-///    "free_slots",
 ///    "host",
-///    "largest_block",
 ///    "queued_jobs",
 ///    "seat_term",
 ///    "zone"
@@ -965,28 +962,10 @@
 ///      "description": "Whether the sender is shutting down.",
 ///      "type": "boolean"
 ///    },
-///    "free_accelerators": {
-///      "description": "Accelerators free.",
-///      "type": "integer",
-///      "format": "uint32",
-///      "minimum": 0.0
-///    },
-///    "free_slots": {
-///      "description": "Call slots free.",
-///      "type": "integer",
-///      "format": "uint32",
-///      "minimum": 0.0
-///    },
 ///    "host": {
 ///      "description": "Sender.",
 ///      "type": "string"
 ///    },
-///    "largest_block": {
-///      "description": "Largest adjacent block free.",
-///      "type": "integer",
-///      "format": "uint32",
-///      "minimum": 0.0
-///    },
 ///    "leaving": {
 ///      "description": "Leaving workers, as name and incarnation.",
 ///      "default": [],
@@ -1021,14 +1000,8 @@
     pub config_version: u64,
     ///Whether the sender is shutting down.
     pub draining: bool,
-    ///Accelerators free.
-    pub free_accelerators: u32,
-    ///Call slots free.
-    pub free_slots: u32,
     ///Sender.
     pub host: ::std::string::String,
-    ///Largest adjacent block free.
-    pub largest_block: u32,
     ///Leaving workers, as name and incarnation.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub leaving: ::std::vec::Vec<::std::string::String>,
