--- a/crates/node/src/process/entry_host.rs
+++ b/crates/node/src/process/entry_host.rs
@@ -233,11 +233,7 @@
     for stream in streams {
         let port = LogPort::new(now, run.clone(), state.incarnation, times);
         let link = LogLink::new(client.clone(), address, stream.clone(), events.clone());
-        let streamed = StreamState {
-            port,
-            link,
-            is_failing: false,
-        };
+        let streamed = StreamState { port, link };
         state.streams.insert(stream, streamed);
     }
 }
--- a/crates/node/src/process/host_state.rs
+++ b/crates/node/src/process/host_state.rs
@@ -32,8 +32,6 @@
     pub port: LogPort,
     /// Connections.
     pub link: LogLink,
-    /// Whether the newest read failed.
-    pub is_failing: bool,
 }
 
 /// The planner while this host holds the seat.
@@ -90,7 +88,7 @@
     /// to its tail; one that does not is not waited for, since calls do without.
     pub fn is_ready(&self) -> bool {
         let is_settled =
-            |stream: &StreamState| stream.port.caught_up_at().is_some() || stream.is_failing;
+            |stream: &StreamState| stream.port.caught_up_at().is_some() || stream.port.is_failing();
         self.config_version > ConfigVersion(0)
             && !self.listing.workers.is_empty()
             && self.drain_since.is_none()
