--- a/crates/core/src/process/seat/state.rs
+++ b/crates/core/src/process/seat/state.rs
@@ -38,6 +38,9 @@
     appended_at: Option<MonotonicTime>,
     /// When members were last asked for promises or words.
     asked_at: Option<MonotonicTime>,
+    /// Since when records from before the ledger's first may be missing. A holder
+    /// that the ledger does not know may be carried for `w` from here.
+    past_lost_at: Option<MonotonicTime>,
     /// Whether this host is about to stop; never reset.
     draining: bool,
     /// Whether `Gained` was the last of `Gained` and `Lost`.
@@ -63,6 +66,7 @@
             vacant_since: None,
             appended_at: None,
             asked_at: None,
+            past_lost_at: None,
             draining: false,
             held: false,
             last_now: MonotonicTime::default(),
@@ -226,6 +230,12 @@
     pub fn restore(&mut self, now: MonotonicTime, records: &[PlacedRecord], next_offset: u64) {
         let was_waiting = self.own_tenure().is_some_and(|tenure| !tenure.active);
         let before = self.ledger.term();
+        if self.past_lost_at.is_some() {
+            self.ledger = SeatLedger::default();
+        }
+        if !records.is_empty() {
+            self.past_lost_at = None;
+        }
         self.ledger.restore(records, next_offset);
         self.appended_at = None;
         let term = self.ledger.term();
@@ -236,6 +246,21 @@
         self.settle_pending();
     }
 
+    /// Begins anew because records before the next one are lost and no snapshot
+    /// has come. This host holds nothing from here on, and claims nothing until a
+    /// holder that it cannot know of has stopped for lack of a log read.
+    pub fn lose_past(&mut self, now: MonotonicTime) {
+        self.ledger = SeatLedger::default();
+        self.past_lost_at = Some(now);
+        self.begin_term(now, false);
+        self.settle_pending();
+    }
+
+    fn is_past_lost(&self, now: MonotonicTime) -> bool {
+        self.past_lost_at
+            .is_some_and(|lost_at| now < lost_at + self.times.long_wait())
+    }
+
     fn begin_term(&mut self, now: MonotonicTime, was_waiting: bool) {
         self.authority.begin_term(self.ledger.term());
         self.vacant_since = None;
@@ -426,7 +451,7 @@
     }
 
     fn act_as_candidate(&mut self, now: MonotonicTime, actions: &mut Vec<SeatAction>) {
-        if self.draining || !self.claim_due(now) {
+        if self.draining || self.is_past_lost(now) || !self.claim_due(now) {
             return;
         }
         let base_term = self.ledger.term();
@@ -579,6 +604,9 @@
         if let Some(pending) = &self.authority.pending {
             writeln!(f, "  roster change pending on {}", pending.base)?;
         }
+        if let Some(lost_at) = self.past_lost_at {
+            writeln!(f, "  past lost at {lost_at}")?;
+        }
         for peer in self.peers.values() {
             writeln!(f, "  sees {peer}")?;
         }
--- a/crates/core/tests/seat.rs
+++ b/crates/core/tests/seat.rs
@@ -6,7 +6,8 @@
 use flamingowalk_core::process::planner::event::SeatTerm;
 use flamingowalk_core::process::seat::verifier::verify_seat;
 use flamingowalk_core::process::seat::{
-    RosterMember, RosterOffset, SeatAction, SeatEvent, SeatLedger, SeatRecord, SeatState, SeatTimes,
+    PlacedRecord, RosterMember, RosterOffset, SeatAction, SeatEvent, SeatLedger, SeatRecord,
+    SeatState, SeatTimes,
 };
 use rstest::rstest;
 
@@ -488,3 +489,36 @@
     assert!(!ledger.apply(4, &claim(5, "b", &["b"])));
     assert_eq!(ledger.term(), SeatTerm(5));
 }
+
+/// Host `a` held the seat when records before its next one were lost at 10 s; the
+/// last second at which it must not claim.
+#[rstest]
+#[case::empty_snapshot(&[], Some(110))]
+#[case::snapshot(&[claim(0, "b", &["b"]), active(1), yielded(1)], None)]
+fn lose_past_claims_late(#[case] snapshot: &[SeatRecord], #[case] last_secs: Option<u64>) {
+    let mut bench = SeatBench::holder(&["a"], 10);
+    bench.state.lose_past(MonotonicTime::from_secs(10));
+    assert!(
+        !bench.may_start(10),
+        "a later claim may be among the lost records"
+    );
+    let lost = bench.tail(10, 10);
+    assert_eq!(lost, [SeatAction::Lost]);
+    let records: Vec<_> = snapshot
+        .iter()
+        .map(|record| PlacedRecord {
+            offset: 0,
+            record: record.clone(),
+        })
+        .collect();
+    bench
+        .state
+        .restore(MonotonicTime::from_secs(10), &records, 20);
+    for secs in 11..=last_secs.unwrap_or(10) {
+        assert_eq!(bench.tail(secs, secs), [], "at {secs} s");
+    }
+    let secs = last_secs.unwrap_or(10) + 1;
+    let claimed = bench.tail(secs, secs);
+    assert!(matches!(claimed[0], SeatAction::AppendClaim { .. }));
+    assert!(!bench.may_start(secs));
+}
--- a/crates/node/src/process/log_events.rs
+++ b/crates/node/src/process/log_events.rs
@@ -109,6 +109,9 @@
         LogNotice::Abandoned { first } => {
             log::warn!(stream = stream.name().as_str();
                 "no snapshot came; the state begins anew at {first}");
+            if is_seat {
+                state.seat.lose_past(now);
+            }
         }
         LogNotice::NotWritten { id, reason } => state.jobs.refuse(&id, &reason),
         LogNotice::Doubtful { id } => state.jobs.doubt(&id),
--- a/crates/node/src/process/seat_port.rs
+++ b/crates/node/src/process/seat_port.rs
@@ -98,6 +98,11 @@
         self.state.restore(now, &records, snapshot.covers_until.0);
     }
 
+    /// Begins anew because earlier records are lost.
+    pub fn lose_past(&mut self, now: MonotonicTime) {
+        self.state.lose_past(now);
+    }
+
     /// Passes an event on.
     pub fn handle(&mut self, now: MonotonicTime, event: SeatEvent) {
         self.state.handle(now, event, &mut self.actions);
