--- a/crates/node/src/connection/target_connection.rs
+++ b/crates/node/src/connection/target_connection.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::connection::target_answer::{is_own_answer, read_answer};
 use crate::connection::target_request::TargetRequest;
@@ -24,6 +25,9 @@
 /// Largest head of an answer in bytes.
 const HEAD_LIMIT: usize = 16 * 1024;
 
+/// Lateness of a timer that shows that the process was held up.
+const HOLD_UP: Duration = Duration::from_millis(10);
+
 /// Path that a live target answers at without doing anything.
 const PROBE_PATH: &str = "/v1/probe";
 
@@ -159,7 +163,7 @@
             self.sender.ready().await.ok()?;
             self.sender.send_request(request.into_hyper()).await.ok()
         };
-        let response = tokio::time::timeout(timeout, sent).await.ok()??;
+        let response = answer_in_time(sent, timeout).await??;
         if response.status() != StatusCode::NO_CONTENT || !response.body().is_end_stream() {
             return None;
         }
@@ -203,6 +207,22 @@
     }
 }
 
+/// Waits for an answer. A timer that comes late shows that this process was held up,
+/// which is no silence of the target: then the answer may be there, unread, and gets
+/// the time once more.
+async fn answer_in_time<T>(answer: impl Future<Output = T>, timeout: Duration) -> Option<T> {
+    let mut answer = std::pin::pin!(answer);
+    let began = Instant::now();
+    if let Ok(answer) = tokio::time::timeout(timeout, &mut answer).await {
+        return Some(answer);
+    }
+    let was_held_up = began.elapsed() > timeout + HOLD_UP;
+    if !was_held_up {
+        return None;
+    }
+    tokio::time::timeout(timeout, &mut answer).await.ok()
+}
+
 /// How far a request had got when its connection ended without a whole head.
 const fn cut_point(written: u64, wire_length: u64, is_answering: bool) -> FailurePoint {
     if is_answering {
