--- a/crates/cli/tests/path_faults.rs
+++ b/crates/cli/tests/path_faults.rs
@@ -230,7 +230,7 @@
             let runs = runs_of(&platform, &lost, &id);
             match status.phase {
                 JobPhase::Finished => assert!(runs > 0, "{id} did not run"),
-                JobPhase::Refused => eprintln!("REF {id} {runs} {:?}", status.reason),
+                JobPhase::Refused => assert_eq!(runs, 0, "{id} ran: {:?}", status.reason),
                 _ => assert_eq!(class, "pour-order", "{id} ended: {:?}", status.reason),
             }
             if class == "pour-order" {
