--- /dev/null
+++ b/crates/measure/src/capacity/host_load.rs
@@ -0,0 +1,227 @@
+//! Processor time, memory and bytes of a real entry host that holds the planner
+//! seat of a zone with running tasks.
+
+use std::net::SocketAddr;
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_node::connection::http_client::HttpClient;
+use flamingowalk_node::{HostSettings, start_host};
+use flamingowalk_standin::TrafficCount;
+use flamingowalk_wire::caller::{HostStatus, JobPhase, JobStatus, JobSubmission};
+use hyper::Method;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep};
+
+use super::MeasuredSlope;
+use super::letter_folder::{CUSTOMERS, GANG, RACK, letter_folder};
+use super::process_use::{resident_bytes, thread_time};
+use super::slope::SlopeFit;
+use super::stand_in_platform::{PlatformView, StandInPlatform};
+use crate::error::MeasureError;
+use crate::plot::PlotPoint;
+
+const RACKS: [u32; 3] = [1, 3, 5];
+/// Time that is measured.
+const WINDOW: Duration = Duration::from_secs(15);
+/// Time between the start of the last job and the measurement.
+const SETTLE: Duration = Duration::from_secs(3);
+/// Longest time until all jobs run.
+const START_LIMIT: Duration = Duration::from_mins(1);
+const POLL_PAUSE: Duration = Duration::from_millis(200);
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What one host used.
+#[derive(Clone, Copy, Debug, Default)]
+struct HostUse {
+    /// Percent of a core.
+    core_percent: f64,
+    /// Growth of the process with the host, in MiB.
+    memory_mib: f64,
+    /// Bytes a second with the host list.
+    list_rate: f64,
+    /// Bytes a second with the workers.
+    worker_rate: f64,
+    /// Bytes a second with the log.
+    log_rate: f64,
+}
+
+/// Measures every slope of the host.
+pub(super) fn measure() -> Result<Vec<MeasuredSlope>, MeasureError> {
+    let mut uses = Vec::new();
+    for racks in RACKS {
+        uses.push((f64::from(racks * RACK), measure_host(racks)?));
+    }
+    let slope = |name, unit, file, value: fn(&HostUse) -> f64| {
+        let points = uses.iter().map(|(x, host_use)| PlotPoint {
+            x: *x,
+            y: value(host_use),
+        });
+        MeasuredSlope {
+            name,
+            size: "workers with 5 tasks",
+            unit,
+            file,
+            fit: SlopeFit::of(points.collect()),
+        }
+    };
+    Ok(vec![
+        slope(
+            "seat host processor time",
+            "% of a core",
+            "host-time",
+            |u| u.core_percent,
+        ),
+        slope("seat host memory", "MiB", "host-memory", |u| u.memory_mib),
+        slope("host list traffic", "bytes/s", "host-list-bytes", |u| {
+            u.list_rate
+        }),
+        slope("worker traffic", "bytes/s", "host-worker-bytes", |u| {
+            u.worker_rate
+        }),
+        slope("idle log traffic", "bytes/s", "host-log-bytes", |u| {
+            u.log_rate
+        }),
+    ])
+}
+
+fn measure_host(racks: u32) -> Result<HostUse, MeasureError> {
+    let platform = StandInPlatform::start(letter_folder(racks, CUSTOMERS));
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|error| MeasureError::Host {
+        reason: error.to_string(),
+    })?;
+    let jobs = racks * RACK * 5 / GANG;
+    LocalSet::new().block_on(&runtime, observe(&platform.view, jobs))
+}
+
+async fn observe(view: &PlatformView, jobs: u32) -> Result<HostUse, MeasureError> {
+    let empty = resident_bytes()?;
+    let settings = host_settings(view)?;
+    let handle = start_host(settings, None).await.map_err(host_fault)?;
+    let client = HttpClient::default();
+    wait_ready(&client, handle.address).await?;
+    for number in 0..jobs {
+        submit(&client, handle.address, number).await?;
+    }
+    wait_running(&client, handle.address, jobs).await?;
+    sleep(SETTLE).await;
+    let before = Reading::take(view)?;
+    sleep(WINDOW).await;
+    let after = Reading::take(view)?;
+    let mut seen = after.since(&before);
+    seen.memory_mib = resident_bytes()?.saturating_sub(empty) as f64 / f64::from(1 << 20);
+    Ok(seen)
+}
+
+/// All counters at one moment.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    at: Instant,
+    time: Duration,
+    list: u64,
+    workers: u64,
+    log: u64,
+}
+
+impl Reading {
+    fn take(view: &PlatformView) -> Result<Self, MeasureError> {
+        Ok(Self {
+            at: Instant::now(),
+            time: thread_time()?,
+            list: view.list_traffic.total(),
+            workers: view.worker_traffic.iter().map(TrafficCount::total).sum(),
+            log: view.log_traffic.total(),
+        })
+    }
+
+    fn since(&self, before: &Self) -> HostUse {
+        let secs = (self.at - before.at).as_secs_f64();
+        let rate = |now: u64, then: u64| (now - then) as f64 / secs;
+        let spent = self.time.saturating_sub(before.time);
+        HostUse {
+            core_percent: spent.as_secs_f64() / secs * 100.0,
+            memory_mib: 0.0,
+            list_rate: rate(self.list, before.list),
+            worker_rate: rate(self.workers, before.workers),
+            log_rate: rate(self.log, before.log),
+        }
+    }
+}
+
+fn host_fault(error: impl std::fmt::Display) -> MeasureError {
+    MeasureError::Host {
+        reason: error.to_string(),
+    }
+}
+
+fn host_settings(view: &PlatformView) -> Result<HostSettings, MeasureError> {
+    let text = format!(
+        "[host]\nname = entry-1\nzone = zone-a\nregion = region-1\n\
+         [listen]\ncaller = 127.0.0.1:0\npeer = 127.0.0.1:0\n\
+         [platform]\nlog = {}\nhosts = {}\n[peer]\nsecret = capacity\n\
+         [drain]\nwait-ms = 1\nlimit-ms = 1000\n",
+        view.log, view.list
+    );
+    HostSettings::parse("capacity", &text).map_err(host_fault)
+}
+
+async fn wait_ready(client: &HttpClient, address: SocketAddr) -> Result<(), MeasureError> {
+    let limit = Instant::now() + START_LIMIT;
+    while Instant::now() < limit {
+        let status: HostStatus = get(client, address, "/v1/status").await?;
+        if status.ready {
+            return Ok(());
+        }
+        sleep(POLL_PAUSE).await;
+    }
+    Err(host_fault("the host did not become ready"))
+}
+
+async fn submit(client: &HttpClient, address: SocketAddr, number: u32) -> Result<(), MeasureError> {
+    let job = JobSubmission {
+        class: "gang".into(),
+        customer: format!("team-{:03}", number % CUSTOMERS),
+        id: format!("job-{number}"),
+        start_within_ms: None,
+        zone: None,
+    };
+    let answer = client
+        .exchange_json(address, Method::POST, "/v1/jobs", Some(&job), TIMEOUT)
+        .await;
+    let _: JobStatus = answer.map_err(host_fault)?;
+    Ok(())
+}
+
+async fn wait_running(
+    client: &HttpClient,
+    address: SocketAddr,
+    jobs: u32,
+) -> Result<(), MeasureError> {
+    let limit = Instant::now() + START_LIMIT;
+    let mut running = 0;
+    while Instant::now() < limit {
+        running = 0;
+        for number in 0..jobs {
+            let path = format!("/v1/jobs/job-{number}");
+            let status: JobStatus = get(client, address, &path).await?;
+            running += u32::from(status.phase == JobPhase::Running);
+        }
+        if running == jobs {
+            return Ok(());
+        }
+        sleep(POLL_PAUSE).await;
+    }
+    Err(host_fault(format!("only {running} of {jobs} jobs run")))
+}
+
+async fn get<T: serde::de::DeserializeOwned>(
+    client: &HttpClient,
+    address: SocketAddr,
+    path: &str,
+) -> Result<T, MeasureError> {
+    let answer = client
+        .exchange_json(address, Method::GET, path, None::<&()>, TIMEOUT)
+        .await;
+    answer.map_err(host_fault)
+}
--- a/crates/measure/src/error.rs
+++ b/crates/measure/src/error.rs
@@ -25,6 +25,12 @@
         /// Its faults.
         faults: FolderFaults,
     },
+    /// An entry host could not be measured.
+    #[error("entry host: {reason}; run again on a less busy machine")]
+    Host {
+        /// What went wrong.
+        reason: String,
+    },
     /// A plot could not be drawn.
     #[error("plot {path}: {reason}; check that the folder can be written")]
     Plot {
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use flamingowalk_measure::capacity;
 use flamingowalk_measure::error::MeasureError;
 use flamingowalk_measure::policy::{self, PolicyChoice};
 
@@ -25,6 +26,17 @@
         )]
         output: PathBuf,
     },
+    /// Measure processor time, memory and bytes of the real pieces at several sizes
+    #[bpaf(command)]
+    Capacity {
+        /// Folder for the table and its plots
+        #[bpaf(
+            argument("FOLDER"),
+            fallback(PathBuf::from("docs/measurements")),
+            debug_fallback
+        )]
+        output: PathBuf,
+    },
 }
 
 /// Which cases to run.
@@ -71,5 +83,6 @@
 fn run(command: MeasureCommand) -> Result<(), MeasureError> {
     match command {
         MeasureCommand::Policy { choice, output } => policy::measure(&choice.into(), &output),
+        MeasureCommand::Capacity { output } => capacity::measure(&output),
     }
 }
--- a/crates/measure/src/plot.rs
+++ b/crates/measure/src/plot.rs
@@ -22,7 +22,7 @@
 }
 
 /// One point of a line.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlotPoint {
     /// Value on the horizontal axis.
     pub x: f64,
--- a/crates/measure/src/policy.rs
+++ b/crates/measure/src/policy.rs
@@ -8,6 +8,7 @@
 mod guaranteed_claim;
 mod job_outcome;
 mod page;
+pub mod recording;
 mod virtual_worker;
 mod workload;
 mod zone_run;
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -4,6 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use crate::traffic::TrafficCount;
+
 /// Locks a mutex whose state stays valid even if a holder panicked.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -45,6 +47,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct FaultSwitches {
     plan: Arc<Mutex<FaultPlan>>,
+    traffic: TrafficCount,
 }
 
 impl FaultSwitches {
@@ -82,6 +85,11 @@
         lock(&self.plan).received
     }
 
+    /// Bytes of all connections so far.
+    pub fn traffic(&self) -> &TrafficCount {
+        &self.traffic
+    }
+
     /// Connections accepted so far.
     pub fn accepted(&self) -> u64 {
         lock(&self.plan).accepted
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,10 +8,12 @@
 mod log;
 mod reply;
 mod server;
+mod traffic;
 mod worker;
 
 pub use error::StandinError;
 pub use fault::FaultSwitches;
 pub use hosts::HostsStandin;
 pub use log::LogStandin;
+pub use traffic::TrafficCount;
 pub use worker::{RunTime, TaskTest, WorkerOptions, WorkerStandin, WorkerState};
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -20,6 +20,7 @@
 use crate::error::StandinError;
 use crate::fault::{FaultSwitches, RequestFate};
 use crate::reply::Reply;
+use crate::traffic::CountedStream;
 
 /// Pause after a failed accept, so that a lack of file handles does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -121,10 +122,14 @@
     H: Fn(WholeRequest) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Reply> + Send + 'static,
 {
+    let counted = CountedStream {
+        stream,
+        count: faults.traffic().clone(),
+    };
     let service = service_fn(move |request| answer(request, id, faults.clone(), handle.clone()));
     // An error here is a closed connection, which the client sees by itself.
     let _: Result<(), hyper::Error> = http1::Builder::new()
-        .serve_connection(TokioIo::new(stream), service)
+        .serve_connection(TokioIo::new(counted), service)
         .await;
 }
 
--- a/crates/standin/tests/contract/log.rs
+++ b/crates/standin/tests/contract/log.rs
@@ -26,6 +26,18 @@
     }
 }
 
+#[tokio::test]
+async fn traffic_counts_bytes() {
+    let log = LogStandin::start().await.unwrap();
+    let mut client = TestClient::connect(log.address()).await;
+    let text = serde_json::to_vec(&request(9)).unwrap();
+    client.post(APPEND, &request(9)).await.unwrap();
+    let traffic = log.faults().traffic();
+    let head = traffic.received() - text.len() as u64;
+    assert!((30..300).contains(&head), "head of {head} bytes");
+    assert!(traffic.sent() > 100);
+}
+
 #[tokio::test]
 async fn append_offsets_follow_on() {
     let log = LogStandin::start().await.unwrap();
