--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -2,6 +2,7 @@
 //! gives the same decisions for the same seed.
 
 pub mod calls;
+pub mod capacity;
 pub mod error;
 pub mod plot;
 pub mod policy;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -5,6 +5,7 @@
 
 use bpaf::Bpaf;
 use flamingowalk_measure::calls;
+use flamingowalk_measure::capacity;
 use flamingowalk_measure::error::MeasureError;
 use flamingowalk_measure::policy::{self, PolicyChoice};
 
@@ -43,6 +44,17 @@
         )]
         page: PathBuf,
     },
+    /// Measure processor time, memory and bytes of the real pieces at several sizes
+    #[bpaf(command)]
+    Capacity {
+        /// Folder for the table and its plots
+        #[bpaf(
+            argument("FOLDER"),
+            fallback(PathBuf::from("docs/measurements")),
+            debug_fallback
+        )]
+        output: PathBuf,
+    },
 }
 
 /// Which cases to run.
@@ -94,5 +106,6 @@
             seconds,
             page,
         } => Ok(calls::measure(seed, seconds, &page)?),
+        MeasureCommand::Capacity { output } => Ok(capacity::measure(&output)?),
     }
 }
