Follower reads on at once at the tail; hosts agree after true loss; recovery measured

Cause: the measurement of a burst showed 501 to 512 ms until one acceptance was read back: each read at the tail came half a second after the last answer, since an edit for long polls had not taken; a start waited a second for its probe. With the timing changed, the fault pair of silent reads and retention showed hosts that disagreed about the version in force for good.

Tests: the next read after an answer, agreement of two books; the failing pair passes unchanged.

--- a/crates/core/src/process/config_book.rs
+++ b/crates/core/src/process/config_book.rs
@@ -28,6 +28,8 @@
     Unreadable(ConfigVersion),
     /// The version was adopted before, from a peer or a snapshot.
     Known(ConfigVersion),
+    /// Adoption waits for a snapshot, since records were lost.
+    Held(ConfigVersion),
     /// Nothing.
     Void(ConfigVoid),
 }
@@ -60,6 +62,8 @@
     /// Whether records before the first one read are missing, so that its base
     /// cannot be judged.
     is_start_unknown: bool,
+    /// Whether adoption waits for a snapshot, since records were lost for good.
+    is_held: bool,
 }
 
 /// Version of the configuration record at an offset.
@@ -137,22 +141,31 @@
     }
 
     /// Takes the version in force from a snapshot. Its base was judged by the
-    /// writer, which had read the records before it.
+    /// writer, which had read the records before it. After records were lost the
+    /// snapshot may know less than this book: the version in force is then the
+    /// snapshot's, for all hosts alike, while the adopted one stays.
     pub fn restore(&mut self, records: &[StoredEntry]) -> Vec<ConfigChange> {
-        let configs = records
-            .iter()
-            .filter(|record| version_at(record.offset) > self.head);
-        let mut newest: Vec<&StoredEntry> = configs.collect();
-        newest.sort_by_key(|record| record.offset);
-        newest
+        let is_config = |record: &&StoredEntry| matches!(record.entry, LogEntry::Config(_));
+        let mut configs: Vec<&StoredEntry> = records.iter().filter(is_config).collect();
+        configs.sort_by_key(|record| record.offset);
+        self.is_start_unknown = false;
+        self.is_held = false;
+        self.head_record = configs.last().copied().cloned();
+        let head = self.head_record.as_ref();
+        self.head = head.map_or(ConfigVersion(0), |record| version_at(record.offset));
+        configs
             .into_iter()
-            .filter_map(|record| match &record.entry {
-                LogEntry::Config(entry) => Some(self.advance(record, entry)),
-                _ => None,
-            })
+            .filter_map(|record| self.learn(record))
             .collect()
     }
 
+    /// Notes that records were lost for good. The next record counts whatever its
+    /// base, and nothing is adopted before a snapshot says what all hosts hold.
+    pub fn lose_records(&mut self) {
+        self.is_start_unknown = true;
+        self.is_held = true;
+    }
+
     /// Records from which the version in force can be restored: the newest, and
     /// the newest readable one when that is another.
     pub fn live_entries(&self) -> Vec<StoredEntry> {
@@ -190,6 +203,9 @@
         if version <= self.adopted_version() {
             return ConfigChange::Known(version);
         }
+        if self.is_held {
+            return ConfigChange::Held(version);
+        }
         self.adopt(record, entry)
     }
 
--- a/crates/core/src/process/log_follower.rs
+++ b/crates/core/src/process/log_follower.rs
@@ -94,6 +94,8 @@
         from: LogOffset,
         /// Most records wanted.
         limit: u32,
+        /// Time for which the log may hold the read until there is a record.
+        wait: Duration,
         /// Whether to open a new connection: one before it may have gone silent.
         is_connection_new: bool,
     },
@@ -146,6 +148,8 @@
 struct PendingRead {
     from: LogOffset,
     limit: u32,
+    /// Time for which the log may hold it.
+    wait: Duration,
     sent_at: MonotonicTime,
 }
 
@@ -261,12 +265,11 @@
             FollowMode::Seeking(_) => self.seek(now, &pending, &page, actions),
         };
         if is_active {
-            let wait = if has_more {
-                Duration::ZERO
-            } else {
-                POLL_INTERVAL
-            };
-            self.read_at = now + wait;
+            // The first read after catching up waits at the tail by itself.
+            let is_first_wait = pending.wait.is_zero() && self.caught_up_at.is_some();
+            let next_poll = pending.sent_at + POLL_INTERVAL;
+            let is_at_once = has_more || is_first_wait;
+            self.read_at = if is_at_once { now } else { now.max(next_poll) };
         }
     }
 
@@ -413,6 +416,7 @@
         let pending = PendingRead {
             from,
             limit,
+            wait: self.tail_wait(),
             sent_at: now,
         };
         self.pending.insert(read, pending);
@@ -421,10 +425,20 @@
             read,
             from,
             limit,
+            wait: self.tail_wait(),
             is_connection_new: is_impatient,
         });
     }
 
+    /// A follower that has to catch up asks for what there is.
+    fn tail_wait(&self) -> Duration {
+        if self.caught_up_at.is_some() {
+            TAIL_WAIT
+        } else {
+            Duration::ZERO
+        }
+    }
+
     fn drop_oldest(&mut self, actions: &mut Vec<FollowerAction>) {
         while self.pending.len() >= READ_LIMIT {
             if let Some((read, _)) = self.pending.pop_first() {
--- a/crates/core/src/process/snapshot.rs
+++ b/crates/core/src/process/snapshot.rs
@@ -220,6 +220,12 @@
         }
     }
 
+    /// Forgets what was seen: no snapshot in the log is of use any more.
+    pub fn reset(&mut self) {
+        self.seen = SnapshotCollector::default();
+        self.written_at = None;
+    }
+
     /// Newest complete snapshot seen, without its records.
     pub fn newest(&self) -> Option<&Snapshot> {
         self.seen.newest()
--- a/crates/core/tests/log/books.rs
+++ b/crates/core/tests/log/books.rs
@@ -283,6 +283,51 @@
     assert_eq!(book.head(), ConfigVersion(3));
 }
 
+/// Two hosts that lost different records agree on the snapshot's version in force;
+/// neither adopts anything older than it has, and nothing between loss and snapshot.
+#[test]
+fn config_book_agrees_after_loss() {
+    let mut log = log_of(vec![config(ConfigVersion(0), &settings_text("0.1"))]);
+    log.append(
+        &RecordId::from("second"),
+        config(ConfigVersion(1), &settings_text("0.2")),
+    );
+    let mut behind = ConfigBook::default();
+    behind.apply(&log.records[0]);
+    let mut ahead = behind.clone();
+    ahead.apply(&log.records[1]);
+    log.append(
+        &RecordId::from("gap"),
+        config(ConfigVersion(9), &settings_text("0.4")),
+    );
+    for book in [&mut behind, &mut ahead] {
+        book.lose_records();
+    }
+    let snapshot = behind.live_entries();
+    let held = ahead.apply(&log.records[2]);
+    assert_eq!(
+        held,
+        Some(ConfigChange::Held(version_at(log.records[2].offset)))
+    );
+    for book in [&mut behind, &mut ahead] {
+        book.restore(&snapshot);
+        assert_eq!(book.head(), ConfigVersion(1));
+    }
+    assert_eq!(behind.adopted_version(), ConfigVersion(1));
+    assert_eq!(ahead.adopted_version(), ConfigVersion(2));
+    log.append(
+        &RecordId::from("next"),
+        config(ConfigVersion(1), &settings_text("0.5")),
+    );
+    let next = log.records.last().expect("a record");
+    for book in [&mut behind, &mut ahead] {
+        assert_eq!(
+            book.apply(next),
+            Some(ConfigChange::Adopted(version_at(next.offset)))
+        );
+    }
+}
+
 #[test]
 fn config_history_starts_at_snapshot() {
     let mut log = log_of(vec![
--- a/crates/core/tests/log/faults.rs
+++ b/crates/core/tests/log/faults.rs
@@ -297,7 +297,10 @@
             }
             FollowerAction::RestoreAbandoned { .. } => {
                 assert!(self.is_loss_expected(), "a snapshot was to be had");
-                self.hosts[host].is_complete = true;
+                let state = &mut self.hosts[host];
+                state.is_complete = true;
+                state.books.config.lose_records();
+                state.schedule.reset();
             }
         }
         let adopted = self.hosts[host].books.config.adopted_version();
--- a/crates/core/tests/log/follower.rs
+++ b/crates/core/tests/log/follower.rs
@@ -4,6 +4,7 @@
 use flamingowalk_core::process::log_follower::snapshot_seek::SNAPSHOT_WAIT;
 use flamingowalk_core::process::log_follower::{
     FollowerAction, FollowerEvent, LogFollower, PAGE_RECORDS, POLL_INTERVAL, ReadFault, ReadId,
+    TAIL_WAIT,
 };
 use flamingowalk_core::process::record::{LogEntry, LogOffset};
 use flamingowalk_core::process::snapshot::{chunk_id, cut_snapshot};
@@ -121,6 +122,28 @@
     assert!(reader.follower.caught_up_at() > before);
 }
 
+/// Reads follow each other at once on a log that waits at its tail, and at the
+/// poll interval on one that does not.
+#[test]
+fn follow_next_read() {
+    let log = filled(3);
+    let mut reader = Reader::new();
+    reader.run(&log, Duration::from_secs(2));
+    for (held, gap) in [(TAIL_WAIT, Duration::ZERO), (Duration::ZERO, POLL_INTERVAL)] {
+        while reader.open.is_empty() {
+            reader.pass(TICK);
+        }
+        let sent = reader.now;
+        let read = *reader.open.keys().next().expect("a read");
+        reader.now = sent + held;
+        reader.answer(&log, read);
+        while reader.open.is_empty() {
+            reader.pass(TICK);
+        }
+        assert_eq!(reader.now, sent + held + gap);
+    }
+}
+
 /// A late answer proves no more than what the log held when the read was sent.
 #[test]
 fn follow_caught_up_counts_from_request() {
--- a/crates/measure/src/error.rs
+++ b/crates/measure/src/error.rs
@@ -25,6 +25,12 @@
         /// Its faults.
         faults: FolderFaults,
     },
+    /// A stand-in or a stream did not run as it should.
+    #[error("stand-in: {reason}; run again on a less busy machine")]
+    Standin {
+        /// What went wrong.
+        reason: String,
+    },
     /// A plot could not be drawn.
     #[error("plot {path}: {reason}; check that the folder can be written")]
     Plot {
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod error;
 pub mod plot;
 pub mod policy;
+pub mod recovery;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -5,7 +5,7 @@
 
 use bpaf::Bpaf;
 use flamingowalk_measure::error::MeasureError;
-use flamingowalk_measure::policy;
+use flamingowalk_measure::{policy, recovery};
 
 /// A measurement to run.
 #[derive(Bpaf, Clone, Debug)]
@@ -29,6 +29,17 @@
         )]
         output: PathBuf,
     },
+    /// Measure records, catching up and starts from the log, and print them
+    #[bpaf(command)]
+    Recovery {
+        /// Folder with the example folders
+        #[bpaf(
+            argument("FOLDER"),
+            fallback(PathBuf::from("examples")),
+            debug_fallback
+        )]
+        examples: PathBuf,
+    },
 }
 
 fn main() -> ExitCode {
@@ -44,5 +55,6 @@
 fn run(command: MeasureCommand) -> Result<(), MeasureError> {
     match command {
         MeasureCommand::Policy { seed, days, output } => policy::measure(seed, days, &output),
+        MeasureCommand::Recovery { examples } => recovery::measure(&examples),
     }
 }
--- /dev/null
+++ b/crates/measure/src/recovery/record_size.rs
@@ -0,0 +1,183 @@
+//! Records and bytes of one job and of one configuration, as they are appended
+//! and as every host reads them.
+
+use std::fmt::Write as _;
+use std::path::Path;
+
+use flamingowalk_core::prelude::*;
+use flamingowalk_core::process::planner::action::JobEnding;
+use flamingowalk_core::process::planner::event::SeatTerm;
+use flamingowalk_core::process::record::{
+    AcceptedEntry, CancelledEntry, ConfigEntry, EndedEntry, LogEntry, StartedEntry,
+};
+use flamingowalk_core::version::settings::ConfigVersion;
+use flamingowalk_core::version::{
+    FolderFile, MergedFolder, check_folder, content_hash, merge_folder,
+};
+use flamingowalk_node::border::log::StoredRecord;
+use flamingowalk_node::border::records::write_record;
+
+use crate::error::MeasureError;
+
+/// A time of 13 digits, as Unix milliseconds have today.
+const WALL: WallTime = WallTime(1_800_000_000_000);
+/// Customers of the letter's size.
+const TARGET_CUSTOMERS: u32 = 58;
+/// Zones of the letter's size.
+const TARGET_ZONES: u32 = 8;
+/// Job classes that are declared at the letter's size.
+const TARGET_CLASSES: u32 = 40;
+
+/// Records of one job.
+pub fn job_entries(number: usize, members: usize, is_cancelled: bool) -> Vec<LogEntry> {
+    let job = JobId::from(format!("order-2027-{number:08}"));
+    let zone = ZoneName::from("maribor-a");
+    let term = SeatTerm(1_234);
+    let mut entries = vec![LogEntry::JobAccepted(AcceptedEntry {
+        job: job.clone(),
+        customer: "lope-savinja".into(),
+        class: "night-render".into(),
+        zone: zone.clone(),
+        config: ConfigVersion(123_456),
+        accepted_at: WALL,
+        start_before: None,
+    })];
+    entries.extend(is_cancelled.then(|| {
+        LogEntry::JobCancelled(CancelledEntry {
+            job: job.clone(),
+            requested_at: WALL,
+        })
+    }));
+    let worker = |index| WorkerName::from(format!("maribor-a-r{}-w{}", index / 8, index % 8));
+    entries.push(LogEntry::JobStarted(StartedEntry {
+        job: job.clone(),
+        attempt: 1,
+        term,
+        zone,
+        workers: (0..members).map(worker).collect(),
+        started_at: WALL,
+    }));
+    entries.push(LogEntry::JobEnded(EndedEntry {
+        job,
+        ending: JobEnding::Finished,
+        term,
+        ended_at: WALL,
+    }));
+    entries
+}
+
+/// Bytes of a record as it is read.
+pub fn stored_bytes(entry: &LogEntry) -> usize {
+    let id = RecordId::from("maribor-a-entry1/1800000000000/123456");
+    let stored = StoredRecord {
+        offset: 123_456,
+        appended_at_ms: WALL.0,
+        record: write_record(&id, entry),
+    };
+    serde_json::to_vec(&stored).map_or(0, |text| text.len())
+}
+
+/// Records and bytes of a job by the size of its gang.
+pub fn job_table() -> String {
+    let mut text =
+        String::from("| job | records | bytes read by each host |\n| --- | --- | --- |\n");
+    for (name, members, is_cancelled) in [
+        ("one task", 1, false),
+        ("gang of 4", 4, false),
+        ("gang of 32", 32, false),
+        ("one task, cancelled while it runs", 1, true),
+    ] {
+        let entries = job_entries(1, members, is_cancelled);
+        let bytes: usize = entries.iter().map(stored_bytes).sum();
+        let _ = writeln!(text, "| {name} | {} | {bytes} |", entries.len());
+    }
+    text
+}
+
+/// Bytes of a configuration by the size of the folder.
+///
+/// # Errors
+/// A [`MeasureError`] when an example cannot be read.
+pub fn config_table(examples: &Path) -> Result<String, MeasureError> {
+    let mut text =
+        String::from("| folder | sections | bytes of its record |\n| --- | --- | --- |\n");
+    for name in ["podlaga", "escolta"] {
+        let merged = read_example(&examples.join(name))?;
+        add_config(&mut text, name, &merged);
+    }
+    let target = merged(&target_folder(), examples)?;
+    let name =
+        format!("{TARGET_ZONES} zones, {TARGET_CUSTOMERS} customers, {TARGET_CLASSES} classes");
+    add_config(&mut text, &name, &target);
+    Ok(text)
+}
+
+fn add_config(text: &mut String, name: &str, merged: &MergedFolder) {
+    let settings = merged.to_string();
+    let bytes = stored_bytes(&LogEntry::Config(ConfigEntry {
+        base: ConfigVersion(123_456),
+        content_hash: content_hash(&settings),
+        settings: Arc::from(settings),
+        publisher: "operator".to_owned(),
+    }));
+    let sections = merged.sections.len();
+    let _ = writeln!(text, "| {name} | {sections} | {bytes} |");
+}
+
+fn read_example(folder: &Path) -> Result<MergedFolder, MeasureError> {
+    let failed = |source| MeasureError::File {
+        path: folder.to_owned(),
+        source,
+    };
+    let mut files = Vec::new();
+    for entry in std::fs::read_dir(folder).map_err(failed)? {
+        let entry = entry.map_err(failed)?;
+        files.push(FolderFile {
+            name: entry.file_name().to_string_lossy().into_owned(),
+            text: std::fs::read_to_string(entry.path()).map_err(failed)?,
+        });
+    }
+    merged(&files, folder)
+}
+
+fn merged(files: &[FolderFile], folder: &Path) -> Result<MergedFolder, MeasureError> {
+    let faulty = |faults| MeasureError::Folder {
+        path: folder.to_owned(),
+        faults,
+    };
+    let merged = merge_folder(files).map_err(faulty)?;
+    check_folder(&merged).map_err(faulty)?;
+    Ok(merged)
+}
+
+/// A folder of the letter's size: one guarantee for each customer.
+fn target_folder() -> Vec<FolderFile> {
+    let mut text = String::from("[service plan]\ndefault-deadline-ms = 5000\nmax-body-kb = 512\n");
+    for zone in 0..TARGET_ZONES {
+        let _ = write!(
+            text,
+            "[zone region-zone-{zone}]\nregion = region\nracks = 7\nworkers-per-rack = 8\n\
+             accelerators-per-worker = 2\ncores-per-worker = 32\nmemory-gb-per-worker = 64\n\
+             slots-per-worker = 8\nconnections-per-worker = 64\n"
+        );
+    }
+    for customer in 0..TARGET_CUSTOMERS {
+        let zone = customer % TARGET_ZONES;
+        let _ = write!(
+            text,
+            "[customer team-{customer}]\nweight = 2\nmax-calls = 64\nmax-queued-jobs = 100\n\
+             [guarantee team-{customer} base]\nzone = region-zone-{zone}\nblocks = 2\n\
+             size = 2\nadjacent = worker\n"
+        );
+    }
+    for class in 0..TARGET_CLASSES {
+        let _ = write!(
+            text,
+            "[job class-{class}]\nservice = plan\ntasks = 4\naccelerators = 1\ncores = 4\n\
+             memory-gb = 8\nadjacent = rack\nrun-time = 4h\npriority = normal\n\
+             idempotent = yes\ncheckpoint = yes\nattempts = 3\n"
+        );
+    }
+    let name = "all.ini".to_owned();
+    vec![FolderFile { name, text }]
+}
--- a/crates/node/src/process/log_events.rs
+++ b/crates/node/src/process/log_events.rs
@@ -109,6 +109,9 @@
         LogNotice::Abandoned { first } => {
             log::warn!(stream = stream.name().as_str();
                 "no snapshot came; the state begins anew at {first}");
+            if *stream == LogStream::Config {
+                state.config.lose_records();
+            }
         }
         LogNotice::NotWritten { id, reason } => state.jobs.refuse(&id, &reason),
         LogNotice::Doubtful { id } => state.jobs.doubt(&id),
@@ -160,7 +163,7 @@
 ) {
     match change {
         ConfigChange::Adopted(_) => adopt_config(state, actions),
-        ConfigChange::Known(_) => {}
+        ConfigChange::Known(_) | ConfigChange::Held(_) => {}
         ConfigChange::Unreadable(version) => {
             skip(&LogStream::Config, "unreadable");
             log::warn!(host = state.settings.name.as_str(), version = version.0;
--- a/crates/node/src/process/log_link.rs
+++ b/crates/node/src/process/log_link.rs
@@ -5,7 +5,7 @@
 
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::log_appender::{AppendFault, AppendId};
-use flamingowalk_core::process::log_follower::{ReadFault, ReadId, TAIL_WAIT};
+use flamingowalk_core::process::log_follower::{ReadFault, ReadId};
 use metrics::counter;
 use tokio::task::{AbortHandle, spawn_local};
 
@@ -58,6 +58,7 @@
                 read,
                 from,
                 limit,
+                wait,
                 is_connection_new,
             } => {
                 if is_connection_new {
@@ -67,7 +68,7 @@
                 let request = ReadRequest {
                     from: from.0,
                     limit,
-                    wait: TAIL_WAIT,
+                    wait,
                     timeout: ANSWER_TIME,
                 };
                 self.read(read, request);
--- a/crates/node/src/process/log_port.rs
+++ b/crates/node/src/process/log_port.rs
@@ -36,6 +36,8 @@
         from: LogOffset,
         /// Most records wanted.
         limit: u32,
+        /// Time for which the log may hold the read.
+        wait: Duration,
         /// Whether to open a new connection.
         is_connection_new: bool,
     },
@@ -289,11 +291,13 @@
                 read,
                 from,
                 limit,
+                wait,
                 is_connection_new,
             } => self.requests.push(LogRequest::Read {
                 read,
                 from,
                 limit,
+                wait,
                 is_connection_new,
             }),
             FollowerAction::GiveUp { read } => self.requests.push(LogRequest::GiveUp { read }),
@@ -313,6 +317,7 @@
                 self.notices.push(LogNotice::Restored(snapshot));
             }
             FollowerAction::RestoreAbandoned { first } => {
+                self.schedule.reset();
                 self.notices.push(LogNotice::Abandoned { first });
             }
         }
