--- a/crates/measure/src/recovery/stream_run.rs
+++ b/crates/measure/src/recovery/stream_run.rs
@@ -280,6 +280,8 @@
     let mut text = String::from(
         "| jobs in the book | KB of memory more | bytes per job |\n| --- | --- | --- |\n",
     );
+    // Kept to the end, so that no case takes the memory that another gave back.
+    let mut kept = Vec::new();
     for (jobs, members) in [(20_000, 1), (20_000, 4)] {
         let records = records_of(live_entries(jobs, members).into_iter());
         let before = resident_bytes();
@@ -299,6 +301,7 @@
             more / 1_024,
             more / jobs as u64
         );
+        kept.push((records, book));
     }
     text
 }
