--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,23 +4,39 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use flamingowalk_measure::calls::{self, CallMeasureError};
 use flamingowalk_measure::error::MeasureError;
-use flamingowalk_measure::{policy, recovery};
+use flamingowalk_measure::policy::{self, PolicyChoice};
+use flamingowalk_measure::recovery;
+use thiserror::Error;
 
 /// A measurement to run.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
 /// Measure the scheduler; run from the root of the repository
 enum MeasureCommand {
-    /// Drive the planner with the arrivals of both examples on a virtual clock
+    /// Send calls over loopback through an entry host to stand-in workers
     #[bpaf(command)]
-    Policy {
-        /// Seed of arrivals and faults
+    Calls {
+        /// Seed of arrivals and choices
         #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
         seed: u64,
-        /// Days of arrivals
-        #[bpaf(argument("DAYS"), fallback(1), display_fallback)]
-        days: u32,
+        /// Seconds of each run
+        #[bpaf(argument("SECONDS"), fallback(8), display_fallback)]
+        seconds: u64,
+        /// Page to write
+        #[bpaf(
+            argument("FILE"),
+            fallback(PathBuf::from("docs/measurements/CALLS.md")),
+            debug_fallback
+        )]
+        output: PathBuf,
+    },
+    /// Drive the planner with the arrivals of both examples on a virtual clock
+    #[bpaf(command)]
+    Policy {
+        #[bpaf(external(policy_options))]
+        choice: PolicyOptions,
         /// Folder for the page and its plots
         #[bpaf(
             argument("FOLDER"),
@@ -42,6 +58,48 @@
     },
 }
 
+/// Which cases to run.
+#[derive(Bpaf, Clone, Debug)]
+struct PolicyOptions {
+    /// Seed of arrivals and faults
+    #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Days of arrivals
+    #[bpaf(argument("DAYS"), fallback(1), display_fallback)]
+    days: u32,
+    /// Only this example; prints in place of writing the page
+    #[bpaf(argument("NAME"), optional)]
+    example: Option<String>,
+    /// Only this load; prints in place of writing the page
+    #[bpaf(argument("SHARE"), optional)]
+    load: Option<f64>,
+    /// Only the planner as it is; prints in place of writing the page
+    current: bool,
+}
+
+impl From<PolicyOptions> for PolicyChoice {
+    fn from(options: PolicyOptions) -> Self {
+        Self {
+            seed: options.seed,
+            days: options.days,
+            example: options.example,
+            load: options.load,
+            only_current: options.current,
+        }
+    }
+}
+
+/// Why a measurement gave no page.
+#[derive(Debug, Error)]
+enum CommandError {
+    /// The measurement of the planner or of recovery.
+    #[error(transparent)]
+    Policy(#[from] MeasureError),
+    /// The measurement of calls.
+    #[error(transparent)]
+    Calls(#[from] CallMeasureError),
+}
+
 fn main() -> ExitCode {
     match run(measure_command().run()) {
         Ok(()) => ExitCode::SUCCESS,
@@ -52,9 +110,15 @@
     }
 }
 
-fn run(command: MeasureCommand) -> Result<(), MeasureError> {
+fn run(command: MeasureCommand) -> Result<(), CommandError> {
     match command {
-        MeasureCommand::Policy { seed, days, output } => policy::measure(seed, days, &output),
-        MeasureCommand::Recovery { examples } => recovery::measure(&examples),
+        MeasureCommand::Policy { choice, output } => policy::measure(&choice.into(), &output)?,
+        MeasureCommand::Calls {
+            seed,
+            seconds,
+            output,
+        } => calls::measure(seed, seconds, &output)?,
+        MeasureCommand::Recovery { examples } => recovery::measure(&examples)?,
     }
+    Ok(())
 }
