--- a/crates/measure/src/capacity/wire_bytes.rs
+++ b/crates/measure/src/capacity/wire_bytes.rs
@@ -132,10 +132,7 @@
     let digest = ZoneDigest {
         config_version: 1_000_000,
         draining: false,
-        free_accelerators: 84,
-        free_slots: 440,
         host: "region-3-zone-b-entry1".into(),
-        largest_block: 32,
         leaving: names.collect(),
         queued_jobs: 1_000,
         seat_term: 1_000_000,
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod error;
 pub mod plot;
 pub mod policy;
+pub mod recovery;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -8,6 +8,7 @@
 use flamingowalk_measure::capacity;
 use flamingowalk_measure::error::MeasureError;
 use flamingowalk_measure::policy::{self, PolicyChoice};
+use flamingowalk_measure::recovery;
 
 /// A measurement to run.
 #[derive(Bpaf, Clone, Debug)]
@@ -55,6 +56,17 @@
         )]
         output: PathBuf,
     },
+    /// Measure records, catching up and starts from the log, and print them
+    #[bpaf(command)]
+    Recovery {
+        /// Folder with the example folders
+        #[bpaf(
+            argument("FOLDER"),
+            fallback(PathBuf::from("examples")),
+            debug_fallback
+        )]
+        examples: PathBuf,
+    },
 }
 
 /// Which cases to run.
@@ -107,5 +119,6 @@
             page,
         } => Ok(calls::measure(seed, seconds, &page)?),
         MeasureCommand::Capacity { output } => Ok(capacity::measure(&output)?),
+        MeasureCommand::Recovery { examples } => Ok(recovery::measure(&examples)?),
     }
 }
--- a/crates/node/src/process/log_events.rs
+++ b/crates/node/src/process/log_events.rs
@@ -111,6 +111,8 @@
                 "no snapshot came; the state begins anew at {first}");
             if is_seat {
                 state.seat.lose_past(now);
+            } else if *stream == LogStream::Config {
+                state.config.lose_records();
             }
         }
         LogNotice::NotWritten { id, reason } => state.jobs.refuse(&id, &reason),
@@ -163,7 +165,7 @@
 ) {
     match change {
         ConfigChange::Adopted(_) => adopt_config(state, actions),
-        ConfigChange::Known(_) => {}
+        ConfigChange::Known(_) | ConfigChange::Held(_) => {}
         ConfigChange::Unreadable(version) => {
             skip(&LogStream::Config, "unreadable");
             log::warn!(host = state.settings.name.as_str(), version = version.0;
