--- a/crates/node/src/process/log_events.rs
+++ b/crates/node/src/process/log_events.rs
@@ -95,7 +95,6 @@
 ) {
     let now = state.clock.now();
     let is_seat = matches!(stream, LogStream::Seat(_));
-    note_health(state, stream, &notice);
     match notice {
         LogNotice::Record(record) => take_record(state, stream, &record, actions),
         LogNotice::CaughtUp { sent_at } if is_seat => {
@@ -116,18 +115,6 @@
     }
 }
 
-/// Keeps whether the log answers, which readiness looks at.
-fn note_health(state: &mut HostState, stream: &LogStream, notice: &LogNotice) {
-    let Some(streamed) = state.streams.get_mut(stream) else {
-        return;
-    };
-    match notice {
-        LogNotice::ReadFailed => streamed.is_failing = true,
-        LogNotice::CaughtUp { .. } => streamed.is_failing = false,
-        _ => {}
-    }
-}
-
 fn take_record(
     state: &mut HostState,
     stream: &LogStream,
