--- a/crates/measure/src/error.rs
+++ b/crates/measure/src/error.rs
@@ -6,8 +6,6 @@
 use flamingowalk_core::version::FolderFaults;
 use thiserror::Error;
 
-use crate::calls::CallMeasureError;
-
 /// Failure of a measurement.
 #[derive(Debug, Error)]
 pub enum MeasureError {
@@ -47,7 +45,4 @@
         /// What went wrong.
         reason: String,
     },
-    /// The measurement of calls failed.
-    #[error(transparent)]
-    Calls(#[from] CallMeasureError),
 }
