--- a/crates/measure/src/error.rs
+++ b/crates/measure/src/error.rs
@@ -6,6 +6,8 @@
 use flamingowalk_core::version::FolderFaults;
 use thiserror::Error;
 
+use crate::calls::CallMeasureError;
+
 /// Failure of a measurement.
 #[derive(Debug, Error)]
 pub enum MeasureError {
@@ -37,6 +39,9 @@
         /// What went wrong.
         reason: String,
     },
+    /// The measurement of calls failed.
+    #[error(transparent)]
+    Calls(#[from] CallMeasureError),
     /// A plot could not be drawn.
     #[error("plot {path}: {reason}; check that the folder can be written")]
     Plot {
