--- a/crates/core/src/process/planner/lease.rs
+++ b/crates/core/src/process/planner/lease.rs
@@ -5,9 +5,12 @@
 use crate::process::planner::action::PlannerAction;
 use crate::process::planner::event::{TargetFault, TaskKey};
 use crate::process::planner::gang::{LAPSE_MARGIN, STOP_RETRY, find_member};
-use crate::process::planner::job_entry::{GangMember, JobStage, MemberState, StopPurpose};
+use crate::process::planner::job_entry::{
+    GangMember, JobEntry, JobStage, MemberState, StopPurpose,
+};
 use crate::process::planner::state::PlannerState;
 use crate::process::planner::worker_entry::RenewRequest;
+use crate::version::settings::JobPriority;
 
 /// Time between two lists of a worker that holds tasks, or did not answer.
 const BUSY_POLL: Duration = Duration::from_secs(1);
@@ -16,12 +19,22 @@
 /// Time after which a list without an answer is asked for again.
 const LIST_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Lists asked for in a second, apart from those of workers with urgent tasks. It
+/// bounds what a zone of many busy workers sends.
+const LISTS_PER_SECOND: u32 = 4;
+/// Time after which waiting jobs are looked at again although nothing changed, for
+/// what age alone decides.
+const REPASS_INTERVAL: Duration = Duration::from_secs(1);
+
 impl PlannerState {
     pub(super) fn pass_time(&mut self, now: MonotonicTime, actions: &mut Vec<PlannerAction>) {
         if self.seat.is_none() {
             return;
         }
-        self.passed = None;
+        if now.since(self.repassed_at) >= REPASS_INTERVAL {
+            self.repassed_at = now;
+            self.passed = None;
+        }
         self.poll_lists(now, actions);
         self.lapse_members(now, actions);
         self.stop_again(now, actions);
@@ -31,8 +44,11 @@
         self.renew_leases(now, actions);
     }
 
+    /// Asks for the lists that are due, those due for longest first. Ends of tasks
+    /// that are not urgent may be noticed later where many workers are busy.
     fn poll_lists(&mut self, now: MonotonicTime, actions: &mut Vec<PlannerAction>) {
-        let due: Vec<WorkerName> = self
+        let urgent = self.urgent_workers();
+        let mut due: Vec<(MonotonicTime, WorkerName)> = self
             .workers
             .iter()
             .filter(|(_, entry)| entry.next_list <= now)
@@ -41,14 +57,35 @@
                     .list_asked
                     .is_none_or(|at| now.since(at) >= LIST_TIMEOUT)
             })
-            .map(|(name, _)| name.clone())
+            .map(|(name, entry)| (entry.next_list, name.clone()))
             .collect();
-        for worker in due {
+        due.sort();
+        let step = BUSY_POLL / LISTS_PER_SECOND;
+        let mut slot = self.list_slot.max(now - BUSY_POLL);
+        for (_, worker) in due {
+            if !urgent.contains(&worker) {
+                if slot + step > now {
+                    continue;
+                }
+                slot = slot + step;
+            }
             if let Some(entry) = self.workers.get_mut(&worker) {
                 entry.list_asked = None;
             }
             self.ask_list(now, &worker, actions);
         }
+        self.list_slot = slot;
+    }
+
+    /// Workers that hold a task of an urgent job.
+    fn urgent_workers(&self) -> BTreeSet<WorkerName> {
+        let is_urgent = |entry: &&JobEntry| {
+            let class = entry.class.as_ref();
+            class.is_some_and(|class| class.priority == JobPriority::Urgent)
+        };
+        let urgent = self.jobs.values().filter(is_urgent);
+        let members = urgent.flat_map(|entry| &entry.members);
+        members.map(|member| member.worker.clone()).collect()
     }
 
     /// Asks a worker for its tasks unless that is on its way.
--- a/crates/core/src/process/planner/reclaim.rs
+++ b/crates/core/src/process/planner/reclaim.rs
@@ -156,11 +156,12 @@
         if !need.reclaimable {
             kept_set = kept_set.union(self.plan.owned_by_others(name, &need.customer));
         }
+        let mut owed = BTreeMap::new();
         let takeable = capacity
             .holdings
             .iter()
             .filter(|(_, holding)| holding.accelerators.intersection(kept_set).is_empty())
-            .filter(|(key, holding)| self.may_take(name, capacity, need, key, holding))
+            .filter(|(key, holding)| self.may_take(name, capacity, need, key, holding, &mut owed))
             .map(|(key, holding)| TakenHolding {
                 job: key.job.clone(),
                 accelerators: holding.accelerators,
@@ -184,13 +185,15 @@
 
     /// Whether a job may take a holding: on its customer's own blocks from anybody
     /// else; an urgent one also what is borrowed, and lower work of its customer.
-    fn may_take(
-        &self,
+    /// `owed` keeps, for this worker, which customers hold no more than is theirs.
+    fn may_take<'a>(
+        &'a self,
         worker: &WorkerName,
         capacity: &WorkerCapacity,
         need: &JobNeed,
         key: &TaskKey,
         holding: &TaskHolding,
+        owed: &mut BTreeMap<&'a CustomerName, bool>,
     ) -> bool {
         let Some(victim) = self.job_of(key) else {
             return true;
@@ -213,7 +216,9 @@
         let own = self.plan.owned_by(worker, &need.customer);
         let theirs = self.plan.owned_by(worker, customer);
         if holding.accelerators.is_empty() {
-            let is_owed = self.is_within_share(capacity, customer, theirs.count());
+            let is_owed = *owed
+                .entry(customer)
+                .or_insert_with(|| self.is_within_share(capacity, customer, theirs.count()));
             return !is_owed && (is_urgent || !own.is_empty());
         }
         let is_on_own = !holding.accelerators.intersection(own).is_empty();
--- a/crates/core/src/process/planner/state.rs
+++ b/crates/core/src/process/planner/state.rs
@@ -89,6 +89,11 @@
     /// Changes of queue and ledger that the newest pass has seen; nothing if one
     /// is due in any case.
     pub(super) passed: Option<u64>,
+    /// When time alone last called for a pass.
+    pub(super) repassed_at: MonotonicTime,
+    /// Routine lists are paced by slots of equal length; the next one is not before
+    /// this time.
+    pub(super) list_slot: MonotonicTime,
     /// Steps of placement decisions so far.
     pub(super) work: u64,
     /// Events so far.
@@ -124,6 +129,8 @@
             total: TaskDemand::default(),
             estimates: EstimateTable::default(),
             passed: None,
+            repassed_at: MonotonicTime::default(),
+            list_slot: MonotonicTime::default(),
             work: 0,
             events: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
--- a/crates/core/tests/planner_gang.rs
+++ b/crates/core/tests/planner_gang.rs
@@ -262,3 +262,23 @@
     assert_eq!(zone.ending("j1"), Some(&JobEnding::Finished));
     assert_eq!(zone.start_orders.len(), 2);
 }
+
+#[test]
+fn lists_paced_in_busy_zone() {
+    let mut zone = FakeZone::new(2, 8, PlannerPolicy::FirstFit);
+    zone.open();
+    for number in 0..16 {
+        zone.submit(&format!("j{number}"), "gang");
+    }
+    zone.run();
+    zone.pass(3);
+    let mut lists = 0;
+    for _ in 0..10 {
+        zone.advance(Duration::from_secs(1));
+        zone.send(PlannerEvent::Tick);
+        let is_list = |a: &&PlannerAction| matches!(a, PlannerAction::ListTasks { .. });
+        lists += zone.pending.iter().filter(is_list).count();
+        zone.run();
+    }
+    assert_eq!(lists, 40, "four routine lists a second");
+}
--- a/crates/node/src/border/hosts.rs
+++ b/crates/node/src/border/hosts.rs
@@ -3,10 +3,11 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::planner::event::WorkerRecord;
 use flamingowalk_wire::hosts as wire;
-use hyper::Method;
+use hyper::{Method, StatusCode};
 
 use crate::connection::http_client::{ExchangeFault, HttpClient};
 
@@ -50,29 +51,55 @@
     pub workers: Vec<ListedWorker>,
     /// Entry hosts of all zones.
     pub hosts: Vec<ListedHost>,
+    /// Size of the list as sent, in bytes.
+    pub size: u64,
     /// Entries left out because their address or capacity cannot be read.
     pub malformed: u64,
 }
 
-/// Reads the list.
+/// Reads the list, unless its revision is still `known`; nothing then. A list that
+/// does not look at the revision is always read whole.
 ///
 /// # Errors
 /// An [`ExchangeFault`]; the view so far stays in use.
 pub async fn read_hosts(
     client: &HttpClient,
     address: SocketAddr,
-) -> Result<HostListing, ExchangeFault> {
-    let list: wire::HostList = client
-        .exchange_json(address, Method::GET, "/v1/hosts", None::<&()>, LIST_TIMEOUT)
-        .await?;
+    known: Option<u64>,
+) -> Result<Option<HostListing>, ExchangeFault> {
+    let path = match known {
+        Some(revision) => format!("/v1/hosts?unless-revision={revision}"),
+        None => "/v1/hosts".to_owned(),
+    };
+    let body = Bytes::new();
+    let answer = client
+        .exchange(address, Method::GET, &path, body, LIST_TIMEOUT)
+        .await;
+    let (status, text) = answer?;
+    if status == StatusCode::NOT_MODIFIED {
+        return Ok(None);
+    }
+    if !status.is_success() {
+        let body = String::from_utf8_lossy(&text).into_owned();
+        return Err(ExchangeFault::Status {
+            address,
+            status,
+            body,
+        });
+    }
+    let list: wire::HostList = serde_json::from_slice(&text).map_err(|error| {
+        let detail = error.to_string();
+        ExchangeFault::Malformed { address, detail }
+    })?;
     let mut listing = HostListing {
         revision: list.revision,
+        size: text.len() as u64,
         ..HostListing::default()
     };
     for entry in &list.hosts {
         add_entry(&mut listing, entry);
     }
-    Ok(listing)
+    Ok(Some(listing))
 }
 
 fn add_entry(listing: &mut HostListing, entry: &wire::HostEntry) {
--- a/crates/node/src/process/event_loop.rs
+++ b/crates/node/src/process/event_loop.rs
@@ -109,6 +109,9 @@
             with_port(state, &stream, actions, take);
         }
         HostEvent::HostsRead { result } => take_listing(state, result, actions),
+        HostEvent::HostsUnchanged => {
+            counter!(LIST_READS, "outcome" => "unchanged").increment(1);
+        }
         HostEvent::PlannerAnswered { term, event } => {
             let current = state
                 .planner
--- a/crates/node/src/process/host_event.rs
+++ b/crates/node/src/process/host_event.rs
@@ -110,6 +110,8 @@
         /// The listing.
         result: Result<HostListing, ExchangeFault>,
     },
+    /// The host list answered that it has not changed.
+    HostsUnchanged,
     /// A worker answered a planner action.
     PlannerAnswered {
         /// Term under which the action was sent; answers to other terms are ignored.
--- a/crates/standin/src/hosts.rs
+++ b/crates/standin/src/hosts.rs
@@ -124,5 +124,10 @@
     if request.method != Method::GET {
         return reply::empty(StatusCode::METHOD_NOT_ALLOWED);
     }
-    reply::json(StatusCode::OK, lock(history).visible())
+    let history = lock(history);
+    let list = history.visible();
+    if request.query_number("unless-revision") == Some(list.revision) {
+        return reply::empty(StatusCode::NOT_MODIFIED);
+    }
+    reply::json(StatusCode::OK, list)
 }
