Test that a follower waits at the tail as soon as it has caught up

Cause: of four further mutations only this one (no read at once after catching up) left the tests green. Change: one test for it. Conclusion: the other three were caught.

--- a/crates/core/tests/log/follower.rs
+++ b/crates/core/tests/log/follower.rs
@@ -144,6 +144,19 @@
     }
 }
 
+/// A host that has caught up waits at the tail at once.
+#[test]
+fn follow_first_wait() {
+    let log = filled(3);
+    let mut reader = Reader::new();
+    reader.pass(TICK);
+    while reader.follower.caught_up_at().is_none() {
+        let read = *reader.open.keys().next().expect("a read");
+        reader.answer(&log, read);
+    }
+    assert_eq!(reader.open.len(), 1, "the next read is out");
+}
+
 /// A late answer proves no more than what the log held when the read was sent.
 #[test]
 fn follow_caught_up_counts_from_request() {
