Starts are checked in the sending task; takeover reads the jobs first; idle zones do not wait

Causes and changes: - Authority was checked before the request's task ran. The task now checks that it outlasts the request's time; the planner pauses a little before it ends. - A planner began on any earlier reading of the jobs. It now waits for a read sent since the term is held, and begins anew when another term's start is recorded. - A drain could end before its last records were written; it waits for them. - A worker's own word that it leaves was ignored; it now counts for calls and tasks. - A job that would break a free rack waited up to ten minutes even in an idle zone: the fault table's worker cases ended after 120 s without the job's end (5 of 20 failed). Ruled out: authority, pacing of lists, stuck pauses. Waiting now needs a rack in use; before, patience_to_break_a_rack case idle_zone fails; after, 20 of 20 fault cases pass in 39 s. - A test freed a port that others could take; it keeps the port bound. Conclusion: the fault table finds policy faults as well as protocol ones.

--- a/crates/cli/tests/path_faults.rs
+++ b/crates/cli/tests/path_faults.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use flamingowalk_cli::exit::CommandFault;
 use flamingowalk_cli::try_platform::{TrialPlatform, TrialTimes, example_with};
 use flamingowalk_core::version::FolderFile;
@@ -155,6 +156,26 @@
         .sum()
 }
 
+/// State of the zone's hosts, for the message of a failure.
+async fn dump_zone(platform: &TrialPlatform) -> String {
+    let client = HttpClient::default();
+    let mut text = String::new();
+    for host in zone_hosts(platform) {
+        let answer = client
+            .exchange(
+                host,
+                Method::GET,
+                "/debug/state",
+                Bytes::new(),
+                ANSWER_LIMIT,
+            )
+            .await;
+        let body = answer.map(|(_, body)| body).unwrap_or_default();
+        text.push_str(&String::from_utf8_lossy(&body));
+    }
+    text
+}
+
 async fn wait_end(platform: &TrialPlatform, id: &str) -> JobStatus {
     let client = HttpClient::default();
     let end = Instant::now() + END_LIMIT;
@@ -170,7 +191,12 @@
         {
             return status;
         }
-        assert!(Instant::now() < end, "{id} has not ended");
+        let is_over = Instant::now() >= end;
+        assert!(
+            !is_over,
+            "{id} has not ended\n{}",
+            dump_zone(platform).await
+        );
         sleep(Duration::from_millis(100)).await;
     }
 }
--- a/crates/core/src/process/planner/room.rs
+++ b/crates/core/src/process/planner/room.rs
@@ -232,6 +232,11 @@
         if need.class.priority == JobPriority::Urgent || need.class.accelerators == 0 {
             return false;
         }
+        // Without a rack in use there is none that could take the job later.
+        let mut workers = self.ledger.workers().values();
+        if workers.all(|capacity| capacity.holdings.is_empty()) {
+            return false;
+        }
         let class = &entry.job.class;
         let expected = self
             .estimates
--- a/crates/core/src/process/planner/state.rs
+++ b/crates/core/src/process/planner/state.rs
@@ -423,7 +423,10 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(f, "planner {} {}", self.zone, self.version)?;
         match self.seat {
-            Some(seat) => writeln!(f, " {} rebuilt {}", seat.term, seat.rebuilt)?,
+            Some(seat) => {
+                let paused = if self.starts_paused { " paused" } else { "" };
+                writeln!(f, " {} rebuilt {}{paused}", seat.term, seat.rebuilt)?;
+            }
             None => writeln!(f, " no seat")?,
         }
         for (name, entry) in &self.workers {
--- a/crates/core/src/process/seat/authority.rs
+++ b/crates/core/src/process/seat/authority.rs
@@ -94,6 +94,24 @@
                 .all(|member| self.has_promise(now, times, member))
     }
 
+    /// Time at which what carries a holder now will have run out, if nothing newer
+    /// comes.
+    pub fn carried_until(&self, times: SeatTimes, tenure: &SeatTenure) -> Option<MonotonicTime> {
+        let sent_at = self.log_sent_at?;
+        let by_log = sent_at + times.t;
+        let request_of = |member| self.promises.get(&MemberRun::from(member)).copied();
+        let promises: Option<Vec<MonotonicTime>> =
+            self.needed_members(tenure).map(request_of).collect();
+        let by_w = sent_at + times.w;
+        let by_promises = promises
+            .filter(|_| self.term == tenure.term)
+            .map(|promises| {
+                let oldest = promises.into_iter().min();
+                oldest.map_or(by_w, |oldest| by_w.min(oldest + times.t))
+            });
+        Some(by_promises.map_or(by_log, |by_promises| by_log.max(by_promises)))
+    }
+
     /// Members whose promises the holder needs: those of the roster in force and
     /// those of a roster record that may be in force.
     pub fn needed_members<'a>(
--- a/crates/core/src/process/seat/state.rs
+++ b/crates/core/src/process/seat/state.rs
@@ -111,6 +111,19 @@
         self.authority.carried_by_promises(now, self.times, tenure)
     }
 
+    /// Time up to which `may_start` holds by what is known at `now`; `now` when it
+    /// does not hold. A request that leaves later needs the question asked again.
+    pub fn starts_until(&self, now: MonotonicTime) -> MonotonicTime {
+        let tenure = self.own_tenure().filter(|_| self.may_start(now));
+        let until = tenure.and_then(|tenure| self.authority.carried_until(self.times, tenure));
+        let until = until.unwrap_or(now);
+        debug_assert!(
+            until == now || !self.may_start(until),
+            "authority ends later than told"
+        );
+        until
+    }
+
     /// Whether a stopping host has nothing left to append.
     pub fn is_drained(&self) -> bool {
         self.draining && self.held_term().is_none()
--- a/crates/core/tests/planner_policy.rs
+++ b/crates/core/tests/planner_policy.rs
@@ -313,3 +313,32 @@
     zone.send(PlannerEvent::Tick);
     zone.state.work() - before
 }
+
+#[rstest]
+#[case::idle_zone(false, JobPhase::Running)]
+#[case::rack_in_use(true, JobPhase::Queued)]
+fn patience_to_break_a_rack(#[case] in_use: bool, #[case] expected: JobPhase) {
+    let run_time = Duration::from_hours(2);
+    let whole_rack = JobClass {
+        adjacency: BlockAdjacency::Rack,
+        run_time,
+        ..class(2, 8)
+    };
+    let part = JobClass {
+        adjacency: BlockAdjacency::Rack,
+        run_time,
+        ..class(1, 8)
+    };
+    let mut zone = zone_with(&[("rack", whole_rack), ("part", part)]);
+    let mut settings = zone.settings.clone();
+    settings.policy.weight = 0.0;
+    zone.settings = settings;
+    zone.adopt();
+    if in_use {
+        zone.submit("j0", "rack");
+        zone.run();
+    }
+    zone.submit("j1", "part");
+    zone.pass(3);
+    assert_eq!(zone.phase("j1"), Some(expected));
+}
--- a/crates/node/src/border/target.rs
+++ b/crates/node/src/border/target.rs
@@ -17,6 +17,9 @@
 
 /// Time a worker has for the answer to a task request.
 const TASK_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time a worker has for the answer to a reservation or a start. Nothing is sent
+/// after it, so authority that outlasts it covers the request.
+pub const START_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time a worker has to save the state of a task.
 const CHECKPOINT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -63,7 +66,7 @@
             memory_mb: demand.memory_mb,
             lease_ms: whole_millis(lease),
         };
-        let answer: wire::Reservation = self.post("reserve", &request, TASK_TIMEOUT).await?;
+        let answer: wire::Reservation = self.post("reserve", &request, START_TIMEOUT).await?;
         Ok(answer.accelerators)
     }
 
@@ -95,7 +98,7 @@
                 resume_from: order.resume_from.clone(),
             },
         };
-        let _: serde_json::Value = self.post("start", &request, TASK_TIMEOUT).await?;
+        let _: serde_json::Value = self.post("start", &request, START_TIMEOUT).await?;
         Ok(())
     }
 
--- a/crates/node/src/process/entry_host.rs
+++ b/crates/node/src/process/entry_host.rs
@@ -198,6 +198,7 @@
         jobs: JobDesk::default(),
         seat,
         planner: None,
+        held_since: None,
         drain_since: None,
         phase,
         server_ended: false,
--- a/crates/node/src/process/event_loop.rs
+++ b/crates/node/src/process/event_loop.rs
@@ -13,21 +13,28 @@
 use crate::border::caller::JobFault;
 use crate::border::hosts::{HostListing, ListedWorker};
 use crate::border::log::LogPage;
+use crate::border::target::START_TIMEOUT;
 use crate::connection::http_client::{ExchangeFault, HttpClient};
 use crate::connection::http_server::ServePhase;
 use crate::process::call_port::CallMessage;
 use crate::process::counters::{LIST_READS, SEAT_HELD};
 use crate::process::host_event::{HostEvent, LogStream};
-use crate::process::host_state::HostState;
+use crate::process::host_state::{HeldTerm, HostState};
 use crate::process::job_events::{accept_cancel, accept_job};
 use crate::process::log_events::{flush_streams, submit_kept, tick_streams, with_port};
 use crate::process::log_port::LogPort;
 use crate::process::peer_exchange::{answer_peer, own_digest, take_report};
-use crate::process::planner_events::{carry_out, gain_seat, lose_or_pause, pass_workers, plan};
+use crate::process::planner_events::{
+    carry_out, gain_seat, lose_or_pause, mark_leaving, pass_workers, plan,
+};
 use crate::process::seat_port::SeatOutput;
 use crate::process::usage_poll::poll_usage;
 use crate::request::call::CallContext;
 
+/// Authority that has to be left for the planner to start something: a request's
+/// time and a few ticks.
+const START_MARGIN: Duration = START_TIMEOUT.saturating_add(Duration::from_millis(300));
+
 /// Runs until the drain is over.
 pub async fn run_loop(
     mut state: HostState,
@@ -46,7 +53,8 @@
 
 /// Moves the shutdown on: readiness goes first, so that the balancer sends no new
 /// connections; after the wait the listener closes and each connection ends after
-/// its request; nothing is cut before the limit.
+/// its request; nothing is cut before the limit. Records that wait for the log, the
+/// yield of the seat among them, are written first.
 fn is_drained(state: &mut HostState) -> bool {
     let Some(since) = state.drain_since else {
         return false;
@@ -62,7 +70,12 @@
     state
         .phase
         .send_if_modified(|current| std::mem::replace(current, phase) != phase);
-    phase == ServePhase::Cut || (state.server_ended && state.calls.open_calls() == 0)
+    let is_written = state
+        .streams
+        .values()
+        .all(|stream| stream.port.open_records() == 0);
+    let is_done = state.server_ended && state.calls.open_calls() == 0 && is_written;
+    phase == ServePhase::Cut || is_done
 }
 
 fn handle_event(
@@ -109,6 +122,10 @@
             with_port(state, &stream, actions, take);
         }
         HostEvent::HostsRead { result } => take_listing(state, result, actions),
+        HostEvent::LeavingSeen {
+            worker,
+            incarnation,
+        } => mark_leaving(state, &worker, incarnation, actions),
         HostEvent::HostsUnchanged => {
             counter!(LIST_READS, "outcome" => "unchanged").increment(1);
         }
@@ -206,9 +223,10 @@
     calls.pool.sweep(now);
     probe_targets(state, calls, now);
     tick_streams(state, actions);
-    let may_start = state.seat.may_start(now);
-    gauge!(SEAT_HELD).set(f64::from(u8::from(may_start)));
-    if may_start && state.planner.is_none() && state.is_ready() && state.is_caught_up() {
+    gauge!(SEAT_HELD).set(f64::from(u8::from(state.seat.may_start(now))));
+    let may_start = state.seat.state.starts_until(now) >= now + START_MARGIN;
+    note_seat(state, now);
+    if may_start && state.planner.is_none() && state.is_ready() && has_read_jobs(state) {
         gain_seat(state, client, &calls.events, actions);
     }
     lose_or_pause(state, may_start, actions);
@@ -218,6 +236,25 @@
     state.peers.publish_digest(own_digest(state));
 }
 
+/// Keeps since when this host holds its term.
+fn note_seat(state: &mut HostState, now: MonotonicTime) {
+    let term = state.seat.state.held_term();
+    state.held_since = match (state.held_since, term) {
+        (Some(held), Some(term)) if held.term == term => Some(held),
+        (_, Some(term)) => Some(HeldTerm { term, since: now }),
+        (_, None) => None,
+    };
+}
+
+/// Whether the jobs were read to the tail by a read sent since the term is held. Only
+/// then are all starts known that an earlier holder has recorded.
+fn has_read_jobs(state: &HostState) -> bool {
+    let jobs = state.streams.get(&LogStream::Jobs);
+    let read_at = jobs.and_then(|stream| stream.port.caught_up_at());
+    let held = state.held_since.zip(read_at);
+    held.is_some_and(|(held, read_at)| read_at >= held.since)
+}
+
 fn probe_targets(state: &mut HostState, calls: &CallContext, now: MonotonicTime) {
     for due in state.calls.due_probes(now) {
         let calls = calls.clone();
--- a/crates/node/src/process/host_event.rs
+++ b/crates/node/src/process/host_event.rs
@@ -110,6 +110,13 @@
         /// The listing.
         result: Result<HostListing, ExchangeFault>,
     },
+    /// A worker says in its own list that it takes no new work.
+    LeavingSeen {
+        /// The worker.
+        worker: WorkerName,
+        /// Its incarnation, for which the word holds for good.
+        incarnation: u64,
+    },
     /// The host list answered that it has not changed.
     HostsUnchanged,
     /// A worker answered a planner action.
--- a/crates/node/src/process/host_state.rs
+++ b/crates/node/src/process/host_state.rs
@@ -4,6 +4,7 @@
 
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::config_book::ConfigBook;
+use flamingowalk_core::process::planner::event::SeatTerm;
 use flamingowalk_core::process::planner::state::PlannerState;
 use flamingowalk_core::version::settings::{ConfigVersion, SystemSettings};
 use flamingowalk_wire::caller::HostStatus;
@@ -34,6 +35,15 @@
     pub link: LogLink,
 }
 
+/// A term of the seat that this host holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HeldTerm {
+    /// The term.
+    pub term: SeatTerm,
+    /// When this host learned that it holds it.
+    pub since: MonotonicTime,
+}
+
 /// The planner while this host holds the seat.
 #[derive(Debug)]
 pub struct SeatedPlanner {
@@ -74,6 +84,8 @@
     pub jobs: JobDesk,
     /// Seat of the zone.
     pub seat: SeatPort,
+    /// Term that this host holds, and since when.
+    pub held_since: Option<HeldTerm>,
     /// Planner; present only while the seat is held.
     pub planner: Option<SeatedPlanner>,
     /// When the drain began.
--- a/crates/node/src/process/log_events.rs
+++ b/crates/node/src/process/log_events.rs
@@ -211,18 +211,39 @@
     if change == JobChange::Void(VoidReason::ClockSkew) {
         state.jobs.refuse_clock(&record.id);
     }
+    if is_foreign_start(state, &change) {
+        // An earlier holder's start is news to this planner: it begins anew, with the
+        // start counted and the workers asked.
+        state.planner = None;
+    }
     if let Some(event) = planner_event(state, change) {
         plan(state, event, actions);
     }
     true
 }
 
+/// Whether the change is a start in this zone that another term recorded.
+fn is_foreign_start(state: &HostState, change: &JobChange) -> bool {
+    let (JobChange::Started(job), Some(planner)) = (change, &state.planner) else {
+        return false;
+    };
+    let started = state
+        .jobs
+        .book
+        .get(job)
+        .and_then(|job| job.started.as_ref());
+    started.is_some_and(|started| {
+        started.entry.zone == state.settings.zone && started.entry.term != planner.port.term
+    })
+}
+
 fn planner_event(state: &HostState, change: JobChange) -> Option<PlannerEvent> {
     let own = &state.settings.zone;
     match change {
         JobChange::Cancelled(job) => Some(PlannerEvent::JobCancelled { job }),
         JobChange::Started(job) => {
-            let attempt = state.jobs.book.get(&job)?.attempts_started();
+            let started = state.jobs.book.get(&job)?.started.as_ref()?;
+            let attempt = started.entry.attempt;
             Some(PlannerEvent::StartRecorded { job, attempt })
         }
         JobChange::Ended(job) => Some(PlannerEvent::EndRecorded { job }),
--- a/crates/node/src/process/planner_events.rs
+++ b/crates/node/src/process/planner_events.rs
@@ -1,6 +1,8 @@
 //! The planner in the event loop: when there is one, what it is told, and how its
 //! actions are carried out.
 
+use std::rc::Rc;
+
 use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::planner::action::PlannerAction;
 use flamingowalk_core::process::planner::event::{PlannerEvent, SeatTerm};
@@ -60,6 +62,8 @@
         client: client.clone(),
         events: events.clone(),
         term,
+        clock: state.clock,
+        starts_until: Rc::default(),
     };
     let planner = PlannerState::new(state.settings.zone.clone(), state.incarnation);
     state.planner = Some(SeatedPlanner {
@@ -88,7 +92,7 @@
     }
     let paused = !may_start;
     if std::mem::replace(&mut planner.is_paused, paused) != paused {
-        log::info!(host = host, paused = paused; "starts paused or resumed");
+        log::debug!(host = host, paused = paused; "starts paused or resumed");
         plan(state, PlannerEvent::StartsPaused { paused }, actions);
     }
 }
@@ -121,6 +125,28 @@
     events
 }
 
+/// Takes over that a worker takes no new work, for calls and for tasks.
+pub fn mark_leaving(
+    state: &mut HostState,
+    name: &WorkerName,
+    incarnation: u64,
+    actions: &mut Vec<PlannerAction>,
+) {
+    state.calls.desk.table.mark_leaving(name, incarnation);
+    let listed = state.listing.workers.iter().map(|worker| &worker.record);
+    let own = listed.filter(|record| record.name == *name && record.incarnation == incarnation);
+    let seen: Vec<PlannerEvent> = own
+        .map(|record| {
+            let mut worker = record.clone();
+            worker.leaving = true;
+            PlannerEvent::WorkerSeen { worker }
+        })
+        .collect();
+    for event in seen {
+        plan(state, event, actions);
+    }
+}
+
 /// Passes an event to the planner, if this host holds the seat.
 pub fn plan(state: &mut HostState, event: PlannerEvent, actions: &mut Vec<PlannerAction>) {
     let now = state.clock.now();
@@ -136,6 +162,8 @@
         return;
     };
     let port = planner.port.clone();
+    let now = state.clock.now();
+    port.starts_until.set(state.seat.state.starts_until(now));
     for action in actions.drain(..) {
         match action {
             PlannerAction::RecordStart {
@@ -171,13 +199,7 @@
             | PlannerAction::Throttle { ref worker, .. }
             | PlannerAction::Stop { ref worker, .. } => {
                 let address = state.worker_address(worker);
-                // The clock is read again before every start: a pause may have ended the seat.
-                let starts = matches!(
-                    action,
-                    PlannerAction::Start { .. } | PlannerAction::Reserve { .. }
-                );
-                let allowed = !starts || state.seat.may_start(state.clock.now());
-                port.send(action, address.filter(|_| allowed));
+                port.send(action, address);
             }
         }
     }
--- a/crates/node/src/process/planner_port.rs
+++ b/crates/node/src/process/planner_port.rs
@@ -1,15 +1,19 @@
 //! Carries out the planner's actions: requests to workers run as tasks whose
 //! answers come back as events; records go to the log writer.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
+use flamingowalk_core::prelude::*;
 use flamingowalk_core::process::planner::action::PlannerAction;
 use flamingowalk_core::process::planner::event::{PlannerEvent, SeatTerm, TargetFault};
 use metrics::counter;
 
-use crate::border::target::TargetClient;
+use crate::border::target::{START_TIMEOUT, TargetClient};
 use crate::connection::http_client::HttpClient;
 use crate::process::counters::TASK_REQUESTS;
+use crate::process::host_clock::HostClock;
 use crate::process::host_event::{EventSender, HostEvent};
 
 /// Carries out the actions of one seat term.
@@ -21,41 +25,64 @@
     pub events: EventSender,
     /// Term of the seat.
     pub term: SeatTerm,
+    /// Clock of the host.
+    pub clock: HostClock,
+    /// Time up to which starts are allowed, kept by the event loop.
+    pub starts_until: Rc<Cell<MonotonicTime>>,
 }
 
 impl PlannerPort {
-    /// Sends a request to a worker; an unknown worker is answered as unreachable.
+    /// Sends a request to a worker; an unknown worker is answered as unreachable, and
+    /// so is a start that could leave after the authority for it has ended. The
+    /// clock is read in the sending task: a pause may have come between.
     pub fn send(&self, action: PlannerAction, address: Option<SocketAddr>) {
-        let events = self.events.clone();
-        let term = self.term;
-        let client = self.client.clone();
+        let port = self.clone();
         tokio::task::spawn_local(async move {
+            let address = address.filter(|_| port.is_allowed(&action));
+            let term = port.term;
             let event = match address {
                 Some(address) => {
-                    perform(
-                        TargetClient {
-                            client,
-                            address,
-                            term,
-                        },
-                        action,
-                    )
-                    .await
+                    let client = port.client.clone();
+                    let target = TargetClient {
+                        client,
+                        address,
+                        term,
+                    };
+                    perform(target, action, &port.events).await
                 }
                 None => unreachable_answer(action),
             };
             if let Some(event) = event {
-                let _ = events.send(HostEvent::PlannerAnswered { term, event });
+                let _ = port.events.send(HostEvent::PlannerAnswered { term, event });
             }
         });
     }
+
+    fn is_allowed(&self, action: &PlannerAction) -> bool {
+        let starts = matches!(
+            action,
+            PlannerAction::Start { .. } | PlannerAction::Reserve { .. }
+        );
+        !starts || self.clock.now() + START_TIMEOUT <= self.starts_until.get()
+    }
 }
 
-async fn perform(target: TargetClient, action: PlannerAction) -> Option<PlannerEvent> {
+async fn perform(
+    target: TargetClient,
+    action: PlannerAction,
+    events: &EventSender,
+) -> Option<PlannerEvent> {
     let event = match action {
         PlannerAction::ListTasks { worker } => match target.list_tasks().await {
             Ok(list) => {
                 let incarnation = list.incarnation;
+                if list.leaving {
+                    let worker = worker.clone();
+                    let _ = events.send(HostEvent::LeavingSeen {
+                        worker,
+                        incarnation,
+                    });
+                }
                 PlannerEvent::TasksListed {
                     worker,
                     incarnation,
--- a/crates/node/tests/calls/call_faults.rs
+++ b/crates/node/tests/calls/call_faults.rs
@@ -160,12 +160,10 @@
 async fn target_unreachable(#[case] idempotent: bool) {
     let test = async {
         let script = TargetScript::default();
-        let dead = {
-            let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0))
-                .await
-                .unwrap();
-            listener.local_addr().unwrap()
-        };
+        // A bound socket that does not listen keeps its port from other tests.
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+        let dead = socket.local_addr().unwrap();
         let response = serve_call(call("x", idempotent, 5_000, 1), start_path(&[dead])).await;
         assert_eq!(read(response).await.0, 503);
         let context = start_path(&[dead, dead, script.start().await]);
