--- a/crates/core/src/process/seat.rs
+++ b/crates/core/src/process/seat.rs
@@ -5,7 +5,9 @@
 pub mod action;
 pub mod authority;
 pub mod candidate;
+mod candidate_steps;
 pub mod event;
+mod holder_steps;
 pub mod ledger;
 pub mod record;
 pub mod state;
--- a/crates/core/src/process/seat/state.rs
+++ b/crates/core/src/process/seat/state.rs
@@ -5,44 +5,40 @@
 use crate::prelude::*;
 use crate::process::planner::event::SeatTerm;
 use crate::process::seat::action::SeatAction;
-use crate::process::seat::authority::{AuthorityState, MemberRun, PendingRoster};
+use crate::process::seat::authority::{AuthorityState, MemberRun};
 use crate::process::seat::candidate::CandidateState;
 use crate::process::seat::event::SeatEvent;
 use crate::process::seat::ledger::{PlacedRecord, SeatLedger, SeatTenure};
 use crate::process::seat::record::{RosterMember, SeatRecord};
 use crate::process::seat::times::SeatTimes;
 
-/// Claimants outside the roster look this many times as long for a member's word
-/// before they claim without one.
-const WORD_PATIENCE: u32 = 3;
-
 /// Seat of one zone as one run of one entry host sees it.
 #[derive(Clone, Debug)]
 pub struct SeatState {
     pub(crate) own: RosterMember,
-    zone: ZoneName,
-    times: SeatTimes,
+    pub(super) zone: ZoneName,
+    pub(super) times: SeatTimes,
     pub(crate) ledger: SeatLedger,
     pub(crate) authority: AuthorityState,
     pub(crate) candidate: CandidateState,
     /// Live peers of the zone. Soft.
-    peers: BTreeMap<HostName, RosterMember>,
+    pub(super) peers: BTreeMap<HostName, RosterMember>,
     /// This host promises nothing to this term or any before it; never lowered.
     pub(crate) refused_until: SeatTerm,
     /// Newest term this host has heard of in any way; never lowered.
     pub(crate) newest_seen: SeatTerm,
     /// Since when the newest holder has been silent or has yielded.
-    vacant_since: Option<MonotonicTime>,
+    pub(super) vacant_since: Option<MonotonicTime>,
     /// When the last append was asked for; the next waits `t`, unless a record of
     /// the stream came in between.
-    appended_at: Option<MonotonicTime>,
+    pub(super) appended_at: Option<MonotonicTime>,
     /// When members were last asked for promises or words.
-    asked_at: Option<MonotonicTime>,
+    pub(super) asked_at: Option<MonotonicTime>,
     /// Since when records from before the ledger's first may be missing. A holder
     /// that the ledger does not know may be carried for `w` from here.
     past_lost_at: Option<MonotonicTime>,
     /// Whether this host is about to stop; never reset.
-    draining: bool,
+    pub(super) draining: bool,
     /// Whether `Gained` was the last of `Gained` and `Lost`.
     pub(crate) held: bool,
     /// Latest time that an event brought.
@@ -269,7 +265,7 @@
         self.settle_pending();
     }
 
-    fn is_past_lost(&self, now: MonotonicTime) -> bool {
+    pub(super) fn is_past_lost(&self, now: MonotonicTime) -> bool {
         self.past_lost_at
             .is_some_and(|lost_at| now < lost_at + self.times.long_wait())
     }
@@ -316,24 +312,24 @@
         true
     }
 
-    fn misses_holder(&self, term: SeatTerm) -> bool {
+    pub(super) fn misses_holder(&self, term: SeatTerm) -> bool {
         match self.ledger.current() {
             Some(tenure) if tenure.term == term => !self.sees_holder(tenure),
             _ => self.newest_seen > term,
         }
     }
 
-    fn own_tenure(&self) -> Option<&SeatTenure> {
+    pub(super) fn own_tenure(&self) -> Option<&SeatTenure> {
         self.ledger
             .current()
             .filter(|tenure| tenure.holder.is_same_run(&self.own))
     }
 
-    fn sees_holder(&self, tenure: &SeatTenure) -> bool {
+    pub(super) fn sees_holder(&self, tenure: &SeatTenure) -> bool {
         !tenure.yielded && self.sees_member(&tenure.holder)
     }
 
-    fn sees_member(&self, member: &RosterMember) -> bool {
+    pub(super) fn sees_member(&self, member: &RosterMember) -> bool {
         self.peers
             .get(&member.host)
             .is_some_and(|peer| peer.is_same_run(member))
@@ -355,208 +351,15 @@
         }
     }
 
-    fn act_as_holder(&mut self, now: MonotonicTime, actions: &mut Vec<SeatAction>) {
-        let Some(tenure) = self.own_tenure().cloned() else {
-            return;
-        };
-        if tenure.yielded {
-            return;
-        }
-        if !tenure.active {
-            self.append_active(now, &tenure, actions);
-        } else if self.draining {
-            self.append_yield(now, &tenure, actions);
-        } else {
-            self.append_roster(now, &tenure, actions);
-            self.ask_promises(now, &tenure, actions);
-        }
-    }
-
-    fn append_active(
-        &mut self,
-        now: MonotonicTime,
-        tenure: &SeatTenure,
-        actions: &mut Vec<SeatAction>,
-    ) {
-        let guard = self.ledger.guard();
-        let ends_at = self.candidate.wait_ends_at(guard, &self.own, self.times);
-        if ends_at.is_none_or(|ends_at| now < ends_at) {
-            if let Some(guard) = guard.cloned() {
-                self.ask_words(now, &guard, tenure.term, actions);
-            }
-            return;
-        }
-        if self.append_due(now) {
-            actions.push(SeatAction::AppendActive { term: tenure.term });
-        }
-    }
-
-    fn append_yield(
-        &mut self,
-        now: MonotonicTime,
-        tenure: &SeatTenure,
-        actions: &mut Vec<SeatAction>,
-    ) {
-        if !self.append_due(now) {
-            return;
-        }
-        let successor = tenure
-            .other_members()
-            .find(|member| self.sees_member(member))
-            .map(|member| member.host.clone());
-        actions.push(SeatAction::AppendYield {
-            term: tenure.term,
-            successor,
-        });
-    }
-
-    fn append_roster(
-        &mut self,
-        now: MonotonicTime,
-        tenure: &SeatTenure,
-        actions: &mut Vec<SeatAction>,
-    ) {
-        if self.authority.pending.is_none() {
-            let roster = self.live_roster();
-            let log_answers = self.authority.carried_by_log(now, self.times);
-            if same_members(&roster, &tenure.roster) || !log_answers {
-                return;
-            }
-            self.authority.pending = Some(PendingRoster {
-                base: tenure.roster_offset,
-                roster,
-            });
-        }
-        if !self.append_due(now) {
-            return;
-        }
-        if let Some(pending) = &self.authority.pending {
-            actions.push(SeatAction::AppendRoster {
-                term: tenure.term,
-                base_roster: pending.base,
-                roster: pending.roster.clone(),
-            });
-        }
-    }
-
-    /// Promises are asked for once the log has been silent for one interval, so
-    /// that they are there before the newest read no longer carries the holder.
-    fn ask_promises(
-        &mut self,
-        now: MonotonicTime,
-        tenure: &SeatTenure,
-        actions: &mut Vec<SeatAction>,
-    ) {
-        let interval = self.times.promise_interval();
-        let log_silent = self
-            .authority
-            .log_sent_at
-            .is_none_or(|sent_at| now >= sent_at + interval);
-        if !log_silent || !self.ask_due(now) {
-            return;
-        }
-        for member in self.authority.needed_members(tenure) {
-            actions.push(SeatAction::AskPromise {
-                to: member.clone(),
-                term: tenure.term,
-            });
-        }
-    }
-
-    fn act_as_candidate(&mut self, now: MonotonicTime, actions: &mut Vec<SeatAction>) {
-        if self.draining || self.is_past_lost(now) || !self.claim_due(now) {
-            return;
-        }
-        let base_term = self.ledger.term();
-        if !self.has_evidence(now)
-            && let Some(tenure) = self.former_tenure().cloned()
-        {
-            self.ask_words(now, &tenure, base_term, actions);
-            return;
-        }
-        let log_answers = self.authority.carried_by_log(now, self.times);
-        if !log_answers || !self.append_due(now) {
-            return;
-        }
-        // From here on this host promises nothing to the terms that it replaces.
-        self.refused_until = self.refused_until.max(base_term);
-        actions.push(SeatAction::AppendClaim {
-            base_term,
-            roster: self.live_roster(),
-        });
-    }
-
-    /// Tenure whose holder a claim of this host would have to outwait.
-    fn former_tenure(&self) -> Option<&SeatTenure> {
-        let current = self.ledger.current()?;
-        if current.active {
-            return (!current.yielded).then_some(current);
-        }
-        self.ledger.guard()
-    }
-
-    /// Whether a claim would have to wait no longer than the short wait, or this
-    /// host has looked long enough for a member's word.
-    fn has_evidence(&self, now: MonotonicTime) -> bool {
-        let Some(former) = self.former_tenure() else {
-            return true;
-        };
-        let ended_at = self.candidate.promises_ended_at(former, &self.own, now);
-        ended_at.is_some() || self.vacant_for(now) >= self.patience() * WORD_PATIENCE
-    }
-
-    fn claim_due(&self, now: MonotonicTime) -> bool {
-        let Some(tenure) = self.ledger.current() else {
-            return true;
-        };
-        let is_named = tenure.successor.as_ref() == Some(&self.own.host);
-        let is_open = tenure.yielded && (tenure.successor.is_none() || is_named);
-        let is_own_past = tenure.holder.host == self.own.host;
-        if is_open || (is_own_past && self.candidate.overtaken == 0) {
-            return true;
-        }
-        self.vacant_since.is_some() && self.vacant_for(now) >= self.patience()
-    }
-
-    fn vacant_for(&self, now: MonotonicTime) -> Duration {
-        self.vacant_since
-            .map_or(Duration::ZERO, |since| now.since(since))
-    }
-
-    fn patience(&self) -> Duration {
-        self.candidate.patience(self.times)
-    }
-
-    fn ask_words(
-        &mut self,
-        now: MonotonicTime,
-        former: &SeatTenure,
-        newest: SeatTerm,
-        actions: &mut Vec<SeatAction>,
-    ) {
-        if former.has_member(&self.own) || !self.ask_due(now) {
-            return;
-        }
-        // The word is asked for the newest term that is to be replaced.
-        let is_replaced = self.own_tenure().is_none();
-        let term = if is_replaced { newest } else { former.term };
-        for member in former.other_members() {
-            actions.push(SeatAction::AskRefusal {
-                to: member.clone(),
-                term,
-            });
-        }
-    }
-
     /// This host and every live peer of the zone, in the order of names.
-    fn live_roster(&self) -> Vec<RosterMember> {
+    pub(super) fn live_roster(&self) -> Vec<RosterMember> {
         let mut roster: Vec<_> = self.peers.values().cloned().collect();
         roster.push(self.own.clone());
         roster.sort();
         roster
     }
 
-    fn append_due(&mut self, now: MonotonicTime) -> bool {
+    pub(super) fn append_due(&mut self, now: MonotonicTime) -> bool {
         let due = self.appended_at.is_none_or(|at| now >= at + self.times.t);
         if due {
             self.appended_at = Some(now);
@@ -564,7 +367,7 @@
         due
     }
 
-    fn ask_due(&mut self, now: MonotonicTime) -> bool {
+    pub(super) fn ask_due(&mut self, now: MonotonicTime) -> bool {
         let interval = self.times.promise_interval();
         let due = self.asked_at.is_none_or(|at| now >= at + interval);
         if due {
@@ -593,7 +396,7 @@
     }
 }
 
-fn same_members(left: &[RosterMember], right: &[RosterMember]) -> bool {
+pub(super) fn same_members(left: &[RosterMember], right: &[RosterMember]) -> bool {
     left.len() == right.len()
         && left
             .iter()
--- a/crates/core/tests/seat.rs
+++ b/crates/core/tests/seat.rs
@@ -275,6 +275,13 @@
     }
     assert!(bench.may_start(last_secs));
     assert!(!bench.may_start(last_secs + 1));
+    let end = MonotonicTime::from_secs(last_secs + 1);
+    assert_eq!(bench.state.starts_until(MonotonicTime::from_secs(13)), end);
+    assert_eq!(
+        bench.state.starts_until(end),
+        end,
+        "nothing is left at the end"
+    );
 }
 
 #[test]
