--- /dev/null
+++ b/crates/entry/tests/daemon.rs
@@ -0,0 +1,46 @@
+//! The daemon's command line: settings are checked before anything starts.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+const SOUND: &str = "[host]\nname = a-entry0\nzone = a\nregion = r\n\
+    [listen]\ncaller = 127.0.0.1:0\npeer = 127.0.0.1:0\n\
+    [platform]\nlog = 127.0.0.1:9\nhosts = 127.0.0.1:9\n[peer]\nsecret = s\n";
+
+fn run(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_flamingowalk-entry"));
+    command.args(arguments).output().expect("the daemon runs")
+}
+
+fn settings_file(name: &str, text: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("a settings file");
+    path
+}
+
+#[test]
+fn check_sound_settings() {
+    let path = settings_file("sound.ini", SOUND);
+    let output = run(&["--check", "--settings", path.to_str().expect("a path")]);
+    assert_eq!(output.status.code(), Some(0));
+}
+
+#[test]
+fn start_faulty_settings() {
+    let text = SOUND
+        .replace("127.0.0.1:9\nhosts", "log-host:9\nhosts")
+        .replace("zone = a", "zon = a");
+    let path = settings_file("faulty.ini", &text);
+    let output = run(&["--settings", path.to_str().expect("a path")]);
+    assert_eq!(output.status.code(), Some(1));
+    let faults =
+        String::from_utf8_lossy(&output.stderr).replace(path.to_str().expect("a path"), "FILE");
+    insta::assert_snapshot!(faults);
+}
+
+#[test]
+fn start_without_file() {
+    let output = run(&["--settings", "no-such.ini"]);
+    assert_eq!(output.status.code(), Some(1));
+    insta::assert_snapshot!(String::from_utf8_lossy(&output.stderr));
+}
