--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -66,12 +66,18 @@
     let mut terminate = watch_signal(SignalKind::terminate())?;
     let mut interrupt = watch_signal(SignalKind::interrupt())?;
     let name = settings.name.clone();
-    let handle = start_host(settings, recorder)
+    let mut handle = start_host(settings, recorder)
         .await
         .map_err(|fault| fault.to_string())?;
     log::info!(host = name.as_str(), address = handle.address.to_string().as_str(); "started");
-    wait_signal(&mut terminate, &mut interrupt).await;
-    finish_host(handle, &mut terminate, &mut interrupt).await;
+    // An operator may drain the host over HTTP, without a signal.
+    let is_signalled = tokio::select! {
+        () = wait_signal(&mut terminate, &mut interrupt) => true,
+        () = handle.wait_end() => false,
+    };
+    if is_signalled {
+        finish_host(handle, &mut terminate, &mut interrupt).await;
+    }
     log::info!(host = name.as_str(); "stopped");
     Ok(())
 }
--- a/crates/entry/tests/daemon.rs
+++ b/crates/entry/tests/daemon.rs
@@ -1,5 +1,7 @@
 //! The daemon's command line: settings are checked before anything starts.
 
+use std::io::{Read as _, Write as _};
+use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
@@ -44,3 +46,26 @@
     assert_eq!(output.status.code(), Some(1));
     insta::assert_snapshot!(String::from_utf8_lossy(&output.stderr));
 }
+
+#[test]
+fn drain_over_http_ends_the_process() {
+    let text = SOUND.to_owned() + "[drain]\nwait-ms = 1\nlimit-ms = 5000\n";
+    let path = settings_file("drain.ini", &text);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_flamingowalk-entry"));
+    command.env("RUST_LOG", "info").stderr(Stdio::piped());
+    let daemon = command.arg("--settings").arg(path).spawn();
+    let mut daemon = daemon.expect("the daemon runs");
+    let mut lines = BufReader::new(daemon.stderr.take().expect("its log")).lines();
+    let started = lines.next().expect("a line").expect("text");
+    let address = started
+        .split("address=")
+        .nth(1)
+        .expect("the address it listens on");
+    let mut stream = TcpStream::connect(address.trim()).expect("a connection");
+    let request = "POST /v1/drain HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    stream.write_all(request.as_bytes()).expect("a request");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 202"), "{answer}");
+    assert_eq!(daemon.wait().expect("an end").code(), Some(0));
+}
--- a/crates/node/src/process/entry_host.rs
+++ b/crates/node/src/process/entry_host.rs
@@ -81,6 +81,12 @@
     /// Waits until the shutdown is over: every connection of a caller and every
     /// call has ended, or the limit of the drain has passed.
     pub async fn finished(mut self) {
+        self.wait_end().await;
+    }
+
+    /// As [`Self::finished`], for a handle that is used further. Must not be called
+    /// again once it has returned.
+    pub async fn wait_end(&mut self) {
         let _ = (&mut self.event_loop).await;
     }
 }
