--- a/crates/node/src/process/event_loop.rs
+++ b/crates/node/src/process/event_loop.rs
@@ -101,7 +101,7 @@
             let _ = reply.send(state.status());
         }
         HostEvent::DumpAsked { reply } => {
-            let _ = reply.send(state.dump());
+            let _ = reply.send(state.dump(calls.pool.idle_count()));
         }
         HostEvent::ReadyAsked { reply } => {
             let _ = reply.send(state.is_ready());
--- a/crates/node/src/process/host_state.rs
+++ b/crates/node/src/process/host_state.rs
@@ -23,7 +23,8 @@
 use crate::process::planner_port::PlannerPort;
 use crate::process::seat_port::SeatPort;
 use crate::process::state_dump::{
-    HostSection, JobSection, MemberSection, SeatSection, StateDump, StreamSection, TargetSection,
+    ConnectionSection, HostSection, JobSection, MemberSection, SeatSection, StateDump,
+    StreamSection, TargetSection,
 };
 
 /// A stream of the log.
@@ -137,7 +138,7 @@
     }
 
     /// Everything a dump shows.
-    pub fn dump(&self) -> StateDump {
+    pub fn dump(&self, idle_to_targets: usize) -> StateDump {
         let now = self.clock.now();
         StateDump {
             host: self.host_section(),
@@ -148,6 +149,10 @@
             },
             streams: self.stream_sections(now),
             members: self.member_sections(),
+            connections: ConnectionSection {
+                idle_to_targets,
+                open_links: self.peers.open_links(),
+            },
             targets: self.target_sections(),
             jobs: self.job_sections(),
             planner: self
--- a/crates/node/src/process/peer_port.rs
+++ b/crates/node/src/process/peer_port.rs
@@ -118,6 +118,15 @@
         }
     }
 
+    /// Links that are open.
+    pub fn open_links(&self) -> usize {
+        let open = self
+            .peers
+            .values()
+            .filter(|entry| entry.incarnation.is_some());
+        open.count()
+    }
+
     /// Replaces the digest that heartbeats carry when it has changed.
     pub fn publish_digest(&self, digest: wire::ZoneDigest) {
         self.digest.send_if_modified(|newest| {
--- a/crates/node/src/process/state_dump.rs
+++ b/crates/node/src/process/state_dump.rs
@@ -16,6 +16,8 @@
     pub streams: Vec<StreamSection>,
     /// Entry hosts in order of name.
     pub members: Vec<MemberSection>,
+    /// Kept connections.
+    pub connections: ConnectionSection,
     /// Targets in order of name.
     pub targets: Vec<TargetSection>,
     /// Jobs that have not ended, in order of identifier.
@@ -82,6 +84,15 @@
     pub leaving: bool,
 }
 
+/// Kept connections.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct ConnectionSection {
+    /// Idle connections to targets.
+    pub idle_to_targets: usize,
+    /// Open links to other entry hosts.
+    pub open_links: usize,
+}
+
 /// One target.
 #[derive(Clone, Debug, Serialize)]
 pub struct TargetSection {
@@ -151,6 +162,9 @@
             };
             writeln!(f, "member {name} zone {zone} {link}{leaving}")?;
         }
+        let connections = &self.connections;
+        let (idle, links) = (connections.idle_to_targets, connections.open_links);
+        writeln!(f, "connections idle to targets {idle} open links {links}")?;
         for target in &self.targets {
             let leaving = if target.leaving { " leaving" } else { "" };
             let (name, zone) = (&target.name, &target.zone);
