Test: task lists that change nothing call for no look at the queue

Tried and reverted: leaving the ledger's change count alone when a list confirms what is held; the test passes without it, so it was not the cause of the planner's time with waiting gangs.

--- a/crates/core/tests/planner_policy.rs
+++ b/crates/core/tests/planner_policy.rs
@@ -342,3 +342,29 @@
     zone.pass(3);
     assert_eq!(zone.phase("j1"), Some(expected));
 }
+
+#[test]
+fn work_without_change() {
+    let large = JobClass {
+        run_time: Duration::from_hours(2),
+        ..class(4, 8)
+    };
+    let mut zone = zone_with(&[("large", large)]);
+    zone.submit("j0", "large");
+    zone.submit("j1", "large");
+    zone.pass(3);
+    assert_eq!(zone.phase("j1"), Some(JobPhase::Queued));
+    let before = zone.state.work();
+    zone.advance(Duration::from_secs(2));
+    zone.send(PlannerEvent::Tick);
+    let one_look = zone.state.work() - before;
+    assert!(one_look > 0, "age alone calls for a look every 2 s");
+    zone.run();
+    let before = zone.state.work();
+    zone.pass(10);
+    let looks = (zone.state.work() - before) / one_look;
+    assert!(
+        looks <= 6,
+        "lists that change nothing called for {looks} looks in 10 s"
+    );
+}
