Due lists of idle workers give way to busy ones

Cause: after a takeover all workers are due at once, so with two lists a second the end of the trial's gang was noticed late. Conclusion: idle workers wait up to 5 s longer.

--- a/crates/core/src/process/planner/lease.rs
+++ b/crates/core/src/process/planner/lease.rs
@@ -9,13 +9,15 @@
     GangMember, JobEntry, JobStage, MemberState, StopPurpose,
 };
 use crate::process::planner::state::PlannerState;
-use crate::process::planner::worker_entry::RenewRequest;
+use crate::process::planner::worker_entry::{RenewRequest, WorkerEntry};
 use crate::version::settings::JobPriority;
 
 /// Time between two lists of a worker that holds tasks, or did not answer.
 const BUSY_POLL: Duration = Duration::from_secs(1);
 /// Time between two lists of a worker that holds nothing.
 const IDLE_POLL: Duration = Duration::from_secs(30);
+/// Time for which due lists of workers that hold nothing come after those of others.
+const IDLE_GRACE: Duration = Duration::from_secs(5);
 /// Time after which a list without an answer is asked for again.
 const LIST_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -57,7 +59,7 @@
                     .list_asked
                     .is_none_or(|at| now.since(at) >= LIST_TIMEOUT)
             })
-            .map(|(name, entry)| (entry.next_list, name.clone()))
+            .map(|(name, entry)| (self.list_rank(name, entry), name.clone()))
             .collect();
         due.sort();
         let step = BUSY_POLL / LISTS_PER_SECOND;
@@ -77,6 +79,15 @@
         self.list_slot = slot;
     }
 
+    /// Time by which due lists are ordered: a worker that holds nothing gives way to
+    /// busy ones for a while, but not for ever.
+    fn list_rank(&self, name: &WorkerName, entry: &WorkerEntry) -> MonotonicTime {
+        let capacity = self.ledger.worker(name);
+        let is_idle = capacity.is_none_or(|capacity| capacity.holdings.is_empty());
+        let grace = if is_idle { IDLE_GRACE } else { Duration::ZERO };
+        entry.next_list + grace
+    }
+
     /// Workers that hold a task of an urgent job.
     fn urgent_workers(&self) -> BTreeSet<WorkerName> {
         let is_urgent = |entry: &&JobEntry| {
