--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -63,4 +63,10 @@
     LeaseId;
     /// Identifier of a log record, by which readers apply it once.
     RecordId;
+    /// Name of a queue of a planning domain, to which jobs are submitted.
+    QueueName;
+    /// Label of a worker that jobs may ask for.
+    LabelName;
+    /// Name of the program that the units of a step run.
+    ImageName;
 }
--- /dev/null
+++ b/crates/domain-node/src/lib.rs
@@ -0,0 +1,14 @@
+//! The event loop of a host of a planning domain. One loop on one thread owns the
+//! [`DomainHost`](flamingowalk_domain::process::host::DomainHost); input and output run
+//! in small tasks around it, through the closures of [`ports::DomainPorts`]. What the
+//! log, the workers and the callers speak is not known here.
+
+pub mod log_output;
+pub mod ports;
+pub mod run_loop;
+pub mod settings;
+pub mod status_page;
+
+pub use ports::{DomainPorts, PortFuture};
+pub use run_loop::{DomainHandle, start_domain};
+pub use settings::DomainSettings;
--- /dev/null
+++ b/crates/domain-node/src/ports.rs
@@ -0,0 +1,42 @@
+//! What a host reaches its surroundings through. The border gives one closure for
+//! each kind of call; each carries out one call and gives up after its timeout.
+
+use std::fmt::{self, Debug, Formatter};
+use std::pin::Pin;
+use std::time::Duration;
+
+use flamingowalk_domain::process::action::{NewestOrder, ReadOrder, WorkerCall};
+use flamingowalk_domain::process::event::{WorkerAnswer, WorkerFault};
+use flamingowalk_domain::process::stream::{
+    AppendOrder, AppendedAt, NewestPage, StreamFault, StreamPage,
+};
+
+/// A call under way.
+pub type PortFuture<T> = Pin<Box<dyn Future<Output = T>>>;
+/// Reads records from an offset on.
+pub type ReadPort = Box<dyn Fn(ReadOrder) -> PortFuture<Result<StreamPage, StreamFault>>>;
+/// Reads the newest record of each key.
+pub type NewestPort = Box<dyn Fn(NewestOrder) -> PortFuture<Result<NewestPage, StreamFault>>>;
+/// Appends records.
+pub type AppendPort =
+    Box<dyn Fn(AppendOrder, Duration) -> PortFuture<Result<AppendedAt, StreamFault>>>;
+/// Sends an order to a worker.
+pub type WorkerPort = Box<dyn Fn(WorkerCall) -> PortFuture<Result<WorkerAnswer, WorkerFault>>>;
+
+/// The calls that a host makes.
+pub struct DomainPorts {
+    /// Reads records from an offset on.
+    pub read: ReadPort,
+    /// Reads the newest record of each key.
+    pub read_newest: NewestPort,
+    /// Appends records.
+    pub append: AppendPort,
+    /// Sends an order to a worker.
+    pub worker: WorkerPort,
+}
+
+impl Debug for DomainPorts {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("DomainPorts").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/domain-node/src/settings.rs
@@ -0,0 +1,120 @@
+//! Settings of a host of a planning domain, read from an INI file. All faults are
+//! reported at once, each with its line, key and remedy.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flamingowalk_core::prelude::HostName;
+use flamingowalk_domain::process::planner::PlanLimits;
+use flamingowalk_node::process::settings_reader::{
+    KnownKey, SettingsFaults, SettingsReader, optional, required,
+};
+
+/// Longest time of any bound; guards the arithmetic on times.
+const LONGEST_SECONDS: f64 = 1_000_000.0;
+
+/// Everything that a host of a domain has to know before it starts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DomainSettings {
+    /// Name of the host; unique among the live hosts.
+    pub name: HostName,
+    /// Share of a core that the host has, above zero.
+    pub cpu_share: f64,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address at which the balancer asks whether the host takes requests.
+    pub ready_address: SocketAddr,
+    /// Address of counters and dump.
+    pub status_address: SocketAddr,
+    /// Address of the log.
+    pub log_address: SocketAddr,
+    /// Bounds of the deployment.
+    pub limits: PlanLimits,
+    /// Time between turning unready and closing the listener.
+    pub drain_wait: Duration,
+    /// Longest time that a drain may take; what is in flight is cut after it.
+    pub drain_limit: Duration,
+}
+
+/// Every key, in the order of the operators' page.
+pub const KNOWN_KEYS: [KnownKey; 17] = [
+    required("host", "name"),
+    optional("host", "cpu-share", "1"),
+    required("listen", "caller"),
+    required("listen", "ready"),
+    required("listen", "status"),
+    required("platform", "log"),
+    optional("bounds", "lease-s", "10"),
+    optional("bounds", "stop-grace-s", "1"),
+    optional("bounds", "gang-timeout-s", "3"),
+    optional("bounds", "reclaim-s", "3"),
+    optional("bounds", "remote-factor", "3"),
+    optional("bounds", "checkpoint-s", "1"),
+    optional("bounds", "restore-s", "0.25"),
+    optional("bounds", "status-s", "120"),
+    optional("bounds", "early-s", "0"),
+    optional("drain", "wait-s", "2.5"),
+    optional("drain", "limit-s", "6"),
+];
+
+impl DomainSettings {
+    /// Reads settings from INI text; `file` is used in faults only.
+    ///
+    /// # Errors
+    /// All faults of the text at once.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsFaults> {
+        let mut reader = SettingsReader::open(file, text, &KNOWN_KEYS)?;
+        reader.check_known();
+        let settings = Self {
+            name: reader.text("host", "name").as_str().into(),
+            cpu_share: number(&mut reader, "host", "cpu-share"),
+            caller_address: reader.address("listen", "caller"),
+            ready_address: reader.address("listen", "ready"),
+            status_address: reader.address("listen", "status"),
+            log_address: reader.address("platform", "log"),
+            limits: PlanLimits {
+                lease_limit: seconds(&mut reader, "bounds", "lease-s"),
+                stop_grace: seconds(&mut reader, "bounds", "stop-grace-s"),
+                gang_timeout: seconds(&mut reader, "bounds", "gang-timeout-s"),
+                reclaim_bound: seconds(&mut reader, "bounds", "reclaim-s"),
+                remote_factor: number(&mut reader, "bounds", "remote-factor").ceil() as u32,
+                checkpoint_interval: seconds(&mut reader, "bounds", "checkpoint-s"),
+                restore_time: seconds(&mut reader, "bounds", "restore-s"),
+                status_retention: seconds(&mut reader, "bounds", "status-s"),
+                early_tolerance: seconds(&mut reader, "bounds", "early-s"),
+            },
+            drain_wait: seconds(&mut reader, "drain", "wait-s"),
+            drain_limit: seconds(&mut reader, "drain", "limit-s"),
+        };
+        if settings.drain_limit < settings.drain_wait {
+            let problem = "the limit is below drain.wait-s";
+            let remedy = "raise the limit or lower the wait";
+            reader.fault("drain", "limit-s", problem, remedy);
+        }
+        if reader.faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(SettingsFaults {
+                faults: reader.faults,
+            })
+        }
+    }
+}
+
+/// Value of a key as a number of zero or more.
+fn number(reader: &mut SettingsReader, section: &str, key: &str) -> f64 {
+    let text = reader.text(section, key);
+    let number = text.parse::<f64>().ok();
+    let valid = number.filter(|number| (0.0..=LONGEST_SECONDS).contains(number));
+    valid.unwrap_or_else(|| {
+        if !text.is_empty() {
+            let problem = format!("{text:?} is not a number from 0 to {LONGEST_SECONDS}");
+            reader.fault(section, key, &problem, "write a number, as 1.5");
+        }
+        1.0
+    })
+}
+
+fn seconds(reader: &mut SettingsReader, section: &str, key: &str) -> Duration {
+    Duration::from_secs_f64(number(reader, section, key))
+}
--- /dev/null
+++ b/crates/domain-node/src/status_page.rs
@@ -0,0 +1,59 @@
+//! Counters and the state dump, over HTTP, for operators.
+
+use std::net::SocketAddr;
+
+use flamingowalk_node::connection::http_server::{
+    ServePhase, WholeRequest, WholeResponse, serve_connections, text_response,
+};
+use hyper::StatusCode;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::run_loop::DomainHandle;
+
+/// Path of the counters.
+pub const METRICS_PATH: &str = "/metrics";
+/// Path of the state dump.
+pub const DUMP_PATH: &str = "/dump";
+
+/// Serves counters and dump until the process ends.
+///
+/// # Errors
+/// The address cannot be bound.
+pub async fn serve_status(
+    address: SocketAddr,
+    handle: DomainHandle,
+    recorder: Option<PrometheusHandle>,
+    phase: watch::Receiver<ServePhase>,
+) -> std::io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    tokio::task::spawn_local(serve_connections(
+        listener,
+        phase,
+        move |request: WholeRequest, _remote| {
+            let handle = handle.clone();
+            let recorder = recorder.clone();
+            async move { answer_status(&request, &handle, recorder.as_ref()).await }
+        },
+    ));
+    Ok(())
+}
+
+async fn answer_status(
+    request: &WholeRequest,
+    handle: &DomainHandle,
+    recorder: Option<&PrometheusHandle>,
+) -> WholeResponse {
+    match request.uri().path() {
+        METRICS_PATH => {
+            let text = recorder.map(PrometheusHandle::render).unwrap_or_default();
+            text_response(StatusCode::OK, text)
+        }
+        DUMP_PATH => text_response(StatusCode::OK, handle.dump().await),
+        _ => text_response(
+            StatusCode::NOT_FOUND,
+            format!("no such page; ask for {METRICS_PATH} or {DUMP_PATH}\n"),
+        ),
+    }
+}
--- /dev/null
+++ b/crates/domain/src/keys.rs
@@ -0,0 +1,135 @@
+//! Numbers that identify things of a planning domain, one type per role, with
+//! readable prefixes where they are shown.
+
+use std::fmt::{self, Display, Formatter};
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Hexadecimal digits of a job's identifier.
+const JOB_DIGITS: usize = 16;
+
+/// Identifier of a job, chosen by the caller; shown as 16 hexadecimal digits.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct JobKey(pub u64);
+
+/// Why a text names no job.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("not a job identifier; write 16 lower-case hexadecimal digits")]
+pub struct JobKeyFault;
+
+impl FromStr for JobKey {
+    type Err = JobKeyFault;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let is_digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+        if text.len() != JOB_DIGITS || !text.bytes().all(is_digit) {
+            return Err(JobKeyFault);
+        }
+        u64::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_overflow| JobKeyFault)
+    }
+}
+
+impl Display for JobKey {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// What starts and ends together: a whole gang, or one unit of a step without one.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct GroupKey {
+    /// Job.
+    pub job: JobKey,
+    /// Occurrence of the job; zero for a job without a schedule.
+    pub occurrence: u32,
+    /// Step, counted from zero.
+    pub step: u16,
+    /// Unit of the step, or nothing for a gang.
+    pub index: Option<u16>,
+}
+
+impl GroupKey {
+    /// The unit of a member; `member` counts the units of a gang from zero.
+    pub fn unit(&self, member: u16) -> UnitKey {
+        UnitKey {
+            job: self.job,
+            occurrence: self.occurrence,
+            step: self.step,
+            index: self.index.unwrap_or(member),
+        }
+    }
+}
+
+impl Display for GroupKey {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)?;
+        match self.index {
+            Some(index) => write!(f, ".{index}"),
+            None => write!(f, ".gang"),
+        }
+    }
+}
+
+/// A unit of work: what one worker runs.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct UnitKey {
+    /// Job.
+    pub job: JobKey,
+    /// Occurrence of the job; zero for a job without a schedule.
+    pub occurrence: u32,
+    /// Step, counted from zero.
+    pub step: u16,
+    /// Unit of the step, counted from zero.
+    pub index: u16,
+}
+
+impl Display for UnitKey {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let Self {
+            job,
+            occurrence,
+            step,
+            index,
+        } = self;
+        write!(f, "{job}.{occurrence}.{step}.{index}")
+    }
+}
+
+macro_rules! number_types {
+    ($($(#[$doc:meta])* $name:ident($inner:ty) $prefix:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl Display for $name {
+            fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+                write!(f, concat!($prefix, "{}"), self.0)
+            }
+        }
+    )*};
+}
+
+number_types! {
+    /// Start of a group, counted from one; zero before the first. Rises over
+    /// changes of the planner, since each start is in the log before it is sent.
+    RunNumber(u32) "run";
+    /// Tenure of a planner; fences its orders and its records.
+    SeatEpoch(u64) "epoch";
+    /// Position of a record in a stream.
+    StreamOffset(u64) "offset";
+    /// Life of a worker: Unix milliseconds of its start.
+    WorkerIncarnation(u64) "life";
+    /// Milliseconds on a worker's own monotonic clock. Values of different lives
+    /// are not comparable, and the clock may run slow by [`CLOCK_DRIFT_PARTS`].
+    WorkerClock(u64) "clock";
+}
+
+/// A worker's clock may run slow by one part in this many (2%).
+pub const CLOCK_DRIFT_PARTS: u64 = 50;
--- /dev/null
+++ b/crates/domain/src/prelude.rs
@@ -0,0 +1,8 @@
+//! Common types that nearly every module needs.
+
+pub use flamingowalk_core::names::{ImageName, LabelName, QueueName};
+pub use flamingowalk_core::prelude::*;
+
+pub use crate::keys::{
+    GroupKey, JobKey, RunNumber, SeatEpoch, StreamOffset, UnitKey, WorkerClock, WorkerIncarnation,
+};
--- /dev/null
+++ b/crates/domain/src/process/event.rs
@@ -0,0 +1,186 @@
+//! What reaches a host from its surroundings.
+
+use thiserror::Error;
+
+use crate::prelude::*;
+use crate::process::action::CallTicket;
+use crate::process::stream::{AppendedAt, NewestPage, StreamFault, StreamPage};
+use crate::request::front_request::FrontRequest;
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum HostEvent {
+    /// A caller asks for something.
+    Requested(FrontRequest),
+    /// A read was answered or given up.
+    Read(CallTicket, Result<StreamPage, StreamFault>),
+    /// A read of the newest records was answered or given up.
+    ReadNewest(CallTicket, Result<NewestPage, StreamFault>),
+    /// An append was answered or given up.
+    Appended(CallTicket, Result<AppendedAt, StreamFault>),
+    /// A worker answered, or did not.
+    WorkerAnswered(CallTicket, Result<WorkerAnswer, WorkerFault>),
+    /// The process was asked to shut down.
+    DrainAsked,
+    /// Time has passed.
+    Ticked,
+}
+
+/// A worker's answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum WorkerAnswer {
+    /// The order was carried out, or had been before.
+    Done {
+        /// Worker's time.
+        clock: WorkerClock,
+    },
+    /// The order was refused, and nothing was done.
+    Refused {
+        /// Why.
+        cause: RefusalCause,
+        /// Worker's time, if the answer tells it.
+        clock: Option<WorkerClock>,
+    },
+    /// What runs and what has ended.
+    Listed(WorkerListing),
+}
+
+/// Why a worker refused an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RefusalCause {
+    /// It has seen the order of a higher epoch.
+    Fenced,
+    /// This run or a later one was stopped or has ended there.
+    OldRun,
+    /// The lease that came with the order is over.
+    LeaseOver,
+    /// There is no room.
+    NoRoom,
+    /// The order lacks a valid approval.
+    NoApproval,
+    /// The order cannot be read.
+    Malformed,
+    /// The worker considers itself unhealthy.
+    Unhealthy,
+    /// The worker has started anew.
+    OtherLife,
+}
+
+impl RefusalCause {
+    /// Word for log lines and counters.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Fenced => "fenced",
+            Self::OldRun => "old-run",
+            Self::LeaseOver => "lease-over",
+            Self::NoRoom => "no-room",
+            Self::NoApproval => "no-approval",
+            Self::Malformed => "malformed",
+            Self::Unhealthy => "unhealthy",
+            Self::OtherLife => "other-life",
+        }
+    }
+}
+
+/// Everything that a worker runs, and what has ended on it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct WorkerListing {
+    /// Life of the worker, if the answer tells it.
+    pub incarnation: Option<WorkerIncarnation>,
+    /// Worker's time.
+    pub clock: WorkerClock,
+    /// What runs.
+    pub running: Vec<RunningUnit>,
+    /// What has ended and was not acknowledged yet, in order; may be cut.
+    pub ended: Vec<EndedUnit>,
+}
+
+/// A unit that runs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RunningUnit {
+    /// Unit.
+    pub unit: UnitKey,
+    /// Run.
+    pub run: RunNumber,
+    /// Newest checkpoint.
+    pub saved: Option<Arc<str>>,
+    /// Part of its work that is done, in percent.
+    pub percent: u32,
+    /// Response time tail in milliseconds for a unit that serves users, else the
+    /// thousandths of a core in use; over the last half second.
+    pub load: Option<u64>,
+}
+
+/// A unit that has ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EndedUnit {
+    /// Number of the end within the worker's life, counted from one.
+    pub number: u64,
+    /// Unit.
+    pub unit: UnitKey,
+    /// Run.
+    pub run: RunNumber,
+    /// How it ended.
+    pub cause: EndCause,
+    /// Newest checkpoint.
+    pub saved: Option<Arc<str>>,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndCause {
+    /// Its work is done.
+    Done,
+    /// It failed, through its own fault or the worker's.
+    Failed,
+    /// It was stopped by an order.
+    Stopped,
+    /// Its lease lapsed.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang did not come in time.
+    Alone,
+}
+
+impl EndCause {
+    /// Word for log lines and counters.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Lapsed => "lapsed",
+            Self::Broken => "broken",
+            Self::Alone => "alone",
+        }
+    }
+}
+
+/// Why a worker gave no answer that can be used.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum WorkerFault {
+    /// No connection was made, so nothing was done.
+    #[error("no connection to the worker; check the network")]
+    Unreachable,
+    /// The order may have been carried out, or still be.
+    #[error("no answer from the worker; look at what it runs")]
+    NoAnswer,
+    /// The answer cannot be read, so the order may have been carried out.
+    #[error("the worker's answer cannot be read ({detail}); check the interface versions")]
+    Malformed {
+        /// What is wrong.
+        detail: String,
+    },
+}
+
+impl WorkerFault {
+    /// Word for log lines and counters.
+    pub const fn word(&self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::NoAnswer => "no-answer",
+            Self::Malformed { .. } => "malformed",
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/process/host.rs
@@ -0,0 +1,549 @@
+//! One host of a domain: follows the log, answers callers, and plans while it holds
+//! the seat. Takes one event after the other and owns all state.
+
+use std::fmt::{self, Display, Formatter};
+
+use metrics::{counter, gauge};
+
+use crate::prelude::*;
+use crate::process::action::{CallTicket, HostAction};
+use crate::process::event::HostEvent;
+use crate::process::front_desk::{DeskView, FrontDesk};
+use crate::process::job_book::{BookChange, JobBook};
+use crate::process::planner::state::PlanContext;
+use crate::process::planner::{PlanLimits, PlannerState};
+use crate::process::record::JobRecord;
+use crate::process::seat::{PlannerSeat, SeatChange, SeatIdentity, SeatStage};
+use crate::process::stream::{AppendedAt, StreamBody, StreamFault, StreamName, StreamRecord};
+use crate::process::stream_follower::{FollowOutput, StreamFollower};
+use crate::process::worker_report::WorkerReport;
+use crate::request::front_request::FrontRequest;
+use crate::version::manifest::DomainManifest;
+
+/// Records that could not be used, by `stream`.
+pub const RECORDS_SKIPPED: &str = "flamingowalk_domain_records_skipped_total";
+/// Reads of the log that failed, by `stream` and `cause`.
+pub const READS_FAILED: &str = "flamingowalk_domain_reads_failed_total";
+/// One while this host plans.
+pub const SEAT_HELD: &str = "flamingowalk_domain_seat_held";
+/// Jobs that have not ended.
+pub const OPEN_JOBS: &str = "flamingowalk_domain_open_jobs";
+
+/// Least time between reads of a host that does not plan; callers may see a state 2 s
+/// late, and the planner's silence has to be noticed within a second or so.
+const FOLLOW_PACE: Duration = Duration::from_millis(300);
+/// Least time between reads of the configuration, which has to be in force within 2 s.
+const CONFIG_PACE: Duration = Duration::from_millis(300);
+/// Least time between reads of what the workers report.
+const WORKERS_PACE: Duration = Duration::from_millis(300);
+/// Age of the newest answer of the log from which a host counts as cut from it: a
+/// read waits 1 s at the tail, and its answer may take half a second more.
+const LOG_SILENCE: Duration = Duration::from_millis(1_700);
+/// Time between two looks for jobs that ended so long ago that nobody asks any more.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
+
+/// What a host knows of itself.
+#[derive(Clone, Debug)]
+pub struct HostIdentity {
+    /// Name of the host.
+    pub name: HostName,
+    /// Random number of the process.
+    pub nonce: u64,
+    /// Share of a core that the host has.
+    pub cpu_share: f64,
+    /// Bounds of the deployment.
+    pub limits: PlanLimits,
+}
+
+/// A host of a domain.
+#[derive(Debug)]
+pub struct DomainHost {
+    identity: HostIdentity,
+    manifest: Option<Arc<DomainManifest>>,
+    config: StreamFollower,
+    jobs: StreamFollower,
+    /// Follows the workers while this host plans, or is about to.
+    workers: Option<StreamFollower>,
+    /// Workers that were read before the planner began.
+    reports: BTreeMap<WorkerName, Arc<WorkerReport>>,
+    book: JobBook,
+    desk: FrontDesk,
+    seat: PlannerSeat,
+    planner: Option<PlannerState>,
+    next_ticket: u64,
+    is_draining: bool,
+    expiry_at: MonotonicTime,
+    had_log: bool,
+}
+
+impl DomainHost {
+    /// A host that knows nothing yet.
+    pub fn new(identity: HostIdentity, now: MonotonicTime) -> Self {
+        let seat = SeatIdentity {
+            host: identity.name.clone(),
+            nonce: identity.nonce,
+            cpu_share: identity.cpu_share,
+        };
+        Self {
+            seat: PlannerSeat::new(seat, now),
+            identity,
+            manifest: None,
+            config: StreamFollower::new(StreamName::Config, CONFIG_PACE, now),
+            jobs: StreamFollower::new(StreamName::Jobs, FOLLOW_PACE, now),
+            workers: None,
+            reports: BTreeMap::new(),
+            book: JobBook::default(),
+            desk: FrontDesk::default(),
+            planner: None,
+            next_ticket: 0,
+            is_draining: false,
+            expiry_at: now,
+            had_log: false,
+        }
+    }
+
+    /// Configuration in force.
+    pub fn manifest(&self) -> Option<&Arc<DomainManifest>> {
+        self.manifest.as_ref()
+    }
+
+    /// What the jobs stream says.
+    pub const fn book(&self) -> &JobBook {
+        &self.book
+    }
+
+    /// The planner, while this host plans.
+    pub const fn planner(&self) -> Option<&PlannerState> {
+        self.planner.as_ref()
+    }
+
+    /// Whether the host takes requests: it has a configuration, has read the jobs to
+    /// their tail, the log answers, and it does not shut down.
+    pub fn is_ready(&self, now: MonotonicTime) -> bool {
+        self.manifest.is_some() && !self.is_draining && self.has_log(now)
+    }
+
+    /// Whether the host shuts down and has nothing left to do.
+    pub fn is_drained(&self) -> bool {
+        let has_planner = self
+            .planner
+            .as_ref()
+            .is_some_and(|planner| !planner.has_yielded());
+        self.is_draining && self.desk.is_idle() && !has_planner
+    }
+
+    fn has_log(&self, now: MonotonicTime) -> bool {
+        let is_recent = |at: MonotonicTime| now.since(at) < LOG_SILENCE;
+        self.jobs.proved_at().is_some() && self.jobs.answered_at().is_some_and(is_recent)
+    }
+
+    /// Takes an event and says what to do.
+    pub fn handle(
+        &mut self,
+        now: MonotonicTime,
+        wall: WallTime,
+        event: HostEvent,
+    ) -> Vec<HostAction> {
+        let mut actions = Vec::new();
+        match event {
+            HostEvent::Requested(request) => self.take_request(now, wall, request, &mut actions),
+            HostEvent::Read(ticket, mut result) => {
+                note_fault(result.as_ref().err());
+                if let Some(output) = self.config.take_page(now, ticket, &mut result) {
+                    self.take_config(output);
+                } else if let Some(output) = self.jobs.take_page(now, ticket, &mut result) {
+                    self.take_jobs(now, wall, output, &mut actions);
+                } else if let Some(output) = self
+                    .workers
+                    .as_mut()
+                    .and_then(|workers| workers.take_page(now, ticket, &mut result))
+                {
+                    self.take_workers(now, wall, output, &mut actions);
+                }
+            }
+            HostEvent::ReadNewest(ticket, mut result) => {
+                note_fault(result.as_ref().err());
+                let next = &mut self.next_ticket;
+                if self
+                    .seat
+                    .take_newest(now, ticket, &result, next, &mut actions)
+                {
+                } else if let Some(output) = self.config.take_newest(now, ticket, &mut result) {
+                    self.take_config(output);
+                } else if let Some(output) = self.jobs.take_newest(now, ticket, &mut result) {
+                    self.take_jobs(now, wall, output, &mut actions);
+                } else if let Some(output) = self
+                    .workers
+                    .as_mut()
+                    .and_then(|workers| workers.take_newest(now, ticket, &mut result))
+                {
+                    self.take_workers(now, wall, output, &mut actions);
+                }
+            }
+            HostEvent::Appended(ticket, result) => {
+                self.take_append(now, wall, ticket, &result, &mut actions);
+            }
+            HostEvent::WorkerAnswered(ticket, result) => {
+                if let Some(planner) = &mut self.planner {
+                    let mut context = plan_context(now, wall, &mut self.next_ticket, &mut actions);
+                    planner.take_answer(&mut context, ticket, result);
+                }
+            }
+            HostEvent::DrainAsked => self.begin_drain(),
+            HostEvent::Ticked => self.tick(now, wall, &mut actions),
+        }
+        self.advance(now, wall, &mut actions);
+        actions
+    }
+
+    fn begin_drain(&mut self) {
+        if !self.is_draining {
+            log::info!(planning = self.planner.is_some(); "shutting down");
+        }
+        self.is_draining = true;
+        self.seat.retire();
+        if let Some(planner) = &mut self.planner {
+            planner.begin_yield();
+        }
+    }
+
+    fn take_request(
+        &mut self,
+        now: MonotonicTime,
+        wall: WallTime,
+        request: FrontRequest,
+        actions: &mut Vec<HostAction>,
+    ) {
+        let view = DeskView {
+            now,
+            wall,
+            manifest: self.manifest.as_deref(),
+            book: &self.book,
+            proved_at: self.jobs.proved_at(),
+            has_log: self.has_log(now),
+        };
+        self.desk
+            .take_request(&view, request, &mut self.next_ticket, actions);
+    }
+
+    fn take_config(&mut self, output: FollowOutput) {
+        for record in output.records {
+            match record.body {
+                StreamBody::Manifest(manifest) => self.adopt_manifest(manifest),
+                StreamBody::Skipped(cause) => skip_record(StreamName::Config, &cause),
+                StreamBody::Worker(..) | StreamBody::Own(..) => {}
+            }
+        }
+    }
+
+    /// Adopts a configuration, but never an older one than the one in force.
+    fn adopt_manifest(&mut self, manifest: Arc<DomainManifest>) {
+        let known = self.manifest.as_ref().map_or(0, |known| known.version);
+        if self.manifest.is_some() && manifest.version <= known {
+            return;
+        }
+        log::info!(target: "config", version = manifest.version, before = known; "configuration in force");
+        if let Some(planner) = &mut self.planner {
+            planner.set_manifest(Arc::clone(&manifest));
+        }
+        self.manifest = Some(manifest);
+    }
+
+    fn take_jobs(
+        &mut self,
+        now: MonotonicTime,
+        wall: WallTime,
+        output: FollowOutput,
+        actions: &mut Vec<HostAction>,
+    ) {
+        if output.begins_anew {
+            self.book = JobBook::default();
+        }
+        for record in output.records {
+            self.take_job_record(now, wall, record, actions);
+        }
+    }
+
+    fn take_job_record(
+        &mut self,
+        now: MonotonicTime,
+        wall: WallTime,
+        record: StreamRecord,
+        actions: &mut Vec<HostAction>,
+    ) {
+        let StreamBody::Own(key, value) = record.body else {
+            if let StreamBody::Skipped(cause) = record.body {
+                skip_record(StreamName::Jobs, &cause);
+            }
+            return;
+        };
+        let decoded = match JobRecord::decode(&key, value.as_deref()) {
+            Ok(decoded) => decoded,
+            Err(fault) => return skip_record(StreamName::Jobs, &fault.to_string()),
+        };
+        let change = self.book.apply(now, decoded);
+        match change {
+            BookChange::None => {}
+            BookChange::Accepted(job) => {
+                self.desk.note_read(&self.book, job, actions);
+                self.plan_accepted(now, wall, job, actions);
+            }
+            BookChange::Cancelled(job) => {
+                self.desk.note_read(&self.book, job, actions);
+                if let Some(planner) = &mut self.planner {
+                    let mut context = plan_context(now, wall, &mut self.next_ticket, actions);
+                    planner.cancel_job(&mut context, job);
+                }
+            }
+            BookChange::Heartbeat => {
+                if let Some(heartbeat) = self.book.heartbeat() {
+                    self.seat.note_heartbeat(now, heartbeat);
+                }
+            }
+        }
+    }
+
+    fn plan_accepted(
+        &mut self,
+        now: MonotonicTime,
+        wall: WallTime,
+        job: JobKey,
+        actions: &mut Vec<HostAction>,
+    ) {
+        let booked = self.book.job(job).filter(|booked| booked.is_open());
+        let accepted = booked.and_then(|booked| booked.accepted.as_ref());
+        if let Some((planner, accepted)) = self.planner.as_mut().zip(accepted) {
+            let mut context = plan_context(now, wall, &mut self.next_ticket, actions);
+            planner.add_job(&mut context, job, accepted);
+        }
+    }
+
+    fn take_workers(
+        &mut self,
+        now: MonotonicTime,
+        wall: WallTime,
+        output: FollowOutput,
+        actions: &mut Vec<HostAction>,
+    ) {
+        let mut missing: BTreeSet<WorkerName> = BTreeSet::new();
+        if output.begins_anew {
+            missing = self.reports.keys().cloned().collect();
+        }
+        for record in output.records {
+            match record.body {
+                StreamBody::Worker(name, report) => {
+                    missing.remove(&name);
+                    self.take_report(now, wall, &name, report, actions);
+                }
+                StreamBody::Skipped(cause) => skip_record(StreamName::Workers, &cause),
+                StreamBody::Manifest(_) | StreamBody::Own(..) => {}
+            }
+        }
+        for name in missing {
+            self.take_report(now, wall, &name, None, actions);
+        }
+    }
+
+    fn take_report(
+        &mut self,
+        now: MonotonicTime,
+        wall: WallTime,
+        name: &WorkerName,
+        report: Option<Arc<WorkerReport>>,
+        actions: &mut Vec<HostAction>,
+    ) {
+        match &report {
+            Some(report) => {
+                self.reports.insert(name.clone(), Arc::clone(report));
+            }
+            None => {
+                self.reports.remove(name);
+            }
+        }
+        if let Some(planner) = &mut self.planner {
+            let mut context = plan_context(now, wall, &mut self.next_ticket, actions);
+            planner.take_report(&mut context, name, report);
+        }
+    }
+
+    fn take_append(
+        &mut self,
+        now: MonotonicTime,
+        wall: WallTime,
+        ticket: CallTicket,
+        result: &Result<AppendedAt, StreamFault>,
+        actions: &mut Vec<HostAction>,
+    ) {
+        if self.desk.take_append(now, ticket, result, actions) {
+            return;
+        }
+        let next = &mut self.next_ticket;
+        if let Some(change) = self.seat.take_append(now, ticket, result, next, actions) {
+            if change == SeatChange::Fenced {
+                self.jobs.want_fresh();
+                self.workers = Some(StreamFollower::new(StreamName::Workers, WORKERS_PACE, now));
+                self.reports.clear();
+            }
+            return;
+        }
+        if let Some(planner) = &mut self.planner {
+            let mut context = plan_context(now, wall, &mut self.next_ticket, actions);
+            planner.take_append(&mut context, ticket, result);
+        }
+    }
+
+    fn tick(&mut self, now: MonotonicTime, wall: WallTime, actions: &mut Vec<HostAction>) {
+        let view = DeskView {
+            now,
+            wall,
+            manifest: self.manifest.as_deref(),
+            book: &self.book,
+            proved_at: self.jobs.proved_at(),
+            has_log: self.has_log(now),
+        };
+        self.desk.poll(&view, &mut self.next_ticket, actions);
+        let has_log = self.has_log(now);
+        if has_log != self.had_log {
+            self.had_log = has_log;
+            log::info!(target: "log", reachable = has_log; "connection to the log changed");
+        }
+        if let Some(planner) = &mut self.planner {
+            let mut context = plan_context(now, wall, &mut self.next_ticket, actions);
+            planner.tick(&mut context);
+            if now >= self.expiry_at {
+                self.expiry_at = now + EXPIRY_INTERVAL;
+                let before = now - self.identity.limits.status_retention;
+                planner.drop_records(self.book.expired_keys(before));
+            }
+        }
+        gauge!(SEAT_HELD).set(f64::from(u8::from(self.planner.is_some())));
+        let open = self.book.jobs().values().filter(|job| job.is_open());
+        gauge!(OPEN_JOBS).set(open.count() as f64);
+    }
+
+    /// Does what follows from the state: reads, the way to the seat, planning.
+    fn advance(&mut self, now: MonotonicTime, wall: WallTime, actions: &mut Vec<HostAction>) {
+        if self.desk.take_tail_wish() {
+            self.jobs.want_fresh();
+        }
+        self.begin_planning(now, wall, actions);
+        if let Some(planner) = &mut self.planner {
+            let mut context = plan_context(now, wall, &mut self.next_ticket, actions);
+            planner.flush(&mut context);
+        }
+        self.end_planning(now);
+        let next = &mut self.next_ticket;
+        let steady = self.jobs.proved_at().and(self.jobs.steady_since());
+        let has_config = self.manifest.is_some();
+        self.seat
+            .poll(now, steady.filter(|_| has_config), next, actions);
+        self.config.poll(now, next, actions);
+        self.jobs.poll(now, next, actions);
+        if let Some(workers) = &mut self.workers {
+            workers.poll(now, next, actions);
+        }
+    }
+
+    /// Begins to plan once the jobs are read to their tail and the workers are known.
+    fn begin_planning(
+        &mut self,
+        now: MonotonicTime,
+        wall: WallTime,
+        actions: &mut Vec<HostAction>,
+    ) {
+        let has_workers = self
+            .workers
+            .as_ref()
+            .is_some_and(|workers| workers.proved_at().is_some());
+        let Some(manifest) = self.manifest.as_ref().filter(|_| has_workers) else {
+            return;
+        };
+        let Some(epoch) = self.seat.take_caught_up(self.jobs.proved_at()) else {
+            return;
+        };
+        log::info!(epoch = epoch.0, workers = self.reports.len(); "planning begins");
+        let mut planner = PlannerState::new(
+            epoch,
+            self.identity.name.clone(),
+            self.identity.limits,
+            Arc::clone(manifest),
+            now,
+        );
+        let mut context = plan_context(now, wall, &mut self.next_ticket, actions);
+        for (name, report) in &self.reports {
+            planner.take_report(&mut context, name, Some(Arc::clone(report)));
+        }
+        planner.take_book(&mut context, &self.book);
+        planner.tick(&mut context);
+        self.planner = Some(planner);
+        self.jobs.set_pace(Duration::ZERO);
+    }
+
+    fn end_planning(&mut self, now: MonotonicTime) {
+        let is_over = self
+            .planner
+            .as_ref()
+            .is_some_and(|planner| planner.is_deposed() || planner.has_yielded());
+        if !is_over {
+            return;
+        }
+        log::info!("planning ends");
+        self.planner = None;
+        self.workers = None;
+        self.jobs.set_pace(FOLLOW_PACE);
+        self.seat.step_down(now);
+    }
+
+    /// Whether the seat is held, claimed or free, for the dump.
+    pub const fn seat_stage(&self) -> SeatStage {
+        self.seat.stage()
+    }
+}
+
+fn plan_context<'a>(
+    now: MonotonicTime,
+    wall: WallTime,
+    next_ticket: &'a mut u64,
+    actions: &'a mut Vec<HostAction>,
+) -> PlanContext<'a> {
+    PlanContext {
+        now,
+        wall,
+        next_ticket,
+        actions,
+    }
+}
+
+fn note_fault(fault: Option<&StreamFault>) {
+    if let Some(fault) = fault {
+        counter!(READS_FAILED, "cause" => fault.word()).increment(1);
+        log::debug!(target: "log", cause = fault.to_string().as_str(); "read failed");
+    }
+}
+
+fn skip_record(stream: StreamName, cause: &str) {
+    counter!(RECORDS_SKIPPED, "stream" => stream.word()).increment(1);
+    log::warn!(target: "log", stream = stream.word(), cause; "record skipped");
+}
+
+impl Display for DomainHost {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let version = self
+            .manifest
+            .as_ref()
+            .map_or(0, |manifest| manifest.version);
+        writeln!(
+            f,
+            "host {} config{version} draining {} jobs {} waiting {} seat {:?}",
+            self.identity.name,
+            self.is_draining,
+            self.book.jobs().len(),
+            self.desk.waiting_count(),
+            self.seat.stage(),
+        )?;
+        match &self.planner {
+            Some(planner) => write!(f, "{planner}"),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/process/job_book.rs
@@ -0,0 +1,178 @@
+//! What the jobs stream says: every job that is known, its cancellation, progress
+//! and outcome. Every host keeps one, built from the records alone.
+
+use crate::prelude::*;
+use crate::process::record::{
+    AcceptedJob, GroupRecord, JobOutcome, JobRecord, PlannerHeartbeat, RecordKey,
+};
+use crate::request::front_request::JobPhase;
+
+/// Everything recorded of one job.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct BookedJob {
+    /// The acceptance; nothing while only a cancellation is known.
+    pub accepted: Option<Arc<AcceptedJob>>,
+    /// Whether it was cancelled.
+    pub is_cancelled: bool,
+    /// How it ended, if it has.
+    pub outcome: Option<JobOutcome>,
+    /// Progress of the groups that ever started. Empty once the job has ended.
+    pub groups: BTreeMap<GroupKey, GroupRecord>,
+    /// Groups of which the log may keep a record.
+    pub recorded: BTreeSet<GroupKey>,
+    /// Whether a unit has ever started.
+    pub has_begun: bool,
+    /// When this host read that the job has ended or was cancelled.
+    pub ended_at: Option<MonotonicTime>,
+}
+
+/// What a record changed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum BookChange {
+    /// Nothing that anyone waits for.
+    None,
+    /// A job became known.
+    Accepted(JobKey),
+    /// A job was cancelled.
+    Cancelled(JobKey),
+    /// The planner is at work, or has stopped.
+    Heartbeat,
+}
+
+/// All jobs that the log tells of.
+#[derive(Clone, Debug, Default)]
+pub struct JobBook {
+    jobs: BTreeMap<JobKey, BookedJob>,
+    heartbeat: Option<PlannerHeartbeat>,
+}
+
+impl BookedJob {
+    /// The job's state as callers see it; nothing while it was never accepted.
+    pub fn phase(&self) -> Option<JobPhase> {
+        self.accepted.as_ref()?;
+        Some(match self.outcome {
+            Some(JobOutcome::Completed) => JobPhase::Completed,
+            Some(JobOutcome::Failed) => JobPhase::Failed,
+            None if self.is_cancelled => JobPhase::Cancelled,
+            None if self.has_begun => JobPhase::Running,
+            None => JobPhase::Queued,
+        })
+    }
+
+    /// Whether something of it may still have to run.
+    pub fn is_open(&self) -> bool {
+        self.accepted.is_some() && !self.is_cancelled && self.outcome.is_none()
+    }
+}
+
+impl JobBook {
+    /// Jobs by identifier.
+    pub const fn jobs(&self) -> &BTreeMap<JobKey, BookedJob> {
+        &self.jobs
+    }
+
+    /// A job.
+    pub fn job(&self, key: JobKey) -> Option<&BookedJob> {
+        self.jobs.get(&key)
+    }
+
+    /// The planner's newest sign of life.
+    pub const fn heartbeat(&self) -> Option<&PlannerHeartbeat> {
+        self.heartbeat.as_ref()
+    }
+
+    /// Applies a record. A copy of a record changes nothing, and of two acceptances
+    /// of one job the first counts.
+    pub fn apply(&mut self, now: MonotonicTime, record: JobRecord) -> BookChange {
+        match record {
+            JobRecord::Acceptance(key, accepted) => self.accept(key, accepted),
+            JobRecord::Cancellation(key) => {
+                let job = self.jobs.entry(key).or_default();
+                job.is_cancelled = true;
+                job.ended_at.get_or_insert(now);
+                job.groups.clear();
+                BookChange::Cancelled(key)
+            }
+            JobRecord::Outcome(key, outcome) => {
+                let job = self.jobs.entry(key).or_default();
+                job.outcome = Some(outcome);
+                job.ended_at.get_or_insert(now);
+                job.groups.clear();
+                BookChange::None
+            }
+            JobRecord::Group(group, record) => {
+                self.note_group(group, record);
+                BookChange::None
+            }
+            JobRecord::Heartbeat(heartbeat) => {
+                self.heartbeat = Some(heartbeat);
+                BookChange::Heartbeat
+            }
+            JobRecord::Dropped(key) => {
+                self.drop_key(key);
+                BookChange::None
+            }
+        }
+    }
+
+    fn accept(&mut self, key: JobKey, accepted: Arc<AcceptedJob>) -> BookChange {
+        let job = self.jobs.entry(key).or_default();
+        if job.accepted.is_some() {
+            return BookChange::None;
+        }
+        job.accepted = Some(accepted);
+        BookChange::Accepted(key)
+    }
+
+    fn note_group(&mut self, group: GroupKey, record: GroupRecord) {
+        let job = self.jobs.entry(group.job).or_default();
+        job.has_begun |= record.run > RunNumber(0);
+        job.recorded.insert(group);
+        if job.outcome.is_none() && !job.is_cancelled {
+            job.groups.insert(group, record);
+        }
+    }
+
+    fn drop_key(&mut self, key: RecordKey) {
+        match key {
+            RecordKey::Acceptance(job) => {
+                self.jobs.remove(&job);
+            }
+            RecordKey::Group(group) => {
+                if let Some(job) = self.jobs.get_mut(&group.job) {
+                    job.groups.remove(&group);
+                    job.recorded.remove(&group);
+                }
+            }
+            RecordKey::Cancellation(_) | RecordKey::Outcome(_) | RecordKey::Heartbeat => {}
+        }
+    }
+
+    /// Number of jobs of a queue that were accepted and have not begun.
+    pub fn pending(&self, queue: &QueueName) -> u64 {
+        let is_pending = |job: &&BookedJob| {
+            job.is_open()
+                && !job.has_begun
+                && job
+                    .accepted
+                    .as_ref()
+                    .is_some_and(|accepted| accepted.queue == *queue)
+        };
+        self.jobs.values().filter(is_pending).count() as u64
+    }
+
+    /// Keys of the records of jobs that ended before a time.
+    pub fn expired_keys(&self, ended_before: MonotonicTime) -> Vec<RecordKey> {
+        let mut keys = Vec::new();
+        for (job, booked) in &self.jobs {
+            if booked.ended_at.is_none_or(|at| at >= ended_before) {
+                continue;
+            }
+            keys.extend(booked.recorded.iter().copied().map(RecordKey::Group));
+            keys.push(RecordKey::Outcome(*job));
+            keys.push(RecordKey::Cancellation(*job));
+            keys.push(RecordKey::Acceptance(*job));
+        }
+        keys
+    }
+}
--- /dev/null
+++ b/crates/domain/src/process/planner.rs
@@ -0,0 +1,22 @@
+//! The planner of a domain: decides which group of units runs where and when. It
+//! lives for one tenure of the seat. [`PlannerState`] takes typed events and returns
+//! typed actions; what it must not forget goes to the jobs stream before it acts.
+
+pub mod estimate;
+pub mod health;
+pub mod job;
+pub mod limits;
+pub mod look;
+pub mod order;
+pub mod pass;
+pub mod place;
+pub mod reclaim;
+pub mod start;
+pub mod state;
+pub mod takeover;
+pub mod verifier;
+pub mod worker;
+pub mod writer;
+
+pub use limits::PlanLimits;
+pub use state::PlannerState;
--- /dev/null
+++ b/crates/domain/src/process/planner/pass.rs
@@ -0,0 +1,222 @@
+//! One pass over what waits: opens occurrences that are due, and starts the groups
+//! that fit, first things first.
+
+use crate::prelude::*;
+use crate::process::planner::job::{MemberStage, PlanOccurrence};
+use crate::process::planner::order::{WaitingStep, waiting_steps};
+use crate::process::planner::place::{PlaceRequest, Placement, RoomRow, RoomView, StepKey};
+use crate::process::planner::state::{PlanContext, PlannerState};
+
+/// Time without progress after which a run stands still: two looks, and a listing in
+/// which every run of the kinds served has moved by many percent.
+const STALL_TIME: Duration = Duration::from_millis(4_500);
+/// Longest time ahead of the present for which occurrences are opened.
+const OPEN_AHEAD: Duration = Duration::ZERO;
+
+impl PlannerState {
+    /// Starts what fits.
+    pub(super) fn plan(&mut self, context: &mut PlanContext<'_>) {
+        let waiting = waiting_steps(context.now, &self.jobs, &self.run_times);
+        if waiting.is_empty() {
+            return;
+        }
+        let mut view = self.room_view(context.now);
+        for step in &waiting {
+            self.plan_step(context, step, &mut view);
+        }
+    }
+
+    /// Room of the workers that may get something.
+    pub(super) fn room_view(&self, now: MonotonicTime) -> RoomView {
+        let open = self
+            .workers
+            .values()
+            .filter(|worker| worker.is_open(now))
+            .filter(|worker| !self.is_spare(&worker.report.service));
+        let mut rows: Vec<RoomRow> = open.map(RoomRow::new).collect();
+        for row in &mut rows {
+            row.limited = self.limited_units(&row.worker);
+        }
+        RoomView { rows }
+    }
+
+    fn is_spare(&self, service: &ServiceName) -> bool {
+        let settings = self.manifest.services.get(service);
+        settings.is_some_and(|settings| settings.is_spare)
+    }
+
+    /// Units on a worker of the steps that limit them.
+    fn limited_units(&self, name: &WorkerName) -> BTreeMap<StepKey, u16> {
+        let mut limited = BTreeMap::new();
+        let Some(worker) = self.workers.get(name) else {
+            return limited;
+        };
+        for unit in worker.holdings.keys() {
+            let shape = self
+                .jobs
+                .get(&unit.job)
+                .and_then(|job| job.shape(unit.step));
+            if shape.is_some_and(|shape| shape.worker_limit.is_some()) {
+                let key = StepKey {
+                    job: unit.job,
+                    occurrence: unit.occurrence,
+                    step: unit.step,
+                };
+                *limited.entry(key).or_default() += 1;
+            }
+        }
+        limited
+    }
+
+    fn plan_step(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        step: &WaitingStep,
+        view: &mut RoomView,
+    ) {
+        let Some(job) = self.jobs.get(&step.key.job) else {
+            return;
+        };
+        let accepted = Arc::clone(&job.accepted);
+        let Some(shape) = accepted.submission.steps.get(usize::from(step.key.step)) else {
+            return;
+        };
+        for index in &step.groups {
+            let key = GroupKey {
+                job: step.key.job,
+                occurrence: step.key.occurrence,
+                step: step.key.step,
+                index: (!shape.is_gang).then_some(*index as u16),
+            };
+            let failed_on = self
+                .jobs
+                .get(&key.job)
+                .and_then(|job| job.group(&key))
+                .map(|group| group.failed_on.clone())
+                .unwrap_or_default();
+            let request = PlaceRequest {
+                service: &accepted.service,
+                key: step.key,
+                shape,
+                count: shape.group_size(),
+                avoided: &failed_on,
+                allows_remote: context.now >= step.due_by,
+            };
+            if self.start_claimed(context, key, &request) {
+                continue;
+            }
+            let Some(placement) = view.place(&request) else {
+                self.reclaim_for(context, key, step, &request, view);
+                break;
+            };
+            view.take(&request, &placement);
+            self.begin_start(context.now, key, &placement);
+        }
+    }
+
+    /// Starts a group on the room that others were stopped for, once it is free.
+    fn start_claimed(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        key: GroupKey,
+        request: &PlaceRequest<'_>,
+    ) -> bool {
+        let Some(claim) = self.claims.get(&key) else {
+            return false;
+        };
+        let mut needed: BTreeMap<&WorkerName, u16> = BTreeMap::new();
+        for name in &claim.placement.workers {
+            *needed.entry(name).or_default() += 1;
+        }
+        let is_free = needed.iter().all(|(name, count)| {
+            self.workers.get(*name).is_some_and(|worker| {
+                let room = worker.room_for(Some(&key));
+                let slots = request.shape.need.times_in(&room, u32::from(*count));
+                worker.is_open(context.now) && slots >= u32::from(*count)
+            })
+        });
+        if !is_free {
+            return true;
+        }
+        let placement: Placement = claim.placement.clone();
+        self.drop_claim(&key);
+        self.begin_start(context.now, key, &placement);
+        true
+    }
+
+    /// Opens the occurrences that are due.
+    pub(super) fn open_occurrences(&mut self, context: &mut PlanContext<'_>) {
+        let (now, wall) = (context.now, context.wall);
+        let mut is_opened = false;
+        for job in self.jobs.values_mut().filter(|job| !job.is_closing) {
+            let submission = &job.accepted.submission;
+            while job.next_occurrence < submission.occurrences() {
+                let due = submission
+                    .schedule
+                    .map(|schedule| schedule.due_at(job.next_occurrence));
+                let ahead = OPEN_AHEAD.as_millis() as u64;
+                if due.is_some_and(|due| wall.0 + ahead < due.0) {
+                    break;
+                }
+                let due_at = due.map_or(job.accepted_at, |due| {
+                    now - Duration::from_millis(wall.0.saturating_sub(due.0))
+                });
+                let occurrence = PlanOccurrence::new(&job.accepted, due_at);
+                job.occurrences
+                    .entry(job.next_occurrence)
+                    .or_insert(occurrence);
+                job.next_occurrence += 1;
+                is_opened = true;
+            }
+        }
+        self.is_dirty |= is_opened;
+    }
+
+    /// Stops runs that stand still, and sets their workers aside.
+    pub(super) fn check_progress(&mut self, context: &mut PlanContext<'_>) {
+        let now = context.now;
+        let mut stalled = Vec::new();
+        for worker in self
+            .workers
+            .values()
+            .filter(|worker| worker.link.failures == 0)
+        {
+            for holding in worker.holdings.values() {
+                let job = self.jobs.get(&holding.group.job);
+                let Some(job) = job.filter(|job| !job.is_closing) else {
+                    continue;
+                };
+                let is_lasting = job
+                    .shape(holding.group.step)
+                    .is_some_and(|shape| shape.is_long_running);
+                let Some(group) = job.group(&holding.group) else {
+                    continue;
+                };
+                let is_running = group
+                    .members
+                    .get(holding.member)
+                    .is_some_and(|member| matches!(member.stage, MemberStage::Running(_)));
+                let progress = &group.progress;
+                let is_still = progress.first_percent.is_some()
+                    && now.since(progress.risen_at) >= STALL_TIME
+                    && worker
+                        .link
+                        .answered_at
+                        .is_some_and(|at| at.since(progress.risen_at) >= STALL_TIME);
+                if is_running && is_still && !is_lasting {
+                    stalled.push((worker.report.name.clone(), holding.group, holding.member));
+                }
+            }
+        }
+        for (name, key, member) in stalled {
+            log::info!(target: "stop", group = key.to_string().as_str(), worker = name.as_str(); "run stands still; stopping it");
+            self.avoid_member_worker(&key, member);
+            if key.index.is_some()
+                && let Some(worker) = self.workers.get_mut(&name)
+            {
+                worker.health.set_aside(now);
+            }
+            self.clear_group(now, key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/process/planner/place.rs
@@ -0,0 +1,214 @@
+//! Where a group fits: pure search over the room of the workers. Groups are packed
+//! tightly, so that whole workers and racks stay free for groups that need them.
+
+use crate::prelude::*;
+use crate::process::planner::worker::PlanWorker;
+use crate::request::submission::{StepShape, UnitNeed};
+
+/// Room of one worker during a pass.
+#[derive(Clone, Debug)]
+pub struct RoomRow {
+    /// Worker.
+    pub worker: WorkerName,
+    /// Service of the worker.
+    pub service: ServiceName,
+    /// Rack of the worker.
+    pub rack: Option<RackName>,
+    /// Labels of the worker.
+    pub labels: BTreeSet<LabelName>,
+    /// Everything that it has.
+    pub capacity: UnitNeed,
+    /// What is free and kept for nobody.
+    pub free: UnitNeed,
+    /// Units of each step of each occurrence on it, where the step limits them.
+    pub limited: BTreeMap<StepKey, u16>,
+}
+
+/// A step of an occurrence.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StepKey {
+    /// Job.
+    pub job: JobKey,
+    /// Occurrence.
+    pub occurrence: u32,
+    /// Step.
+    pub step: u16,
+}
+
+/// Workers for the members of a group, in their order.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Placement {
+    /// One worker for each member.
+    pub workers: Vec<WorkerName>,
+    /// Whether the units slow down there, away from their data or from each other.
+    pub is_remote: bool,
+}
+
+/// What a group asks of its place.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceRequest<'a> {
+    /// Service whose workers run it.
+    pub service: &'a ServiceName,
+    /// Step of the group.
+    pub key: StepKey,
+    /// Shape of the step.
+    pub shape: &'a StepShape,
+    /// Members to place.
+    pub count: u16,
+    /// Workers to leave out.
+    pub avoided: &'a [WorkerName],
+    /// Whether a place where the units slow down will do.
+    pub allows_remote: bool,
+}
+
+/// Room of all workers that may get something.
+#[derive(Clone, Debug, Default)]
+pub struct RoomView {
+    /// Rows in order of the workers' names.
+    pub rows: Vec<RoomRow>,
+}
+
+impl RoomRow {
+    /// The room of a worker.
+    pub fn new(worker: &PlanWorker) -> Self {
+        Self {
+            worker: worker.report.name.clone(),
+            service: worker.report.service.clone(),
+            rack: worker.report.rack.clone(),
+            labels: worker.report.labels.clone(),
+            capacity: worker.report.capacity,
+            free: worker.room_for(None),
+            limited: BTreeMap::new(),
+        }
+    }
+
+    /// Whether the worker may run the group at all.
+    fn suits(&self, request: &PlaceRequest<'_>) -> bool {
+        let shape = request.shape;
+        self.service == *request.service
+            && shape
+                .label
+                .as_ref()
+                .is_none_or(|label| self.labels.contains(label))
+            && !request.avoided.contains(&self.worker)
+    }
+
+    /// Members that fit now.
+    pub fn slots(&self, request: &PlaceRequest<'_>) -> u32 {
+        let most = u32::from(request.count);
+        let fitting = request.shape.need.times_in(&self.free, most);
+        let Some(limit) = request.shape.worker_limit else {
+            return fitting;
+        };
+        let used = self.limited.get(&request.key).copied().unwrap_or(0);
+        fitting.min(u32::from(limit.saturating_sub(used)))
+    }
+
+    /// Part of the worker that is free.
+    fn free_share(&self) -> f64 {
+        self.free.share_of(&self.capacity)
+    }
+}
+
+impl RoomView {
+    /// A place for a group, if there is one.
+    pub fn place(&self, request: &PlaceRequest<'_>) -> Option<Placement> {
+        let suited: Vec<usize> = (0..self.rows.len())
+            .filter(|index| self.rows[*index].suits(request))
+            .collect();
+        let shape = request.shape;
+        if let Some(rack) = &shape.data_rack {
+            let near: Vec<usize> = suited
+                .iter()
+                .copied()
+                .filter(|index| self.rows[*index].rack.as_ref() == Some(rack))
+                .collect();
+            if let Some(workers) = self.fill(&near, request) {
+                return Some(Placement {
+                    workers,
+                    is_remote: false,
+                });
+            }
+        } else if shape.same_rack && shape.is_gang && request.count > 1 {
+            if let Some(workers) = self.fill_rack(&suited, request) {
+                return Some(Placement {
+                    workers,
+                    is_remote: false,
+                });
+            }
+        } else {
+            return self.fill(&suited, request).map(|workers| Placement {
+                workers,
+                is_remote: false,
+            });
+        }
+        if !request.allows_remote {
+            return None;
+        }
+        self.fill(&suited, request).map(|workers| Placement {
+            workers,
+            is_remote: true,
+        })
+    }
+
+    /// Fills the fullest workers first.
+    fn fill(&self, suited: &[usize], request: &PlaceRequest<'_>) -> Option<Vec<WorkerName>> {
+        let mut open: Vec<(usize, u32)> = suited
+            .iter()
+            .map(|index| (*index, self.rows[*index].slots(request)))
+            .filter(|(_, slots)| *slots > 0)
+            .collect();
+        let total: u32 = open.iter().map(|(_, slots)| slots).sum();
+        if total < u32::from(request.count) {
+            return None;
+        }
+        open.sort_by(|(left, _), (right, _)| {
+            let left = self.rows[*left].free_share();
+            left.total_cmp(&self.rows[*right].free_share())
+        });
+        let mut workers = Vec::with_capacity(usize::from(request.count));
+        for (index, slots) in open {
+            let missing = usize::from(request.count) - workers.len();
+            let taken = missing.min(slots as usize);
+            workers.extend(std::iter::repeat_n(self.rows[index].worker.clone(), taken));
+        }
+        Some(workers)
+    }
+
+    /// Fills the rack in which the least room is left over.
+    fn fill_rack(&self, suited: &[usize], request: &PlaceRequest<'_>) -> Option<Vec<WorkerName>> {
+        let mut racks: BTreeMap<&RackName, (u32, Vec<usize>)> = BTreeMap::new();
+        for index in suited {
+            let row = &self.rows[*index];
+            let Some(rack) = &row.rack else {
+                continue;
+            };
+            let slots = row.slots(request);
+            if slots > 0 {
+                let entry = racks.entry(rack).or_default();
+                entry.0 += slots;
+                entry.1.push(*index);
+            }
+        }
+        let (_, rows) = racks
+            .into_values()
+            .filter(|(slots, _)| *slots >= u32::from(request.count))
+            .min_by_key(|(slots, _)| *slots)?;
+        self.fill(&rows, request)
+    }
+
+    /// Takes the room of a placed group.
+    pub fn take(&mut self, request: &PlaceRequest<'_>, placement: &Placement) {
+        for name in &placement.workers {
+            let found = self.rows.binary_search_by(|row| row.worker.cmp(name));
+            let Ok(index) = found else {
+                continue;
+            };
+            let row = &mut self.rows[index];
+            row.free = row.free.minus(&request.shape.need);
+            if request.shape.worker_limit.is_some() {
+                *row.limited.entry(request.key).or_default() += 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/process/planner/reclaim.rs
@@ -0,0 +1,272 @@
+//! Taking room back: an urgent group that finds none stops less urgent runs, those
+//! first whose loss costs least. The room is kept for it until they are gone.
+
+use crate::prelude::*;
+use crate::process::planner::job::{GroupPhase, PlanGroup, PlanJob};
+use crate::process::planner::order::WaitingStep;
+use crate::process::planner::place::{PlaceRequest, Placement, RoomView};
+use crate::process::planner::state::{PlanContext, PlannerState};
+use crate::process::planner::worker::PlanWorker;
+use crate::request::submission::UnitNeed;
+
+/// Cores to which an accelerator is equal in the weight of lost work, by the users'
+/// price of it.
+const ACCELERATOR_CORES: f64 = 8.0;
+/// Cost of stopping a run at all, in core seconds: its start is paid again.
+const STOP_COST: f64 = 4.0;
+/// Time for which room is kept beside the stop's own grace, for answers and looks.
+const CLAIM_SLACK: Duration = Duration::from_millis(1_500);
+
+/// Room that is being cleared for a group.
+#[derive(Clone, Debug)]
+pub struct RoomClaim {
+    /// Where the group will run.
+    pub placement: Placement,
+    /// When the claim is given up.
+    pub until: MonotonicTime,
+}
+
+/// What clearing room on one worker takes.
+#[derive(Clone, Debug)]
+struct ClearingPlan {
+    worker: WorkerName,
+    victims: Vec<GroupKey>,
+    slots: u32,
+    cost: f64,
+}
+
+impl PlannerState {
+    /// Stops less urgent runs to make room for an urgent group.
+    pub(super) fn reclaim_for(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        key: GroupKey,
+        step: &WaitingStep,
+        request: &PlaceRequest<'_>,
+        view: &mut RoomView,
+    ) {
+        if step.priority != 0 || step.is_hopeless {
+            return;
+        }
+        let Some((placement, victims)) =
+            self.find_victims(context.now, step.priority, request, view)
+        else {
+            return;
+        };
+        log::info!(
+            target: "reclaim", group = key.to_string().as_str(), victims = victims.len(),
+            members = placement.workers.len();
+            "stopping less urgent runs for an urgent group"
+        );
+        self.keep_room(context.now, key, request, placement, view);
+        for victim in victims {
+            self.clear_group(context.now, victim);
+        }
+    }
+
+    fn keep_room(
+        &mut self,
+        now: MonotonicTime,
+        key: GroupKey,
+        request: &PlaceRequest<'_>,
+        placement: Placement,
+        view: &mut RoomView,
+    ) {
+        for name in &placement.workers {
+            if let Some(worker) = self.workers.get_mut(name) {
+                let kept = worker.reserved.entry(key).or_default();
+                *kept = kept.plus(&request.shape.need);
+            }
+        }
+        view.take(request, &placement);
+        let until = now + self.limits.stop_grace + CLAIM_SLACK;
+        self.claims.insert(key, RoomClaim { placement, until });
+    }
+
+    /// Gives up the room kept for a group.
+    pub(super) fn drop_claim(&mut self, key: &GroupKey) {
+        if let Some(claim) = self.claims.remove(key) {
+            for name in &claim.placement.workers {
+                if let Some(worker) = self.workers.get_mut(name) {
+                    worker.reserved.remove(key);
+                }
+            }
+        }
+    }
+
+    /// Gives up claims that took too long, and those of groups that are gone.
+    pub(super) fn expire_claims(&mut self, now: MonotonicTime) {
+        let over: Vec<_> = self
+            .claims
+            .iter()
+            .filter(|(key, claim)| {
+                let group = self.jobs.get(&key.job).and_then(|job| job.group(key));
+                let is_waiting = group.is_some_and(|group| group.phase == GroupPhase::Waiting);
+                now >= claim.until || !is_waiting
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        for key in over {
+            self.drop_claim(&key);
+            self.is_dirty = true;
+        }
+    }
+
+    /// The cheapest place for a group once some less urgent runs are stopped.
+    fn find_victims(
+        &self,
+        now: MonotonicTime,
+        priority: u8,
+        request: &PlaceRequest<'_>,
+        view: &RoomView,
+    ) -> Option<(Placement, Vec<GroupKey>)> {
+        let needs_rack = request.shape.same_rack && request.shape.is_gang && request.count > 1;
+        let mut racks: BTreeMap<Option<&RackName>, Vec<ClearingPlan>> = BTreeMap::new();
+        for row in &view.rows {
+            let is_near = request
+                .shape
+                .data_rack
+                .as_ref()
+                .is_none_or(|rack| row.rack.as_ref() == Some(rack));
+            let Some(worker) = self.workers.get(&row.worker).filter(|_| is_near) else {
+                continue;
+            };
+            if row.service != *request.service
+                || request
+                    .shape
+                    .label
+                    .as_ref()
+                    .is_some_and(|label| !row.labels.contains(label))
+            {
+                continue;
+            }
+            let rack = if needs_rack { row.rack.as_ref() } else { None };
+            if needs_rack && rack.is_none() {
+                continue;
+            }
+            let plans = self.clearing_plans(now, priority, request, worker, &row.free);
+            racks.entry(rack).or_default().extend(plans);
+        }
+        let found = racks
+            .into_values()
+            .filter_map(|plans| choose_plans(plans, u32::from(request.count)));
+        let (workers, victims, _) =
+            found.min_by(|(_, _, left), (_, _, right)| left.total_cmp(right))?;
+        let placement = Placement {
+            workers,
+            is_remote: false,
+        };
+        Some((placement, victims))
+    }
+
+    /// Ways to get room for one, two and more members on a worker, each with the runs
+    /// that it takes beyond the way before.
+    fn clearing_plans(
+        &self,
+        now: MonotonicTime,
+        priority: u8,
+        request: &PlaceRequest<'_>,
+        worker: &PlanWorker,
+        free: &UnitNeed,
+    ) -> Vec<ClearingPlan> {
+        let mut victims: Vec<(GroupKey, UnitNeed, f64)> = Vec::new();
+        for holding in worker.holdings.values() {
+            let Some(job) = self.jobs.get(&holding.group.job) else {
+                continue;
+            };
+            let Some(group) = job.group(&holding.group) else {
+                continue;
+            };
+            if job.accepted.priority <= priority || group.phase != GroupPhase::Active {
+                continue;
+            }
+            if let Some(known) = victims.iter_mut().find(|(key, _, _)| *key == holding.group) {
+                known.1 = known.1.plus(&holding.need);
+                continue;
+            }
+            victims.push((
+                holding.group,
+                holding.need,
+                lost_work(now, job, group, &holding.need),
+            ));
+        }
+        victims.sort_by(|left, right| left.2.total_cmp(&right.2));
+        let most = u32::from(request.count);
+        let mut room = *free;
+        let mut slots = request.shape.need.times_in(&room, most);
+        let mut plans = Vec::new();
+        let name = &worker.report.name;
+        if slots > 0 {
+            plans.push(ClearingPlan {
+                worker: name.clone(),
+                victims: Vec::new(),
+                slots,
+                cost: 0.0,
+            });
+        }
+        let mut pending = Vec::new();
+        let mut cost = 0.0;
+        for (key, need, lost) in victims {
+            room = room.plus(&need);
+            pending.push(key);
+            cost += lost;
+            let fitting = request.shape.need.times_in(&room, most);
+            if fitting > slots {
+                plans.push(ClearingPlan {
+                    worker: name.clone(),
+                    victims: std::mem::take(&mut pending),
+                    slots: fitting - slots,
+                    cost,
+                });
+                slots = fitting;
+                cost = 0.0;
+            }
+        }
+        plans
+    }
+}
+
+/// Takes the cheapest ways first until there is room for all members. The ways of one
+/// worker only get dearer one after the other, so their order is kept.
+fn choose_plans(
+    mut plans: Vec<ClearingPlan>,
+    count: u32,
+) -> Option<(Vec<WorkerName>, Vec<GroupKey>, f64)> {
+    let total: u32 = plans.iter().map(|plan| plan.slots).sum();
+    if total < count {
+        return None;
+    }
+    plans.sort_by(|left, right| {
+        let left = left.cost / f64::from(left.slots);
+        left.total_cmp(&(right.cost / f64::from(right.slots)))
+    });
+    let mut workers = Vec::new();
+    let mut victims: BTreeSet<GroupKey> = BTreeSet::new();
+    let mut cost = 0.0;
+    for plan in plans {
+        let missing = count as usize - workers.len();
+        if missing == 0 {
+            break;
+        }
+        let taken = missing.min(plan.slots as usize);
+        workers.extend(std::iter::repeat_n(plan.worker.clone(), taken));
+        victims.extend(plan.victims);
+        cost += plan.cost;
+    }
+    Some((workers, victims.into_iter().collect(), cost))
+}
+
+/// Work that is lost when a group's run is stopped, in core seconds.
+fn lost_work(now: MonotonicTime, job: &PlanJob, group: &PlanGroup, need: &UnitNeed) -> f64 {
+    let cores = need.cpu_millis as f64 / 1_000.0 + f64::from(need.accelerators) * ACCELERATOR_CORES;
+    let ran = now.since(group.started_at).as_secs_f64();
+    let has_checkpoints = job
+        .accepted
+        .submission
+        .steps
+        .first()
+        .is_some_and(|shape| shape.has_checkpoints);
+    let lost = if has_checkpoints { ran.min(1.0) } else { ran };
+    let members = group.members.len().max(1) as f64;
+    STOP_COST + lost * cores * members
+}
--- /dev/null
+++ b/crates/domain/src/process/planner/start.rs
@@ -0,0 +1,413 @@
+//! Starting and stopping runs: from the recorded decision to the worker's answer, and
+//! from there to the certainty that nothing of a run is left.
+
+use crate::prelude::*;
+use crate::process::action::{StartOrder, WorkerOrder};
+use crate::process::event::{RefusalCause, WorkerAnswer, WorkerFault};
+use crate::process::planner::job::{GroupPhase, GroupProgress, MemberStage, PlanMember};
+use crate::process::planner::place::Placement;
+use crate::process::planner::state::{CallKind, PlanContext, PlannerState, StopOrder};
+use crate::process::planner::worker::Holding;
+use crate::process::planner::writer::CommitEffect;
+use crate::process::record::{JobOutcome, JobRecord};
+
+/// Pause before a group whose start was refused is planned again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(100);
+/// Pause before a stop without an answer is repeated.
+const STOP_PAUSE: Duration = Duration::from_millis(200);
+
+impl PlannerState {
+    /// Decides a start: occupies the room and records the run. The orders follow once
+    /// the record is in the log.
+    pub(super) fn begin_start(&mut self, now: MonotonicTime, key: GroupKey, placement: &Placement) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let Some(need) = job.shape(key.step).map(|shape| shape.need) else {
+            return;
+        };
+        let Some(group) = job.group_mut(&key) else {
+            return;
+        };
+        debug_assert!(!group.is_held(), "{key} starts while a run of it is left");
+        group.run = RunNumber(group.run.0 + 1);
+        group.phase = GroupPhase::Recording;
+        group.started_at = now;
+        group.members.clear();
+        for (member, name) in placement.workers.iter().enumerate() {
+            let Some(worker) = self.workers.get_mut(name) else {
+                continue;
+            };
+            worker.reserved.remove(&key);
+            let holding = Holding {
+                group: key,
+                member,
+                need,
+                is_sent: false,
+            };
+            worker.hold(key.unit(member as u16), holding);
+            group.members.push(PlanMember {
+                worker: name.clone(),
+                incarnation: worker.incarnation(),
+                stage: MemberStage::Recording,
+            });
+        }
+        let (run, record) = (group.run, group.record());
+        self.writer.push(
+            &JobRecord::Group(key, record),
+            Some(CommitEffect::Start(key, run)),
+        );
+    }
+
+    /// Sends the starts of a run whose record is in the log, unless it was given up.
+    pub(super) fn send_starts(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        key: GroupKey,
+        run: RunNumber,
+    ) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let spec = Arc::clone(&job.accepted.submission.spec);
+        let Some(group) = job.group_mut(&key) else {
+            return;
+        };
+        if group.phase != GroupPhase::Recording || group.run != run {
+            return;
+        }
+        let members = group.members.clone();
+        let saved = group.saved.clone();
+        if !self.may_start_on(&members) {
+            log::info!(target: "start", group = key.to_string().as_str(), run = run.0; "start given up: a worker has left");
+            self.clear_group(context.now, key);
+            return;
+        }
+        if let Some(group) = self.group_mut(&key) {
+            group.phase = GroupPhase::Active;
+            group.started_at = context.now;
+            group.progress = GroupProgress::default();
+            for member in &mut group.members {
+                member.stage = MemberStage::Starting;
+            }
+        }
+        log::info!(
+            target: "start", group = key.to_string().as_str(), run = run.0, members = members.len(),
+            worker = members.first().map_or("none", |member| member.worker.as_str()),
+            resumes = saved.is_some();
+            "run starts"
+        );
+        let lease = self.limits.lease_limit;
+        for (index, member) in members.iter().enumerate() {
+            let unit = key.unit(index as u16);
+            let Some(worker) = self.workers.get_mut(&member.worker) else {
+                continue;
+            };
+            if let Some(holding) = worker.holdings.get_mut(&unit) {
+                holding.is_sent = true;
+            }
+            let order = StartOrder {
+                unit,
+                run,
+                spec: Arc::clone(&spec),
+                lease_until: worker.link.extend_lease(context.now, lease),
+                saved: saved.clone(),
+            };
+            self.send_order(
+                context,
+                &member.worker,
+                CallKind::Start { unit, run },
+                WorkerOrder::Start(order),
+                Duration::ZERO,
+            );
+        }
+    }
+
+    /// Whether all workers of a run may still get it.
+    fn may_start_on(&self, members: &[PlanMember]) -> bool {
+        members.iter().all(|member| {
+            let worker = self.workers.get(&member.worker);
+            worker.is_some_and(|worker| {
+                worker.incarnation() == member.incarnation && worker.is_listed && !worker.is_leaving
+            })
+        })
+    }
+
+    /// Takes the answer of a start.
+    pub(super) fn take_start(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        unit: UnitKey,
+        run: RunNumber,
+        result: &Result<WorkerAnswer, WorkerFault>,
+    ) {
+        let Some((key, index)) = self.locate_run(&unit, run) else {
+            return;
+        };
+        match result {
+            Ok(WorkerAnswer::Done { .. }) => {
+                self.set_stage(&key, index, |stage| match stage {
+                    MemberStage::Starting => MemberStage::Running(context.now),
+                    other => other,
+                });
+            }
+            Ok(WorkerAnswer::Refused { cause, .. }) => {
+                self.take_refusal(context, key, index, *cause);
+            }
+            Ok(WorkerAnswer::Listed(_))
+            | Err(WorkerFault::NoAnswer | WorkerFault::Malformed { .. }) => {
+                log::info!(target: "start", unit = unit.to_string().as_str(), run = run.0; "start not answered; stopping the run");
+                self.avoid_member_worker(&key, index);
+                self.clear_group(context.now, key);
+            }
+            Err(WorkerFault::Unreachable) => {
+                self.drop_member(context.now, key, index, "worker unreachable");
+            }
+        }
+    }
+
+    fn take_refusal(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        key: GroupKey,
+        index: usize,
+        cause: RefusalCause,
+    ) {
+        if cause == RefusalCause::Fenced {
+            self.note_deposed("a worker");
+            return;
+        }
+        log::info!(target: "start", group = key.to_string().as_str(), member = index, cause = cause.word(); "start refused");
+        let name = self.member_worker(&key, index);
+        if let Some(worker) = name.as_ref().and_then(|name| self.workers.get_mut(name)) {
+            match cause {
+                RefusalCause::NoRoom | RefusalCause::OldRun => {
+                    worker.link.quick_at = Some(context.now);
+                }
+                RefusalCause::Unhealthy => worker.health.set_aside(context.now),
+                _ => {}
+            }
+        }
+        self.drop_member(context.now, key, index, cause.word());
+    }
+
+    /// A member certainly does not run: frees its room, and stops the others.
+    fn drop_member(&mut self, now: MonotonicTime, key: GroupKey, index: usize, why: &str) {
+        self.avoid_member_worker(&key, index);
+        self.release_member(now, &key, index);
+        self.clear_group(now, key);
+        log::debug!(target: "start", group = key.to_string().as_str(), member = index, why; "member dropped");
+    }
+
+    /// Remembers the worker of a member as one to avoid for its group.
+    pub(super) fn avoid_member_worker(&mut self, key: &GroupKey, index: usize) {
+        let Some(name) = self.member_worker(key, index) else {
+            return;
+        };
+        if let Some(group) = self.group_mut(key)
+            && !group.failed_on.contains(&name)
+        {
+            group.failed_on.push(name);
+        }
+    }
+
+    /// Stops all members of a group's run. Once they are gone the group waits again,
+    /// or ends with its job.
+    pub(super) fn clear_group(&mut self, now: MonotonicTime, key: GroupKey) {
+        let Some(group) = self.group_mut(&key) else {
+            return;
+        };
+        if !matches!(group.phase, GroupPhase::Done | GroupPhase::Waiting) {
+            group.phase = GroupPhase::Clearing;
+        }
+        let run = group.run;
+        let members: Vec<_> = group.members.iter().cloned().enumerate().collect();
+        for (index, member) in members {
+            match member.stage {
+                // Its order was never sent.
+                MemberStage::Recording => self.release_member(now, &key, index),
+                MemberStage::Starting | MemberStage::Running(_) => {
+                    self.set_stage(&key, index, |_| MemberStage::Stopping);
+                    let unit = key.unit(index as u16);
+                    let order = StopOrder {
+                        run,
+                        worker: member.worker,
+                        is_seen: matches!(member.stage, MemberStage::Running(_)),
+                        ticket: None,
+                        send_at: now,
+                    };
+                    self.stopping.insert(unit, order);
+                }
+                MemberStage::Stopping | MemberStage::Stopped(_) | MemberStage::Gone => {}
+            }
+        }
+        self.settle_group(now, &key);
+    }
+
+    /// Sends the stops that are due.
+    pub(super) fn send_stops(&mut self, context: &mut PlanContext<'_>) {
+        let now = context.now;
+        let due: Vec<_> = self
+            .stopping
+            .iter()
+            .filter(|(_, order)| order.ticket.is_none() && now >= order.send_at)
+            .map(|(unit, order)| (*unit, order.run, order.worker.clone()))
+            .collect();
+        for (unit, run, worker) in due {
+            let order = WorkerOrder::Stop { unit, run };
+            let kind = CallKind::Stop { unit, run };
+            let ticket = self.send_order(context, &worker, kind, order, Duration::ZERO);
+            if let Some(stop) = self.stopping.get_mut(&unit) {
+                stop.ticket = ticket;
+                stop.send_at = now + STOP_PAUSE;
+            }
+        }
+    }
+
+    /// Takes the answer of a stop.
+    pub(super) fn take_stop(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        unit: UnitKey,
+        run: RunNumber,
+        result: &Result<WorkerAnswer, WorkerFault>,
+    ) {
+        if self.stopping.get(&unit).is_none_or(|stop| stop.run != run) {
+            return;
+        }
+        match result {
+            Ok(WorkerAnswer::Done { .. }) => {
+                let stop = self.stopping.remove(&unit);
+                // The end of a run that was there comes with the look that waits for it.
+                if let Some(stop) = stop.filter(|stop| !stop.is_seen)
+                    && let Some(worker) = self.workers.get_mut(&stop.worker)
+                {
+                    worker.link.quick_at.get_or_insert(context.now);
+                }
+                if let Some((key, index)) = self.locate_run(&unit, run) {
+                    self.set_stage(&key, index, |_| MemberStage::Stopped(context.now));
+                }
+            }
+            Ok(WorkerAnswer::Refused {
+                cause: RefusalCause::Fenced,
+                ..
+            }) => self.note_deposed("a worker"),
+            Ok(_) | Err(_) => {
+                if let Some(stop) = self.stopping.get_mut(&unit) {
+                    stop.ticket = None;
+                    stop.send_at = context.now + STOP_PAUSE;
+                }
+            }
+        }
+    }
+
+    /// Frees the room of a member that is certainly gone.
+    pub(super) fn release_member(&mut self, now: MonotonicTime, key: &GroupKey, index: usize) {
+        let Some(group) = self.group_mut(key) else {
+            return;
+        };
+        let Some(member) = group.members.get_mut(index) else {
+            return;
+        };
+        if !member.stage.is_held() {
+            return;
+        }
+        member.stage = MemberStage::Gone;
+        let name = member.worker.clone();
+        let unit = key.unit(index as u16);
+        self.stopping.remove(&unit);
+        if let Some(worker) = self.workers.get_mut(&name) {
+            worker.release(&unit);
+        }
+        self.is_dirty = true;
+        self.settle_group(now, key);
+    }
+
+    /// Moves a group on once none of its members is left.
+    pub(super) fn settle_group(&mut self, now: MonotonicTime, key: &GroupKey) {
+        let Some(group) = self.group_mut(key) else {
+            return;
+        };
+        if group.is_held() {
+            return;
+        }
+        if group.phase == GroupPhase::Clearing {
+            group.phase = GroupPhase::Waiting;
+            group.not_before = now + REFUSED_PAUSE;
+            group.members.clear();
+            if group.saved.is_some() {
+                let record = group.record();
+                self.writer.push(&JobRecord::Group(*key, record), None);
+            }
+            self.is_dirty = true;
+        }
+        self.close_job_if_clear(key.job);
+    }
+
+    /// Ends a job whose unit failed too often.
+    pub(super) fn fail_job(&mut self, now: MonotonicTime, job: JobKey) {
+        log::info!(target: "job", job = job.to_string().as_str(); "job failed: a unit failed too often");
+        self.writer
+            .push(&JobRecord::Outcome(job, JobOutcome::Failed), None);
+        self.close_job(now, job);
+    }
+
+    /// Stops everything of a job for good.
+    pub(super) fn close_job(&mut self, now: MonotonicTime, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        job.is_closing = true;
+        for group in job.group_keys() {
+            self.clear_group(now, group);
+        }
+        self.close_job_if_clear(key);
+    }
+
+    /// Forgets a closing job once nothing of it is left on any worker.
+    pub(super) fn close_job_if_clear(&mut self, key: JobKey) {
+        let is_clear = self
+            .jobs
+            .get(&key)
+            .is_some_and(|job| job.is_closing && !job.is_held());
+        if is_clear {
+            self.jobs.remove(&key);
+            for worker in self.workers.values_mut() {
+                worker.reserved.retain(|group, _| group.job != key);
+            }
+            self.is_dirty = true;
+        }
+    }
+
+    /// The group and member of a unit, if this is its newest run.
+    pub(super) fn locate_run(&self, unit: &UnitKey, run: RunNumber) -> Option<(GroupKey, usize)> {
+        let job = self.jobs.get(&unit.job)?;
+        let (key, index) = job.locate(unit)?;
+        let group = job.group(&key)?;
+        (group.run == run && index < group.members.len()).then_some((key, index))
+    }
+
+    pub(super) fn group_mut(
+        &mut self,
+        key: &GroupKey,
+    ) -> Option<&mut crate::process::planner::job::PlanGroup> {
+        self.jobs.get_mut(&key.job)?.group_mut(key)
+    }
+
+    pub(super) fn member_worker(&self, key: &GroupKey, index: usize) -> Option<WorkerName> {
+        let group = self.jobs.get(&key.job)?.group(key)?;
+        group.members.get(index).map(|member| member.worker.clone())
+    }
+
+    pub(super) fn set_stage<F>(&mut self, key: &GroupKey, index: usize, change: F)
+    where
+        F: FnOnce(MemberStage) -> MemberStage,
+    {
+        let member = self
+            .group_mut(key)
+            .and_then(|group| group.members.get_mut(index));
+        if let Some(member) = member {
+            member.stage = change(member.stage);
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/process/planner/state.rs
@@ -0,0 +1,455 @@
+//! The planner's state, and the events and ticks that drive it. The passes over the
+//! state are in files of their own.
+
+use std::fmt::{self, Display, Formatter};
+
+use metrics::counter;
+
+use crate::prelude::*;
+use crate::process::action::{CallTicket, HostAction, WorkerCall, WorkerOrder};
+use crate::process::event::{WorkerAnswer, WorkerFault};
+use crate::process::planner::estimate::RunTimes;
+use crate::process::planner::job::PlanJob;
+use crate::process::planner::limits::PlanLimits;
+use crate::process::planner::reclaim::RoomClaim;
+use crate::process::planner::worker::PlanWorker;
+use crate::process::planner::writer::{CommitEffect, PlanWriter, WriteStep};
+use crate::process::record::{FullQueue, JobRecord, PlannerHeartbeat, RecordKey};
+use crate::process::seat::HEARTBEAT_INTERVAL;
+use crate::process::stream::{AppendedAt, StreamFault};
+use crate::process::stream_follower::take_ticket;
+use crate::process::worker_report::WorkerReport;
+use crate::version::manifest::DomainManifest;
+
+/// Orders to workers that ended, by `order` and `outcome`.
+pub const WORKER_ORDERS: &str = "flamingowalk_domain_worker_orders_total";
+
+/// Time for an answer of a start or a stop; a worker answers within a few
+/// milliseconds, and members of a gang wait for each other meanwhile.
+const ORDER_TIME: Duration = Duration::from_millis(600);
+
+/// What a pass works with beside the state.
+#[derive(Debug)]
+pub struct PlanContext<'a> {
+    /// Present time.
+    pub now: MonotonicTime,
+    /// Clock of the host.
+    pub wall: WallTime,
+    /// Last ticket used.
+    pub next_ticket: &'a mut u64,
+    /// Actions to carry out.
+    pub actions: &'a mut Vec<HostAction>,
+}
+
+/// An order to a worker that was not answered yet.
+#[derive(Clone, Debug)]
+pub(super) struct PendingCall {
+    pub(super) worker: WorkerName,
+    pub(super) incarnation: WorkerIncarnation,
+    pub(super) sent_at: MonotonicTime,
+    pub(super) kind: CallKind,
+}
+
+/// What a pending order is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum CallKind {
+    Start { unit: UnitKey, run: RunNumber },
+    Stop { unit: UnitKey, run: RunNumber },
+    LongLook,
+    QuickLook,
+}
+
+impl CallKind {
+    const fn word(self) -> &'static str {
+        match self {
+            Self::Start { .. } => "start",
+            Self::Stop { .. } => "stop",
+            Self::LongLook => "wait",
+            Self::QuickLook => "look",
+        }
+    }
+}
+
+/// Planner of a domain during one tenure.
+#[derive(Debug)]
+pub struct PlannerState {
+    pub(super) epoch: SeatEpoch,
+    pub(super) host: HostName,
+    pub(super) limits: PlanLimits,
+    pub(super) manifest: Arc<DomainManifest>,
+    /// Workers that are listed, or on which something may still run.
+    pub(super) workers: BTreeMap<WorkerName, PlanWorker>,
+    /// Jobs that have not ended, or whose units still occupy workers.
+    pub(super) jobs: BTreeMap<JobKey, PlanJob>,
+    /// Units of which a run has to be stopped, with the run.
+    pub(super) stopping: BTreeMap<UnitKey, StopOrder>,
+    pub(super) writer: PlanWriter,
+    pub(super) calls: BTreeMap<CallTicket, PendingCall>,
+    pub(super) run_times: RunTimes,
+    /// Whether something changed that may let a group start.
+    pub(super) is_dirty: bool,
+    /// Room that is being cleared for groups.
+    pub(super) claims: BTreeMap<GroupKey, RoomClaim>,
+    /// Recorded members on workers that nobody lists, and until when they may run.
+    pub(super) orphans: Vec<(GroupKey, usize, MonotonicTime)>,
+    /// Queues that take no further jobs for now.
+    pub(super) full_queues: Vec<FullQueue>,
+    heartbeat_at: MonotonicTime,
+    /// Whether a worker or the log told of a higher epoch.
+    is_deposed: bool,
+    is_yielding: bool,
+    has_yielded: bool,
+}
+
+/// A stop that has to be answered.
+#[derive(Clone, Debug)]
+pub(super) struct StopOrder {
+    pub(super) run: RunNumber,
+    pub(super) worker: WorkerName,
+    /// Whether the run was certainly there.
+    pub(super) is_seen: bool,
+    pub(super) ticket: Option<CallTicket>,
+    pub(super) send_at: MonotonicTime,
+}
+
+impl PlannerState {
+    /// A planner that knows no job and no worker.
+    pub fn new(
+        epoch: SeatEpoch,
+        host: HostName,
+        limits: PlanLimits,
+        manifest: Arc<DomainManifest>,
+        now: MonotonicTime,
+    ) -> Self {
+        Self {
+            epoch,
+            host,
+            limits,
+            manifest,
+            workers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            stopping: BTreeMap::new(),
+            writer: PlanWriter::new(epoch, now),
+            calls: BTreeMap::new(),
+            run_times: RunTimes::default(),
+            is_dirty: true,
+            claims: BTreeMap::new(),
+            orphans: Vec::new(),
+            full_queues: Vec::new(),
+            heartbeat_at: now,
+            is_deposed: false,
+            is_yielding: false,
+            has_yielded: false,
+        }
+    }
+
+    /// Epoch of the tenure.
+    pub const fn epoch(&self) -> SeatEpoch {
+        self.epoch
+    }
+
+    /// Whether another planner has taken over.
+    pub const fn is_deposed(&self) -> bool {
+        self.is_deposed
+    }
+
+    /// Whether it has written that it stopped for good.
+    pub const fn has_yielded(&self) -> bool {
+        self.has_yielded
+    }
+
+    /// Workers by name.
+    pub const fn workers(&self) -> &BTreeMap<WorkerName, PlanWorker> {
+        &self.workers
+    }
+
+    /// Jobs by identifier.
+    pub const fn jobs(&self) -> &BTreeMap<JobKey, PlanJob> {
+        &self.jobs
+    }
+
+    /// Takes a higher version of the configuration.
+    pub fn set_manifest(&mut self, manifest: Arc<DomainManifest>) {
+        self.manifest = manifest;
+        self.is_dirty = true;
+    }
+
+    /// Stops planning for good, and says so in the log.
+    pub fn begin_yield(&mut self) {
+        if !self.is_yielding {
+            self.is_yielding = true;
+            let heartbeat = self.heartbeat();
+            self.writer
+                .push(&JobRecord::Heartbeat(heartbeat), Some(CommitEffect::Yield));
+        }
+    }
+
+    fn heartbeat(&self) -> PlannerHeartbeat {
+        PlannerHeartbeat {
+            epoch: self.epoch,
+            host: self.host.clone(),
+            has_yielded: self.is_yielding,
+            full_queues: self.full_queues.clone(),
+        }
+    }
+
+    /// Takes what a worker says of itself, or that its entry is gone.
+    pub fn take_report(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        name: &WorkerName,
+        report: Option<Arc<WorkerReport>>,
+    ) {
+        let Some(report) = report else {
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.is_listed = false;
+                log::info!(target: "worker", worker = name.as_str(); "worker is not listed any more");
+            }
+            return;
+        };
+        let known = self
+            .workers
+            .get(name)
+            .map(|worker| worker.report.incarnation);
+        match known {
+            None => {
+                log::info!(target: "worker", worker = name.as_str(), life = report.incarnation.0; "worker listed");
+                let worker = PlanWorker::new(report, context.now);
+                self.workers.insert(name.clone(), worker);
+                self.adopt_orphans(context.now, name);
+                self.is_dirty = true;
+            }
+            Some(life) if life < report.incarnation => self.replace_worker(context, name, report),
+            Some(life) if life > report.incarnation => {}
+            Some(_) => self.refresh_worker(name, report),
+        }
+    }
+
+    fn refresh_worker(&mut self, name: &WorkerName, report: Arc<WorkerReport>) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let was_usable = worker.is_listed && !worker.is_leaving;
+        if report.is_draining && !worker.is_leaving {
+            log::info!(target: "worker", worker = name.as_str(); "worker is leaving");
+        }
+        worker.is_listed = true;
+        worker.is_leaving |= report.is_draining;
+        worker.report = report;
+        worker.recount();
+        self.is_dirty |= was_usable != (worker.is_listed && !worker.is_leaving);
+    }
+
+    /// The worker has started anew: nothing of its earlier life runs any more.
+    pub(super) fn replace_worker(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        name: &WorkerName,
+        report: Arc<WorkerReport>,
+    ) {
+        log::info!(target: "worker", worker = name.as_str(), life = report.incarnation.0; "worker started anew");
+        self.lose_worker_units(context, name, "worker started anew");
+        let worker = PlanWorker::new(report, context.now);
+        self.workers.insert(name.clone(), worker);
+        self.is_dirty = true;
+    }
+
+    /// Takes a worker's answer.
+    pub fn take_answer(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        ticket: CallTicket,
+        result: Result<WorkerAnswer, WorkerFault>,
+    ) {
+        let Some(call) = self.calls.remove(&ticket) else {
+            return;
+        };
+        counter!(WORKER_ORDERS, "order" => call.kind.word(), "outcome" => result_word(&result))
+            .increment(1);
+        let is_same_life = self
+            .workers
+            .get(&call.worker)
+            .is_some_and(|worker| worker.incarnation() == call.incarnation);
+        if !is_same_life {
+            return;
+        }
+        self.note_exchange(context, &call, &result);
+        match call.kind {
+            CallKind::Start { unit, run } => self.take_start(context, unit, run, &result),
+            CallKind::Stop { unit, run } => self.take_stop(context, unit, run, &result),
+            CallKind::LongLook | CallKind::QuickLook => {
+                if let Ok(WorkerAnswer::Listed(listing)) = result {
+                    self.take_listing(context, &call, &listing);
+                }
+            }
+        }
+    }
+
+    /// Takes the answer of an append; whether it was the planner's.
+    pub fn take_append(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        ticket: CallTicket,
+        result: &Result<AppendedAt, StreamFault>,
+    ) -> bool {
+        match self.writer.take_append(context.now, ticket, result) {
+            None => return false,
+            Some(WriteStep::Written(effects)) => self.carry_out(context, effects),
+            Some(WriteStep::Repeating) => {
+                let fault = result.as_ref().err().map_or("none", StreamFault::word);
+                log::debug!(target: "log", fault; "planner's append is repeated");
+            }
+            Some(WriteStep::Lost) => self.note_deposed("the log"),
+        }
+        true
+    }
+
+    fn carry_out(&mut self, context: &mut PlanContext<'_>, effects: Vec<CommitEffect>) {
+        for effect in effects {
+            match effect {
+                CommitEffect::Start(group, run) => self.send_starts(context, group, run),
+                CommitEffect::Forget(name, life, number) => {
+                    if let Some(worker) = self.workers.get_mut(&name)
+                        && worker.incarnation() == life
+                    {
+                        worker.link.recorded_end = worker.link.recorded_end.max(number);
+                    }
+                }
+                CommitEffect::Yield => self.has_yielded = true,
+            }
+        }
+    }
+
+    pub(super) fn note_deposed(&mut self, by: &'static str) {
+        if !self.is_deposed {
+            log::warn!(epoch = self.epoch.0, by; "a planner of a higher epoch is at work; stopping");
+        }
+        self.is_deposed = true;
+    }
+
+    /// Lets the log forget records of jobs that ended long ago.
+    pub fn drop_records(&mut self, keys: Vec<RecordKey>) {
+        for key in keys {
+            self.writer.push(&JobRecord::Dropped(key), None);
+        }
+    }
+
+    /// Does what is due by time.
+    pub fn tick(&mut self, context: &mut PlanContext<'_>) {
+        if context.now >= self.heartbeat_at && !self.is_yielding {
+            self.heartbeat_at = context.now + HEARTBEAT_INTERVAL;
+            let heartbeat = self.heartbeat();
+            self.writer.push(&JobRecord::Heartbeat(heartbeat), None);
+        }
+        self.open_occurrences(context);
+        self.expire_leases(context);
+        self.expire_orphans(context.now);
+        self.expire_claims(context.now);
+        self.check_progress(context);
+        self.forget_workers(context);
+    }
+
+    /// Plans if something changed, and sends what is due. To be called after every
+    /// event.
+    pub fn flush(&mut self, context: &mut PlanContext<'_>) {
+        if self.is_deposed {
+            return;
+        }
+        if !self.is_yielding && self.is_dirty && !self.writer.is_busy() {
+            self.is_dirty = false;
+            self.plan(context);
+        }
+        let effects = self.writer.take_free_effects();
+        self.carry_out(context, effects);
+        self.writer
+            .poll(context.now, context.next_ticket, context.actions);
+        self.send_stops(context);
+        self.send_looks(context);
+    }
+
+    /// Sends an order to the present life of a worker.
+    pub(super) fn send_order(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        name: &WorkerName,
+        kind: CallKind,
+        order: WorkerOrder,
+        wait: Duration,
+    ) -> Option<CallTicket> {
+        let worker = self.workers.get(name)?;
+        let ticket = take_ticket(context.next_ticket);
+        let call = WorkerCall {
+            ticket,
+            worker: name.clone(),
+            incarnation: worker.incarnation(),
+            address: worker.address(),
+            epoch: self.epoch,
+            order,
+            timeout: wait + ORDER_TIME,
+        };
+        let pending = PendingCall {
+            worker: name.clone(),
+            incarnation: worker.incarnation(),
+            sent_at: context.now,
+            kind,
+        };
+        self.calls.insert(ticket, pending);
+        context.actions.push(HostAction::Worker(call));
+        Some(ticket)
+    }
+
+    /// Forgets workers that are gone and on which nothing is left.
+    fn forget_workers(&mut self, context: &mut PlanContext<'_>) {
+        let now = context.now;
+        self.workers.retain(|name, worker| {
+            let is_over = now >= worker.link.lease_bound;
+            let is_kept = worker.is_listed || !worker.holdings.is_empty() || !is_over;
+            if !is_kept {
+                log::info!(target: "worker", worker = name.as_str(); "worker is gone");
+            }
+            is_kept
+        });
+    }
+}
+
+fn result_word(result: &Result<WorkerAnswer, WorkerFault>) -> &'static str {
+    match result {
+        Ok(WorkerAnswer::Done { .. }) => "done",
+        Ok(WorkerAnswer::Refused { cause, .. }) => cause.word(),
+        Ok(WorkerAnswer::Listed(_)) => "listed",
+        Err(fault) => fault.word(),
+    }
+}
+
+impl Display for PlannerState {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        writeln!(f, "planner {} jobs {}", self.epoch, self.jobs.len())?;
+        for (name, worker) in &self.workers {
+            let free = &worker.free;
+            writeln!(
+                f,
+                "worker {name} {} free cpu {} memory {} accelerators {} held {}{}{}",
+                worker.incarnation(),
+                free.cpu_millis,
+                free.memory_mb,
+                free.accelerators,
+                worker.holdings.len(),
+                if worker.is_leaving { " leaving" } else { "" },
+                if worker.is_listed { "" } else { " unlisted" },
+            )?;
+        }
+        for (key, job) in &self.jobs {
+            let accepted = &job.accepted;
+            writeln!(
+                f,
+                "job {key} queue {} priority {} done {}/{}{}",
+                accepted.queue,
+                accepted.priority,
+                job.done_occurrences,
+                accepted.submission.occurrences(),
+                if job.is_closing { " closing" } else { "" },
+            )?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/domain/src/process/planner/takeover.rs
@@ -0,0 +1,255 @@
+//! What a planner begins with: the jobs that the log tells of, with every recorded
+//! run where it may still be. Runs are adopted, or counted as gone, by what their
+//! workers list. Nothing is started on a worker before it was looked at.
+
+use crate::prelude::*;
+use crate::process::job_book::{BookedJob, JobBook};
+use crate::process::planner::job::{
+    GroupPhase, GroupProgress, MemberStage, PlanJob, PlanMember, PlanOccurrence,
+};
+use crate::process::planner::limits::orphan_bound;
+use crate::process::planner::state::{PlanContext, PlannerState};
+use crate::process::planner::worker::Holding;
+use crate::process::record::{AcceptedJob, GroupRecord, GroupStage};
+
+impl PlannerState {
+    /// Takes all open jobs of the book. The workers have to be known before.
+    pub fn take_book(&mut self, context: &mut PlanContext<'_>, book: &JobBook) {
+        for (key, booked) in book.jobs() {
+            if let Some(accepted) = booked.accepted.as_ref().filter(|_| booked.is_open()) {
+                self.add_job(context, *key, accepted);
+                self.restore_groups(context, *key, booked);
+            }
+        }
+        let bound = context.now + orphan_bound(&self.limits);
+        for worker in self.workers.values_mut() {
+            worker.link.lease_bound = bound;
+        }
+        let keys: Vec<_> = self.jobs.keys().copied().collect();
+        for key in keys {
+            self.settle_restored(context.now, key);
+        }
+        self.is_dirty = true;
+    }
+
+    /// Records the outcome that the planner before could not record any more.
+    fn settle_restored(&mut self, now: MonotonicTime, key: JobKey) {
+        let is_spent = self.jobs.get(&key).is_some_and(|job| {
+            let limit = job.accepted.max_attempts;
+            job.group_keys().iter().any(|group| {
+                let is_lasting = job
+                    .shape(group.step)
+                    .is_some_and(|shape| shape.is_long_running);
+                let failures = job.group(group).map_or(0, |group| group.failures);
+                failures >= limit && !is_lasting
+            })
+        });
+        if is_spent {
+            self.fail_job(now, key);
+        } else {
+            self.finish_job(key);
+        }
+    }
+
+    /// Takes an accepted job.
+    pub fn add_job(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        key: JobKey,
+        accepted: &Arc<AcceptedJob>,
+    ) {
+        if self.jobs.contains_key(&key) {
+            return;
+        }
+        // The accepting host's clock may be ahead, or have jumped.
+        let age = context.wall.0.saturating_sub(accepted.accepted_at);
+        let accepted_at = context.now - Duration::from_millis(age);
+        log::info!(
+            target: "job", job = key.to_string().as_str(), queue = accepted.queue.as_str(),
+            priority = accepted.priority, age_ms = age;
+            "job taken"
+        );
+        self.jobs
+            .insert(key, PlanJob::new(key, Arc::clone(accepted), accepted_at));
+        self.open_occurrences(context);
+        self.is_dirty = true;
+    }
+
+    /// Stops a cancelled job.
+    pub fn cancel_job(&mut self, context: &mut PlanContext<'_>, key: JobKey) {
+        if self.jobs.contains_key(&key) {
+            log::info!(target: "job", job = key.to_string().as_str(); "job cancelled");
+            self.close_job(context.now, key);
+        }
+    }
+
+    fn restore_groups(&mut self, context: &mut PlanContext<'_>, key: JobKey, booked: &BookedJob) {
+        for (group, record) in &booked.groups {
+            self.open_recorded(context, group);
+            self.restore_group(context, group, record);
+        }
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        let done = job
+            .occurrences
+            .values()
+            .filter(|occurrence| occurrence.is_done());
+        job.done_occurrences = done.count() as u32;
+    }
+
+    /// Opens an occurrence that has begun, even if this host's clock is behind.
+    fn open_recorded(&mut self, context: &PlanContext<'_>, group: &GroupKey) {
+        let Some(job) = self.jobs.get_mut(&group.job) else {
+            return;
+        };
+        let accepted = Arc::clone(&job.accepted);
+        job.occurrences
+            .entry(group.occurrence)
+            .or_insert_with(|| PlanOccurrence::new(&accepted, context.now));
+        job.next_occurrence = job.next_occurrence.max(group.occurrence + 1);
+    }
+
+    fn restore_group(&mut self, context: &PlanContext<'_>, key: &GroupKey, record: &GroupRecord) {
+        let now = context.now;
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let Some(need) = job.shape(key.step).map(|shape| shape.need) else {
+            return;
+        };
+        let Some(group) = job.group_mut(key) else {
+            return;
+        };
+        group.run = record.run;
+        group.failures = record.failures;
+        group.saved.clone_from(&record.saved);
+        group.started_at = now;
+        // How much was done before is not known, so the run teaches no run time.
+        group.progress = GroupProgress {
+            first_percent: Some(100),
+            first_at: now,
+            risen_at: now,
+            percent: 0,
+        };
+        match record.stage {
+            GroupStage::Waiting => {}
+            GroupStage::Done => {
+                group.phase = GroupPhase::Done;
+                if let Some(occurrence) = job.occurrences.get_mut(&key.occurrence)
+                    && let Some(step) = occurrence.steps.get_mut(usize::from(key.step))
+                {
+                    step.done += 1;
+                }
+            }
+            GroupStage::Started => {
+                group.phase = GroupPhase::Active;
+                for place in &record.places {
+                    group.members.push(PlanMember {
+                        worker: place.0.clone(),
+                        incarnation: place.1,
+                        stage: MemberStage::Running(now),
+                    });
+                }
+                self.hold_restored(now, key, need);
+            }
+        }
+    }
+
+    /// Occupies the room of a recorded run, where its worker still lives.
+    fn hold_restored(
+        &mut self,
+        now: MonotonicTime,
+        key: &GroupKey,
+        need: crate::request::submission::UnitNeed,
+    ) {
+        let members = self
+            .group_mut(key)
+            .map(|group| group.members.clone())
+            .unwrap_or_default();
+        for (index, member) in members.iter().enumerate() {
+            let worker = self
+                .workers
+                .get_mut(&member.worker)
+                .filter(|worker| worker.incarnation() == member.incarnation);
+            match worker {
+                Some(worker) => {
+                    let holding = Holding {
+                        group: *key,
+                        member: index,
+                        need,
+                        is_sent: true,
+                    };
+                    worker.hold(key.unit(index as u16), holding);
+                }
+                None => self.orphan_member(now, key, index),
+            }
+        }
+    }
+
+    /// A run on a worker that is not listed, or has another life. In the second case
+    /// it is gone; in the first it may go on until its lease has certainly lapsed.
+    fn orphan_member(&mut self, now: MonotonicTime, key: &GroupKey, index: usize) {
+        let name = self.member_worker(key, index);
+        let is_known = name.is_some_and(|name| self.workers.contains_key(&name));
+        if is_known {
+            self.release_member(now, key, index);
+            self.clear_group(now, *key);
+            return;
+        }
+        let bound = now + orphan_bound(&self.limits);
+        self.orphans.push((*key, index, bound));
+    }
+
+    /// Occupies the room of recorded runs on a worker that is listed again, or counts
+    /// them as gone if it has another life.
+    pub(super) fn adopt_orphans(&mut self, now: MonotonicTime, name: &WorkerName) {
+        let orphans = std::mem::take(&mut self.orphans);
+        for (key, index, bound) in orphans {
+            let member = self
+                .group_mut(&key)
+                .and_then(|group| group.members.get(index).cloned());
+            let Some(member) = member.filter(|member| member.stage.is_held()) else {
+                continue;
+            };
+            if member.worker != *name {
+                self.orphans.push((key, index, bound));
+                continue;
+            }
+            let job = self.jobs.get(&key.job);
+            let need = job
+                .and_then(|job| job.shape(key.step))
+                .map(|shape| shape.need);
+            let worker = self
+                .workers
+                .get_mut(name)
+                .filter(|worker| worker.incarnation() == member.incarnation);
+            if let Some((worker, need)) = worker.zip(need) {
+                let holding = Holding {
+                    group: key,
+                    member: index,
+                    need,
+                    is_sent: true,
+                };
+                worker.hold(key.unit(index as u16), holding);
+                worker.link.lease_bound = worker.link.lease_bound.max(bound);
+            } else {
+                self.release_member(now, &key, index);
+                self.clear_group(now, key);
+            }
+        }
+    }
+
+    /// Counts as gone the runs on unlisted workers whose leases have lapsed.
+    pub(super) fn expire_orphans(&mut self, now: MonotonicTime) {
+        let orphans = std::mem::take(&mut self.orphans);
+        for (key, index, bound) in orphans {
+            if now < bound {
+                self.orphans.push((key, index, bound));
+                continue;
+            }
+            self.release_member(now, &key, index);
+            self.clear_group(now, key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/process/planner/worker.rs
@@ -0,0 +1,213 @@
+//! A worker as the planner sees it: what it has, what occupies it, and how the
+//! exchange with it stands.
+
+use std::net::SocketAddr;
+
+use crate::prelude::*;
+use crate::process::action::CallTicket;
+use crate::process::planner::health::WorkerHealth;
+use crate::process::planner::limits::with_drift;
+use crate::process::worker_report::WorkerReport;
+use crate::request::submission::UnitNeed;
+
+/// What occupies a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Holding {
+    /// Group.
+    pub group: GroupKey,
+    /// Place among the group's members.
+    pub member: usize,
+    /// What it takes.
+    pub need: UnitNeed,
+    /// Whether an order to start it may have been sent.
+    pub is_sent: bool,
+}
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub struct PlanWorker {
+    /// What it last said of itself.
+    pub report: Arc<WorkerReport>,
+    /// Whether its entry is still in the workers stream.
+    pub is_listed: bool,
+    /// Whether any source said that it is leaving; stays for its life.
+    pub is_leaving: bool,
+    /// What occupies it, by unit. A unit has at most one holding in the domain.
+    pub holdings: BTreeMap<UnitKey, Holding>,
+    /// Runs that it lists and that nobody asked for; being stopped.
+    pub strays: BTreeMap<UnitKey, RunNumber>,
+    /// Capacity less the holdings. Kept up to date by [`Self::hold`] and [`Self::release`].
+    pub free: UnitNeed,
+    /// Room kept for a group that others were stopped for.
+    pub reserved: BTreeMap<GroupKey, UnitNeed>,
+    /// State of the exchange.
+    pub link: WorkerLink,
+    /// What its results say of it.
+    pub health: WorkerHealth,
+}
+
+/// A look that is under way.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PendingLook {
+    /// Ticket.
+    pub ticket: CallTicket,
+    /// Number up to which the worker is told to forget ends.
+    pub acknowledged: u64,
+}
+
+/// State of the exchange with a worker.
+#[derive(Clone, Debug, Default)]
+pub struct WorkerLink {
+    /// Whether it was looked at in this tenure, so that all its runs are known.
+    pub is_surveyed: bool,
+    /// Look that waits for an end.
+    pub long_look: Option<PendingLook>,
+    /// Look that is answered at once.
+    pub quick_look: Option<PendingLook>,
+    /// When a quick look is due; nothing when none is wanted.
+    pub quick_at: Option<MonotonicTime>,
+    /// Highest number of an end that was handled.
+    pub seen_end: u64,
+    /// Highest number of an end whose effect is in the log.
+    pub recorded_end: u64,
+    /// Highest number of an end that the worker was told to forget, in an answered look.
+    pub forgotten_end: u64,
+    /// Worker's clock at the newest answer, and when that answer came.
+    pub clock: Option<ClockReading>,
+    /// Worker's time of the newest listing that was taken.
+    pub listed_clock: WorkerClock,
+    /// Latest worker's time to which a lease may reach.
+    pub lease_until: WorkerClock,
+    /// Time by this host's clock after which nothing of this life runs there unless
+    /// its lease is extended.
+    pub lease_bound: MonotonicTime,
+    /// Exchanges in a row that brought no answer.
+    pub failures: u32,
+    /// When the newest answer came.
+    pub answered_at: Option<MonotonicTime>,
+}
+
+/// A worker's clock at a moment of this host's.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClockReading {
+    /// Worker's time.
+    pub clock: WorkerClock,
+    /// When this host received it; the worker read it before.
+    pub read_at: MonotonicTime,
+}
+
+impl PlanWorker {
+    /// A worker that was not looked at yet.
+    pub fn new(report: Arc<WorkerReport>, now: MonotonicTime) -> Self {
+        let clock = ClockReading {
+            clock: report.clock,
+            read_at: now,
+        };
+        Self {
+            is_listed: true,
+            is_leaving: report.is_draining,
+            holdings: BTreeMap::new(),
+            strays: BTreeMap::new(),
+            free: report.capacity,
+            reserved: BTreeMap::new(),
+            link: WorkerLink {
+                clock: Some(clock),
+                ..WorkerLink::default()
+            },
+            health: WorkerHealth::default(),
+            report,
+        }
+    }
+
+    /// Where it takes orders.
+    pub fn address(&self) -> SocketAddr {
+        self.report.address
+    }
+
+    /// Its life.
+    pub fn incarnation(&self) -> WorkerIncarnation {
+        self.report.incarnation
+    }
+
+    /// Occupies room for a unit.
+    pub fn hold(&mut self, unit: UnitKey, holding: Holding) {
+        let before = self.holdings.insert(unit, holding);
+        debug_assert!(before.is_none(), "{unit} is held twice");
+        self.recount();
+    }
+
+    /// Frees the room of a unit.
+    pub fn release(&mut self, unit: &UnitKey) -> Option<Holding> {
+        let holding = self.holdings.remove(unit);
+        self.recount();
+        holding
+    }
+
+    /// Counts the free room from the holdings.
+    pub fn recount(&mut self) {
+        let mut used = UnitNeed::default();
+        for holding in self.holdings.values() {
+            used = used.plus(&holding.need);
+        }
+        self.free = self.report.capacity.minus(&used);
+    }
+
+    /// Room that a group may use: what is free and not kept for others.
+    pub fn room_for(&self, group: Option<&GroupKey>) -> UnitNeed {
+        let mut room = self.free;
+        for (owner, need) in &self.reserved {
+            if Some(owner) != group {
+                room = room.minus(need);
+            }
+        }
+        room
+    }
+
+    /// Whether something may be started on it now.
+    pub fn is_open(&self, now: MonotonicTime) -> bool {
+        self.is_listed
+            && !self.is_leaving
+            && self.strays.is_empty()
+            && self.link.is_surveyed
+            && self.link.failures == 0
+            && self.health.is_open(now)
+    }
+
+    /// Whether something may run or has to be settled on it.
+    pub fn is_occupied(&self) -> bool {
+        !self.strays.is_empty() || self.holdings.values().any(|holding| holding.is_sent)
+    }
+}
+
+impl WorkerLink {
+    /// Worker's time now, or a little less.
+    pub fn clock_now(&self, now: MonotonicTime) -> WorkerClock {
+        self.clock.map_or(WorkerClock(0), |reading| {
+            let passed = now.since(reading.read_at).as_millis() as u64;
+            WorkerClock(reading.clock.0 + passed)
+        })
+    }
+
+    /// Worker's time until which an order sent now extends the lease. The bound counts
+    /// from here on, whether or not the order arrives.
+    pub fn extend_lease(&mut self, now: MonotonicTime, lease: Duration) -> WorkerClock {
+        let until = WorkerClock(self.clock_now(now).0 + lease.as_millis() as u64);
+        self.lease_until = self.lease_until.max(until);
+        // The worker's clock may have run slow since it was read, and may go on so.
+        let age = self
+            .clock
+            .map_or(Duration::ZERO, |reading| now.since(reading.read_at));
+        let bound = now + with_drift(lease + age).saturating_sub(age);
+        self.lease_bound = self.lease_bound.max(bound);
+        self.lease_until
+    }
+
+    /// Takes the worker's time from an answer that came now. It was read before, so
+    /// the worker's present time is never taken to be later than it is, but for drift.
+    pub const fn note_clock(&mut self, now: MonotonicTime, clock: WorkerClock) {
+        self.clock = Some(ClockReading {
+            clock,
+            read_at: now,
+        });
+    }
+}
--- /dev/null
+++ b/crates/domain/src/process/planner/writer.rs
@@ -0,0 +1,204 @@
+//! The planner's records on their way to the jobs stream. One append is under way at
+//! a time, numbered within the epoch, so that a repetition is never written twice and
+//! nothing is written once a higher epoch has been announced. What must not happen
+//! before its record is in the log waits as an effect of its append.
+
+use crate::prelude::*;
+use crate::process::action::{CallTicket, HostAction};
+use crate::process::record::{JobRecord, KeyedRecord};
+use crate::process::stream::{AppendGuard, AppendOrder, AppendedAt, StreamFault, StreamName};
+use crate::process::stream_follower::take_ticket;
+
+/// Time for an answer of one append; a log that answers 60 times slower than its
+/// usual 4 ms stays within it.
+const APPEND_TIME: Duration = Duration::from_millis(700);
+/// Pause before an append is repeated.
+const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+/// Most bytes of one append; a quarter of what the platform takes in one call.
+const BATCH_BYTES: usize = 512 * 1024;
+
+/// What waits for a record to be in the log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CommitEffect {
+    /// Send the starts of this run.
+    Start(GroupKey, RunNumber),
+    /// Tell the worker to forget its ends up to this number.
+    Forget(WorkerName, WorkerIncarnation, u64),
+    /// The seat may be given up.
+    Yield,
+}
+
+#[derive(Clone, Debug, Default)]
+struct RecordBatch {
+    /// Records by key; a newer record of a key replaces an older one.
+    records: BTreeMap<Arc<str>, KeyedRecord>,
+    effects: Vec<CommitEffect>,
+}
+
+#[derive(Clone, Debug)]
+struct SentBatch {
+    batch: RecordBatch,
+    ticket: Option<CallTicket>,
+    repeat_at: MonotonicTime,
+}
+
+/// How an append of the planner ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum WriteStep {
+    /// The records are in the log, and these effects may follow.
+    Written(Vec<CommitEffect>),
+    /// It will be repeated.
+    Repeating,
+    /// A higher epoch has written: this planner has to stop.
+    Lost,
+}
+
+/// The planner's appends.
+#[derive(Clone, Debug)]
+pub struct PlanWriter {
+    epoch: SeatEpoch,
+    /// Number of the next append.
+    sequence: u64,
+    has_written: bool,
+    sent: Option<SentBatch>,
+    queued: RecordBatch,
+    /// When an append of this epoch last succeeded.
+    pub confirmed_at: MonotonicTime,
+}
+
+impl PlanWriter {
+    /// A writer whose epoch was announced by append zero.
+    pub fn new(epoch: SeatEpoch, now: MonotonicTime) -> Self {
+        Self {
+            epoch,
+            sequence: 1,
+            has_written: false,
+            sent: None,
+            queued: RecordBatch::default(),
+            confirmed_at: now,
+        }
+    }
+
+    /// Whether an append is under way or waits for its repetition.
+    pub const fn is_busy(&self) -> bool {
+        self.sent.is_some()
+    }
+
+    /// Whether nothing waits to be written.
+    pub fn is_empty(&self) -> bool {
+        self.sent.is_none() && self.queued.records.is_empty() && self.queued.effects.is_empty()
+    }
+
+    /// Adds a record, and what may follow once it is in the log.
+    pub fn push(&mut self, record: &JobRecord, effect: Option<CommitEffect>) {
+        let encoded = record.encode();
+        self.queued
+            .records
+            .insert(Arc::clone(&encoded.key), encoded);
+        self.queued.effects.extend(effect);
+    }
+
+    /// Adds an effect that follows what is queued already.
+    pub fn push_effect(&mut self, effect: CommitEffect) {
+        self.queued.effects.push(effect);
+    }
+
+    /// Effects that wait for no record.
+    pub fn take_free_effects(&mut self) -> Vec<CommitEffect> {
+        if self.sent.is_none() && self.queued.records.is_empty() {
+            return std::mem::take(&mut self.queued.effects);
+        }
+        Vec::new()
+    }
+
+    /// Sends what is queued, or repeats what was not answered.
+    pub fn poll(
+        &mut self,
+        now: MonotonicTime,
+        next_ticket: &mut u64,
+        actions: &mut Vec<HostAction>,
+    ) {
+        if self.sent.is_none() && !self.queued.records.is_empty() {
+            let batch = self.take_batch();
+            self.sent = Some(SentBatch {
+                batch,
+                ticket: None,
+                repeat_at: now,
+            });
+        }
+        let (epoch, sequence) = (self.epoch, self.sequence);
+        let Some(sent) = &mut self.sent else {
+            return;
+        };
+        if sent.ticket.is_some() || now < sent.repeat_at {
+            return;
+        }
+        let ticket = take_ticket(next_ticket);
+        sent.ticket = Some(ticket);
+        actions.push(HostAction::Append {
+            ticket,
+            order: AppendOrder {
+                stream: StreamName::Jobs,
+                records: sent.batch.records.values().cloned().collect(),
+                guard: AppendGuard::Writer { epoch, sequence },
+            },
+            timeout: APPEND_TIME,
+        });
+    }
+
+    /// Takes what is queued, up to the bytes of one append. Effects go with the last
+    /// part, since each needs the records queued before it.
+    fn take_batch(&mut self) -> RecordBatch {
+        let mut bytes = 0;
+        let mut records = BTreeMap::new();
+        while bytes < BATCH_BYTES {
+            let Some((key, record)) = self.queued.records.pop_first() else {
+                break;
+            };
+            bytes += key.len() + record.value.as_ref().map_or(0, bytes::Bytes::len);
+            records.insert(key, record);
+        }
+        let is_last = self.queued.records.is_empty();
+        let effects = if is_last {
+            std::mem::take(&mut self.queued.effects)
+        } else {
+            Vec::new()
+        };
+        RecordBatch { records, effects }
+    }
+
+    /// Takes the answer of an append; nothing if it is not one of this writer's.
+    pub fn take_append(
+        &mut self,
+        now: MonotonicTime,
+        ticket: CallTicket,
+        result: &Result<AppendedAt, StreamFault>,
+    ) -> Option<WriteStep> {
+        let sent = self.sent.as_mut()?;
+        if sent.ticket != Some(ticket) {
+            return None;
+        }
+        sent.ticket = None;
+        let step = match result {
+            Ok(_) => {
+                self.sequence += 1;
+                self.has_written = true;
+                self.confirmed_at = now;
+                let sent = self.sent.take();
+                let effects = sent.map(|sent| sent.batch.effects).unwrap_or_default();
+                WriteStep::Written(effects)
+            }
+            Err(StreamFault::Sequence { expected }) if !self.has_written => {
+                // The announcement of the epoch counted differently.
+                self.sequence = *expected;
+                WriteStep::Repeating
+            }
+            Err(StreamFault::Fenced | StreamFault::Sequence { .. }) => WriteStep::Lost,
+            Err(_) => {
+                sent.repeat_at = now + REPEAT_PAUSE;
+                WriteStep::Repeating
+            }
+        };
+        Some(step)
+    }
+}
--- /dev/null
+++ b/crates/domain/src/process/seat.rs
@@ -0,0 +1,311 @@
+//! The planner's seat: which host plans. The arbiter is the seat stream, whose claims
+//! are appended only under the condition that no other claim came between. The
+//! holder's epoch is the offset after its claim; it fences the planner's records in
+//! the jobs stream and its orders to workers.
+
+use crate::prelude::*;
+use crate::process::action::{CallTicket, HostAction, NewestOrder};
+use crate::process::record::{PlannerHeartbeat, SeatClaim};
+use crate::process::stream::{
+    AppendGuard, AppendOrder, AppendedAt, NewestPage, StreamBody, StreamFault, StreamName,
+};
+use crate::process::stream_follower::take_ticket;
+
+/// Time from one heartbeat of the planner to the next.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+/// Silence of the planner after which the most eligible host claims: four heartbeats,
+/// and the pace at which hosts read.
+const CLAIM_PATIENCE: Duration = Duration::from_millis(1_300);
+/// Time by which the least eligible host waits longer, so that hosts with more
+/// processor time claim first.
+const ELIGIBILITY_SPREAD: Duration = Duration::from_millis(600);
+/// Processor share from which a host is fully eligible.
+const FULL_SHARE: f64 = 0.5;
+/// Longest random part of the patience, so that equal hosts do not claim at once.
+const RANDOM_SPREAD: Duration = Duration::from_millis(150);
+/// Time for an answer of the seat stream.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
+/// Pause after a claim that came to nothing.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// How far this host is on its way to the seat.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SeatStage {
+    /// Another host plans, or nobody.
+    Watching,
+    /// Reading the newest claim.
+    Asking(CallTicket),
+    /// Claiming at an offset.
+    Claiming(CallTicket, StreamOffset),
+    /// Raising the writer's epoch of the jobs stream.
+    Fencing(CallTicket, SeatEpoch),
+    /// Reading the jobs stream to its tail, from a read sent after this time.
+    CatchingUp(SeatEpoch, MonotonicTime),
+    /// Planning.
+    Holding(SeatEpoch),
+}
+
+/// What the seat needs to know of the host.
+#[derive(Clone, Debug)]
+pub struct SeatIdentity {
+    /// Name of the host.
+    pub host: HostName,
+    /// Random number of the process.
+    pub nonce: u64,
+    /// Share of a core that the host has.
+    pub cpu_share: f64,
+}
+
+/// What a step on the way to the seat leads to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SeatChange {
+    /// Nothing.
+    None,
+    /// The jobs stream has to be read to its tail.
+    Fenced,
+}
+
+/// This host's view of the seat.
+#[derive(Debug)]
+pub struct PlannerSeat {
+    identity: SeatIdentity,
+    stage: SeatStage,
+    /// When the planner last gave a sign of life, by this host's clock.
+    sign_at: Option<MonotonicTime>,
+    /// Whether the planner said that it has stopped.
+    has_yielded: bool,
+    /// No claim before.
+    pause_until: MonotonicTime,
+    /// Patience of this host.
+    patience: Duration,
+    /// Whether this host claims no seat any more.
+    is_retired: bool,
+    /// Claims made so far; each has a nonce of its own, so that the epoch of an
+    /// earlier tenure of this process is never taken for that of a new claim.
+    claims: u64,
+    /// Nonce of a claim whose answer was lost.
+    unsettled_claim: Option<u64>,
+}
+
+impl PlannerSeat {
+    /// A seat that nobody is known to hold.
+    pub fn new(identity: SeatIdentity, now: MonotonicTime) -> Self {
+        let lack = 1.0 - (identity.cpu_share / FULL_SHARE).clamp(0.0, 1.0);
+        let random = RANDOM_SPREAD.as_micros() as u64;
+        let jitter = Duration::from_micros(identity.nonce % random.max(1));
+        let patience = ELIGIBILITY_SPREAD.mul_f64(lack) + jitter;
+        Self {
+            identity,
+            stage: SeatStage::Watching,
+            sign_at: None,
+            has_yielded: false,
+            pause_until: now,
+            patience,
+            is_retired: false,
+            claims: 0,
+            unsettled_claim: None,
+        }
+    }
+
+    /// How far this host is.
+    pub const fn stage(&self) -> SeatStage {
+        self.stage
+    }
+
+    /// Epoch of this host's tenure, while it plans.
+    pub const fn held_epoch(&self) -> Option<SeatEpoch> {
+        match self.stage {
+            SeatStage::Holding(epoch) => Some(epoch),
+            _ => None,
+        }
+    }
+
+    /// Takes a sign of life of a planner.
+    pub fn note_heartbeat(&mut self, now: MonotonicTime, heartbeat: &PlannerHeartbeat) {
+        self.sign_at = Some(now);
+        self.has_yielded = heartbeat.has_yielded;
+    }
+
+    /// Claims no seat any more.
+    pub const fn retire(&mut self) {
+        self.is_retired = true;
+    }
+
+    /// Gives the seat up, or the way to it.
+    pub fn step_down(&mut self, now: MonotonicTime) {
+        self.stage = SeatStage::Watching;
+        self.pause_until = now + RETRY_PAUSE;
+        self.sign_at = Some(now);
+    }
+
+    /// Claims if the planner was silent for long enough while this host could read.
+    /// `steady_since` is the time since which it reads the jobs stream at its tail.
+    pub fn poll(
+        &mut self,
+        now: MonotonicTime,
+        steady_since: Option<MonotonicTime>,
+        next_ticket: &mut u64,
+        actions: &mut Vec<HostAction>,
+    ) {
+        let Some(steady_since) = steady_since else {
+            return;
+        };
+        let is_free = self.stage == SeatStage::Watching && !self.is_retired;
+        if !is_free || now < self.pause_until {
+            return;
+        }
+        let silence = now.since(self.sign_at.unwrap_or(steady_since).max(steady_since));
+        let is_vacant = self.sign_at.is_none() || self.has_yielded;
+        let least = if is_vacant {
+            Duration::ZERO
+        } else {
+            CLAIM_PATIENCE
+        };
+        if silence < least + self.patience {
+            return;
+        }
+        let ticket = take_ticket(next_ticket);
+        self.stage = SeatStage::Asking(ticket);
+        log::info!(silence_ms = silence.as_millis() as u64, yielded = self.has_yielded; "claiming the planner's seat");
+        actions.push(HostAction::ReadNewest(NewestOrder {
+            ticket,
+            stream: StreamName::Seat,
+            after: None,
+            timeout: ANSWER_TIME,
+        }));
+    }
+
+    /// Takes the newest claim; whether the read was this seat's.
+    pub fn take_newest(
+        &mut self,
+        now: MonotonicTime,
+        ticket: CallTicket,
+        result: &Result<NewestPage, StreamFault>,
+        next_ticket: &mut u64,
+        actions: &mut Vec<HostAction>,
+    ) -> bool {
+        if self.stage != SeatStage::Asking(ticket) {
+            return false;
+        }
+        let Ok(page) = result else {
+            self.pause(now);
+            return true;
+        };
+        if self.is_unsettled_claim(page) {
+            self.unsettled_claim = None;
+            self.fence(SeatEpoch(page.end.0), next_ticket, actions);
+            return true;
+        }
+        let ticket = take_ticket(next_ticket);
+        self.stage = SeatStage::Claiming(ticket, page.end);
+        // A claim that is still under way may only be repeated as the same claim:
+        // whichever of its copies is appended first holds.
+        let nonce = self.unsettled_claim.unwrap_or_else(|| {
+            self.claims += 1;
+            self.identity.nonce.wrapping_add(self.claims)
+        });
+        self.unsettled_claim = Some(nonce);
+        let claim = SeatClaim {
+            host: self.identity.host.clone(),
+            nonce,
+        };
+        actions.push(HostAction::Append {
+            ticket,
+            order: AppendOrder {
+                stream: StreamName::Seat,
+                records: vec![claim.encode()],
+                guard: AppendGuard::At(page.end),
+            },
+            timeout: ANSWER_TIME,
+        });
+        true
+    }
+
+    /// Whether the newest claim is this process's, with its answer lost.
+    fn is_unsettled_claim(&self, page: &NewestPage) -> bool {
+        let newest = page.records.iter().max_by_key(|record| record.offset);
+        let Some(StreamBody::Own(_, Some(value))) = newest.map(|record| &record.body) else {
+            return false;
+        };
+        SeatClaim::decode(value).is_ok_and(|claim| {
+            Some(claim.nonce) == self.unsettled_claim && claim.host == self.identity.host
+        })
+    }
+
+    /// Takes the answer of an append; whether it was this seat's, and what it leads to.
+    pub fn take_append(
+        &mut self,
+        now: MonotonicTime,
+        ticket: CallTicket,
+        result: &Result<AppendedAt, StreamFault>,
+        next_ticket: &mut u64,
+        actions: &mut Vec<HostAction>,
+    ) -> Option<SeatChange> {
+        match self.stage {
+            SeatStage::Claiming(pending, _) if pending == ticket => {
+                match result {
+                    Ok(at) => {
+                        self.unsettled_claim = None;
+                        self.fence(SeatEpoch(at.next.0), next_ticket, actions);
+                    }
+                    Err(fault) => {
+                        if fault.is_certain() {
+                            self.unsettled_claim = None;
+                        }
+                        self.pause(now);
+                    }
+                }
+                Some(SeatChange::None)
+            }
+            SeatStage::Fencing(pending, epoch) if pending == ticket => match result {
+                Ok(_) => {
+                    log::info!(epoch = epoch.0; "seat claimed; reading the jobs to their tail");
+                    self.stage = SeatStage::CatchingUp(epoch, now);
+                    Some(SeatChange::Fenced)
+                }
+                Err(StreamFault::Fenced) => {
+                    self.pause(now);
+                    Some(SeatChange::None)
+                }
+                Err(_) => {
+                    // Announcing the same epoch again changes nothing.
+                    self.fence(epoch, next_ticket, actions);
+                    Some(SeatChange::None)
+                }
+            },
+            _ => None,
+        }
+    }
+
+    fn fence(&mut self, epoch: SeatEpoch, next_ticket: &mut u64, actions: &mut Vec<HostAction>) {
+        let ticket = take_ticket(next_ticket);
+        self.stage = SeatStage::Fencing(ticket, epoch);
+        actions.push(HostAction::Append {
+            ticket,
+            order: AppendOrder {
+                stream: StreamName::Jobs,
+                records: Vec::new(),
+                guard: AppendGuard::Writer { epoch, sequence: 0 },
+            },
+            timeout: ANSWER_TIME,
+        });
+    }
+
+    /// Begins to plan, once the jobs were read to their tail by a read that was sent
+    /// after the epoch was announced.
+    pub fn take_caught_up(&mut self, proved_at: Option<MonotonicTime>) -> Option<SeatEpoch> {
+        let SeatStage::CatchingUp(epoch, since) = self.stage else {
+            return None;
+        };
+        if proved_at.is_none_or(|proved_at| proved_at < since) {
+            return None;
+        }
+        self.stage = SeatStage::Holding(epoch);
+        Some(epoch)
+    }
+
+    fn pause(&mut self, now: MonotonicTime) {
+        self.stage = SeatStage::Watching;
+        self.pause_until = now + RETRY_PAUSE;
+    }
+}
--- /dev/null
+++ b/crates/domain/src/process/stream_follower.rs
@@ -0,0 +1,283 @@
+//! Follows one stream: first the newest record of each key, then everything that is
+//! appended. Each offset after the first pages is handed out once and in order,
+//! whatever is slow, lost or answered late.
+
+use crate::prelude::*;
+use crate::process::action::{CallTicket, HostAction, NewestOrder, ReadOrder};
+use crate::process::stream::{NewestPage, StreamFault, StreamName, StreamPage, StreamRecord};
+
+/// Time for which a read waits at the tail for a record to come.
+const TAIL_WAIT: Duration = Duration::from_secs(1);
+/// Time for an answer beside the wait: a log that answers 60 times slower than its
+/// usual 4 ms, and a page of a megabyte over a link of 10 Mbit/s.
+const ANSWER_TIME: Duration = Duration::from_millis(1_200);
+/// Pause after a failed read, so that a lost log is not asked in a loop.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+#[derive(Clone, Debug)]
+enum FollowStage {
+    /// Reading the newest records; pages are handed out as they come.
+    Gathering {
+        /// Key after which the next page begins.
+        after: Option<Arc<str>>,
+        /// End of the stream at the first page, from where to read on.
+        floor: Option<StreamOffset>,
+    },
+    /// Reading from `next` on.
+    Following,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PendingRead {
+    ticket: CallTicket,
+    sent_at: MonotonicTime,
+    is_fresh: bool,
+}
+
+/// What a follower hands out.
+#[derive(Debug, Default)]
+pub struct FollowOutput {
+    /// Records in order.
+    pub records: Vec<StreamRecord>,
+    /// Whether everything handed out before is void, since records were lost: these
+    /// records begin a state anew.
+    pub begins_anew: bool,
+}
+
+/// Reader of one stream.
+#[derive(Debug)]
+pub struct StreamFollower {
+    stream: StreamName,
+    stage: FollowStage,
+    /// Lowest offset that was not handed out.
+    next: StreamOffset,
+    /// Read that waits at the tail or fetches pages.
+    pending: Option<PendingRead>,
+    /// Read without a wait that proves where the tail is.
+    fresh: Option<PendingRead>,
+    wants_fresh: bool,
+    /// Least time from one read to the next at the tail.
+    pace: Duration,
+    due_at: MonotonicTime,
+    /// When the newest answered read that reached the tail was sent.
+    proved_at: Option<MonotonicTime>,
+    /// When the newest answer came.
+    answered_at: Option<MonotonicTime>,
+    /// Since when every read was answered.
+    steady_since: Option<MonotonicTime>,
+}
+
+impl StreamFollower {
+    /// A follower that has read nothing.
+    pub const fn new(stream: StreamName, pace: Duration, now: MonotonicTime) -> Self {
+        Self {
+            stream,
+            stage: FollowStage::Gathering {
+                after: None,
+                floor: None,
+            },
+            next: StreamOffset(0),
+            pending: None,
+            fresh: None,
+            wants_fresh: false,
+            pace,
+            due_at: now,
+            proved_at: None,
+            answered_at: None,
+            steady_since: None,
+        }
+    }
+
+    /// When the newest answered read that reached the tail was sent: whatever was in
+    /// the stream by then has been handed out.
+    pub const fn proved_at(&self) -> Option<MonotonicTime> {
+        self.proved_at
+    }
+
+    /// When the newest answer came.
+    pub const fn answered_at(&self) -> Option<MonotonicTime> {
+        self.answered_at
+    }
+
+    /// Since when no read has failed; nothing while reads fail.
+    pub const fn steady_since(&self) -> Option<MonotonicTime> {
+        self.steady_since
+    }
+
+    /// Lowest offset that was not handed out.
+    pub const fn next_offset(&self) -> StreamOffset {
+        self.next
+    }
+
+    /// Changes the least time between reads at the tail.
+    pub const fn set_pace(&mut self, pace: Duration) {
+        self.pace = pace;
+    }
+
+    /// Asks for a read without a wait, beside the one that waits at the tail.
+    pub const fn want_fresh(&mut self) {
+        self.wants_fresh = true;
+    }
+
+    /// Reads that are due.
+    pub fn poll(
+        &mut self,
+        now: MonotonicTime,
+        next_ticket: &mut u64,
+        actions: &mut Vec<HostAction>,
+    ) {
+        if self.pending.is_none() && now >= self.due_at {
+            let ticket = take_ticket(next_ticket);
+            self.pending = Some(PendingRead {
+                ticket,
+                sent_at: now,
+                is_fresh: false,
+            });
+            actions.push(self.order(ticket, TAIL_WAIT));
+        }
+        let is_following = matches!(self.stage, FollowStage::Following);
+        if self.wants_fresh && self.fresh.is_none() && is_following {
+            self.wants_fresh = false;
+            let ticket = take_ticket(next_ticket);
+            self.fresh = Some(PendingRead {
+                ticket,
+                sent_at: now,
+                is_fresh: true,
+            });
+            actions.push(self.order(ticket, Duration::ZERO));
+        }
+    }
+
+    fn order(&self, ticket: CallTicket, wait: Duration) -> HostAction {
+        let stream = self.stream;
+        match &self.stage {
+            FollowStage::Gathering { after, .. } => HostAction::ReadNewest(NewestOrder {
+                ticket,
+                stream,
+                after: after.clone(),
+                timeout: ANSWER_TIME,
+            }),
+            FollowStage::Following => HostAction::Read(ReadOrder {
+                ticket,
+                stream,
+                from: self.next,
+                wait,
+                timeout: wait + ANSWER_TIME,
+            }),
+        }
+    }
+
+    fn take_pending(&mut self, ticket: CallTicket) -> Option<PendingRead> {
+        for slot in [&mut self.pending, &mut self.fresh] {
+            if slot.is_some_and(|read| read.ticket == ticket) {
+                return slot.take();
+            }
+        }
+        None
+    }
+
+    /// Takes the answer of a read; nothing if it is not one of this follower's.
+    pub fn take_page(
+        &mut self,
+        now: MonotonicTime,
+        ticket: CallTicket,
+        result: &mut Result<StreamPage, StreamFault>,
+    ) -> Option<FollowOutput> {
+        let read = self.take_pending(ticket)?;
+        let page = match result {
+            Ok(page) => std::mem::take(page),
+            Err(StreamFault::Gone { .. }) => {
+                self.begin_anew(now);
+                return Some(FollowOutput::default());
+            }
+            Err(_) => {
+                self.note_failure(now);
+                return Some(FollowOutput::default());
+            }
+        };
+        self.note_answer(now);
+        let known = self.next;
+        let records: Vec<_> = page
+            .records
+            .into_iter()
+            .filter(|record| record.offset >= known)
+            .collect();
+        self.next = self.next.max(page.next);
+        let has_reached_tail = self.next >= page.end;
+        if has_reached_tail {
+            self.proved_at = self.proved_at.max(Some(read.sent_at));
+        }
+        if !read.is_fresh {
+            // The pace counts from when the last read was sent, so that a quiet stream
+            // is read again at once after its wait.
+            let paced = read.sent_at + self.pace;
+            self.due_at = if has_reached_tail {
+                paced.max(now)
+            } else {
+                now
+            };
+        }
+        Some(FollowOutput {
+            records,
+            begins_anew: false,
+        })
+    }
+
+    /// Takes a page of newest records; nothing if it is not one of this follower's.
+    pub fn take_newest(
+        &mut self,
+        now: MonotonicTime,
+        ticket: CallTicket,
+        result: &mut Result<NewestPage, StreamFault>,
+    ) -> Option<FollowOutput> {
+        self.take_pending(ticket)?;
+        let Ok(page) = result else {
+            self.note_failure(now);
+            return Some(FollowOutput::default());
+        };
+        let page = std::mem::take(page);
+        self.note_answer(now);
+        self.due_at = now;
+        let FollowStage::Gathering { after, floor } = &mut self.stage else {
+            return Some(FollowOutput::default());
+        };
+        let begins_anew = floor.is_none();
+        let from = *floor.get_or_insert(page.end);
+        *after = page.next_after;
+        if after.is_none() {
+            self.next = from;
+            self.stage = FollowStage::Following;
+        }
+        Some(FollowOutput {
+            records: page.records,
+            begins_anew,
+        })
+    }
+
+    fn begin_anew(&mut self, now: MonotonicTime) {
+        log::warn!(stream = self.stream.word(), next = self.next.0; "records are gone; reading the newest of each key");
+        self.stage = FollowStage::Gathering {
+            after: None,
+            floor: None,
+        };
+        self.pending = None;
+        self.fresh = None;
+        self.due_at = now;
+    }
+
+    fn note_answer(&mut self, now: MonotonicTime) {
+        self.answered_at = Some(now);
+        self.steady_since.get_or_insert(now);
+    }
+
+    fn note_failure(&mut self, now: MonotonicTime) {
+        self.steady_since = None;
+        self.due_at = now + RETRY_PAUSE;
+    }
+}
+
+/// The next unused ticket.
+pub const fn take_ticket(next_ticket: &mut u64) -> CallTicket {
+    *next_ticket += 1;
+    CallTicket(*next_ticket)
+}
--- /dev/null
+++ b/crates/domain/src/request.rs
@@ -0,0 +1,4 @@
+//! What lives for one request.
+
+pub mod front_request;
+pub mod submission;
--- /dev/null
+++ b/crates/domain/src/request/front_request.rs
@@ -0,0 +1,138 @@
+//! Requests of callers and how they end. The border decodes a request into one of
+//! these and turns the answer into a response.
+
+use thiserror::Error;
+
+use crate::prelude::*;
+use crate::request::submission::JobSubmission;
+
+/// Identifier of a request within this process, for its answer and its log lines.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct RequestTicket(pub u64);
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+pub struct FrontRequest {
+    /// Identifier within this process.
+    pub ticket: RequestTicket,
+    /// Host name that the request addresses.
+    pub host: Arc<str>,
+    /// Path of the request, without query.
+    pub path: Arc<str>,
+    /// Key of the customer, if the request carries one.
+    pub key: Option<Arc<str>>,
+    /// Time for which the caller waits for the answer, if it says so.
+    pub patience: Option<Duration>,
+    /// What is asked.
+    pub verb: FrontVerb,
+}
+
+/// What a caller asks. The job or queue is named by the request's path.
+#[derive(Clone, Debug)]
+pub enum FrontVerb {
+    /// Accept this job; an error text if the body could not be read.
+    Submit(Result<Box<JobSubmission>, String>),
+    /// State of a job, or the number of pending jobs of a queue.
+    Ask,
+    /// Cancel a job.
+    Cancel,
+}
+
+/// State of a job as callers see it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum JobPhase {
+    /// No unit has started.
+    Queued,
+    /// A unit has started.
+    Running,
+    /// All units are done.
+    Completed,
+    /// A unit failed too often.
+    Failed,
+    /// The caller cancelled it.
+    Cancelled,
+}
+
+impl JobPhase {
+    /// Word for log lines and dumps.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Queued => "queued",
+            Self::Running => "running",
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
+/// How a request ends.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum FrontAnswer {
+    /// The job is in the log.
+    Accepted,
+    /// State of a job.
+    Phase(JobPhase),
+    /// Number of jobs of the queue of which no unit has started.
+    Pending(u64),
+    /// The cancellation is in the log.
+    Cancelled,
+    /// The request was not carried out.
+    Refused(FrontFault),
+}
+
+/// Why a request was not carried out.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum FrontFault {
+    /// No queue has this host and path.
+    #[error("no such queue; check host and path")]
+    NoQueue,
+    /// The key belongs to no customer.
+    #[error("unknown key; ask the operator for a valid one")]
+    UnknownKey,
+    /// The request cannot be read.
+    #[error("malformed request: {0}")]
+    Malformed(String),
+    /// The path allows no such method.
+    #[error("the path takes no such method; address a job by its identifier")]
+    NoVerb,
+    /// No job has this identifier.
+    #[error("no such job; it was never accepted or ended long ago")]
+    NoJob,
+    /// Certainly not carried out; it may be sent again later.
+    #[error("not carried out: {cause}; send it again in {retry_after:?}")]
+    NotRun {
+        /// What this host lacks.
+        cause: NotRunCause,
+        /// Time after which the cause should be over.
+        retry_after: Duration,
+    },
+    /// The record may have reached the log or may still do so.
+    #[error("outcome unknown; send the same request again")]
+    Unsettled,
+}
+
+/// What keeps a host from carrying out a request.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum NotRunCause {
+    /// No configuration was read yet.
+    #[error("this host has no configuration yet")]
+    NoConfig,
+    /// The log cannot be reached, or is not read to its tail.
+    #[error("this host cannot reach the log")]
+    NoLog,
+    /// The job would miss its objective; its queue is longer than its workers serve.
+    #[error("the queue is full")]
+    QueueFull,
+}
+
+impl NotRunCause {
+    /// Word for log lines and counters.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::NoConfig => "no-config",
+            Self::NoLog => "no-log",
+            Self::QueueFull => "queue-full",
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain/src/request/submission.rs
@@ -0,0 +1,232 @@
+//! A job as its caller describes it: steps of equal units, with what each unit
+//! needs and where it may run.
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::prelude::*;
+
+/// Most units that one step may have; bounds what a job costs the planner.
+pub const UNIT_LIMIT: u32 = 10_000;
+/// Most steps that a job may have.
+pub const STEP_LIMIT: usize = 1_000;
+
+/// What a caller submits.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct JobSubmission {
+    /// Text that every unit's worker receives unchanged.
+    pub spec: Arc<str>,
+    /// Steps; at least one.
+    pub steps: Vec<StepShape>,
+    /// Times at which the steps run, or nothing for a job that runs once, at once.
+    pub schedule: Option<OccurrenceSchedule>,
+}
+
+/// Times of a job that runs more than once or not at once.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OccurrenceSchedule {
+    /// Due time of the first occurrence.
+    pub first_at: WallMillis,
+    /// Milliseconds from one occurrence's due time to the next.
+    pub interval_ms: u64,
+    /// Number of occurrences; at least one.
+    pub count: u32,
+}
+
+/// Unix milliseconds in a record.
+pub type WallMillis = u64;
+
+impl OccurrenceSchedule {
+    /// Due time of an occurrence.
+    pub const fn due_at(&self, occurrence: u32) -> WallTime {
+        WallTime(self.first_at + self.interval_ms * occurrence as u64)
+    }
+}
+
+/// Units of one kind that run side by side.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct StepShape {
+    /// Number of units; at least one.
+    pub count: u16,
+    /// What each unit occupies.
+    pub need: UnitNeed,
+    /// Rough run time of a unit in milliseconds, as the caller believes.
+    pub estimate_ms: u64,
+    /// Earlier steps whose units must all be done first.
+    pub after: Vec<u16>,
+    /// Whether the units run only all together.
+    pub is_gang: bool,
+    /// Whether the units slow down unless they share a rack.
+    pub same_rack: bool,
+    /// Whether a stopped unit can resume from a checkpoint.
+    pub has_checkpoints: bool,
+    /// Label that a worker must have.
+    pub label: Option<LabelName>,
+    /// Rack that holds the data; the units slow down on others.
+    pub data_rack: Option<RackName>,
+    /// Most units of an occurrence of the step on one worker.
+    pub worker_limit: Option<u16>,
+    /// Whether copies of a unit may run side by side, the first to finish counting.
+    pub is_speculative: bool,
+    /// Whether the units run until the job is cancelled.
+    pub is_long_running: bool,
+    /// Program that the units run; units of one image behave alike.
+    pub image: Option<ImageName>,
+    /// Bound on the response time tail of a unit that serves users itself.
+    pub tail_target_ms: Option<u64>,
+    /// Whether the units only take processor time that others leave unused.
+    pub is_filler: bool,
+    /// Units of a long-running step that may be away at once by planned work.
+    pub may_miss: Option<u16>,
+}
+
+/// What one unit occupies on its worker, or what a worker has.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UnitNeed {
+    /// Thousandths of a core.
+    pub cpu_millis: u64,
+    /// Memory in megabytes.
+    pub memory_mb: u64,
+    /// Accelerators.
+    pub accelerators: u32,
+}
+
+impl UnitNeed {
+    /// Whether `self` fits into `free`.
+    pub const fn fits(&self, free: &Self) -> bool {
+        self.cpu_millis <= free.cpu_millis
+            && self.memory_mb <= free.memory_mb
+            && self.accelerators <= free.accelerators
+    }
+
+    /// How many such units fit into `free`; at most `most`.
+    pub fn times_in(&self, free: &Self, most: u32) -> u32 {
+        let parts = [
+            free.cpu_millis.checked_div(self.cpu_millis),
+            free.memory_mb.checked_div(self.memory_mb),
+            u64::from(free.accelerators).checked_div(u64::from(self.accelerators)),
+        ];
+        let least = parts.into_iter().flatten().min();
+        least.map_or(most, |times| u32::try_from(times).unwrap_or(most).min(most))
+    }
+
+    /// The sum of both.
+    #[must_use]
+    pub const fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis + other.cpu_millis,
+            memory_mb: self.memory_mb + other.memory_mb,
+            accelerators: self.accelerators + other.accelerators,
+        }
+    }
+
+    /// What is left of `self`; zero where `other` is larger.
+    #[must_use]
+    pub const fn minus(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_sub(other.cpu_millis),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// The largest part of any resource of `whole` that this takes, from 0 to 1 for
+    /// a need that fits.
+    pub fn share_of(&self, whole: &Self) -> f64 {
+        let part = |need: u64, all: u64| {
+            if need == 0 {
+                0.0
+            } else {
+                need as f64 / all.max(1) as f64
+            }
+        };
+        part(self.cpu_millis, whole.cpu_millis)
+            .max(part(self.memory_mb, whole.memory_mb))
+            .max(part(
+                u64::from(self.accelerators),
+                u64::from(whole.accelerators),
+            ))
+    }
+}
+
+/// Why a submission is refused as malformed.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum SubmissionFault {
+    /// No steps, or too many.
+    #[error("a job has 1 to {STEP_LIMIT} steps; split the job")]
+    StepCount,
+    /// A step without units, or with too many.
+    #[error("step {step} needs 1 to {UNIT_LIMIT} units; set its count")]
+    UnitCount {
+        /// The step.
+        step: usize,
+    },
+    /// A step waits for itself or a later one.
+    #[error("step {step} may only wait for earlier steps; correct the list")]
+    Order {
+        /// The step.
+        step: usize,
+    },
+    /// A schedule without occurrences.
+    #[error("a schedule needs one occurrence or more; set its count or leave it out")]
+    Schedule,
+}
+
+impl JobSubmission {
+    /// Checks what the types cannot say.
+    ///
+    /// # Errors
+    /// The first fault found.
+    pub fn check(&self) -> Result<(), SubmissionFault> {
+        if self.steps.is_empty() || self.steps.len() > STEP_LIMIT {
+            return Err(SubmissionFault::StepCount);
+        }
+        for (step, shape) in self.steps.iter().enumerate() {
+            if shape.count == 0 || u32::from(shape.count) > UNIT_LIMIT {
+                return Err(SubmissionFault::UnitCount { step });
+            }
+            if shape
+                .after
+                .iter()
+                .any(|before| usize::from(*before) >= step)
+            {
+                return Err(SubmissionFault::Order { step });
+            }
+        }
+        if self.schedule.is_some_and(|schedule| schedule.count == 0) {
+            return Err(SubmissionFault::Schedule);
+        }
+        Ok(())
+    }
+
+    /// Number of occurrences.
+    pub fn occurrences(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.count)
+    }
+
+    /// Whether some step runs until the job is cancelled.
+    pub fn is_long_running(&self) -> bool {
+        self.steps.iter().any(|step| step.is_long_running)
+    }
+}
+
+impl StepShape {
+    /// Units that start and end together: all of a gang, else one.
+    pub const fn group_size(&self) -> u16 {
+        if self.is_gang { self.count } else { 1 }
+    }
+
+    /// Keys of the groups of one occurrence of the step.
+    pub fn groups(&self, job: JobKey, occurrence: u32, step: u16) -> Vec<GroupKey> {
+        let key = |index| GroupKey {
+            job,
+            occurrence,
+            step,
+            index,
+        };
+        if self.is_gang {
+            return vec![key(None)];
+        }
+        (0..self.count).map(|index| key(Some(index))).collect()
+    }
+}
--- /dev/null
+++ b/crates/domain/src/version.rs
@@ -0,0 +1,3 @@
+//! What lives for one version of the configuration.
+
+pub mod manifest;
--- /dev/null
+++ b/crates/domain/src/version/manifest.rs
@@ -0,0 +1,92 @@
+//! The configuration of a planning domain: queues, services and customers. A host
+//! adopts only higher versions, so that no decision goes back to an older one.
+
+use crate::prelude::*;
+
+/// One version of the configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DomainManifest {
+    /// Number of the version; rises in uneven steps.
+    pub version: u64,
+    /// Queues by name.
+    pub queues: BTreeMap<QueueName, QueueSettings>,
+    /// Services by name.
+    pub services: BTreeMap<ServiceName, ServiceSettings>,
+    /// Customers by name.
+    pub customers: BTreeMap<CustomerName, CustomerEntry>,
+    /// Customer of each key; holds exactly the keys of `customers`.
+    pub keys: BTreeMap<Arc<str>, CustomerName>,
+}
+
+/// A queue: where its jobs come in, and how they are run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QueueSettings {
+    /// Host name under which callers address the queue, in lower case, without port.
+    pub host: Arc<str>,
+    /// Start of the paths of the queue; begins and ends with a slash.
+    pub path_prefix: Arc<str>,
+    /// Service whose workers run the units.
+    pub service: ServiceName,
+    /// Zero is the most urgent and may take capacity from others.
+    pub priority: u8,
+    /// Failed runs of one unit after which its job fails; at least one.
+    pub max_attempts: u16,
+    /// Allowed completion time over the job's longest chain of work.
+    pub stretch: f64,
+    /// Completion time allowed beside the stretch.
+    pub target_latency: Duration,
+    /// Whether callers need no key.
+    pub is_public: bool,
+    /// Advice that a start needs, if the queue has a policy of its own.
+    pub advice: Option<AdviceSettings>,
+}
+
+/// The service that approves workers for the steps of a queue.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AdviceSettings {
+    /// Time that every call takes.
+    pub decide_time: Duration,
+    /// Time that every worker named in a call takes.
+    pub worker_time: Duration,
+    /// Time for which an approval may be used.
+    pub validity: Duration,
+}
+
+/// A service: a pool of workers.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ServiceSettings {
+    /// Whether the workers refuse what exceeds their capacity.
+    pub checks_admission: bool,
+    /// Whether the workers are a switched-off reserve that runs nothing.
+    pub is_spare: bool,
+    /// Path at which a worker tells whether it considers itself healthy.
+    pub health_path: Option<Arc<str>>,
+}
+
+/// A customer.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CustomerEntry {
+    /// Accelerators that belong to the customer's urgent jobs at all times.
+    pub guaranteed_accelerators: u32,
+}
+
+impl DomainManifest {
+    /// The queue that a request addresses: of those of its host, the one with the
+    /// longest prefix that begins the path.
+    pub fn find_queue(&self, host: &str, path: &str) -> Option<(&QueueName, &QueueSettings)> {
+        let host = host.split(':').next().unwrap_or_default();
+        self.queues
+            .iter()
+            .filter(|(_, queue)| {
+                queue.host.eq_ignore_ascii_case(host) && path.starts_with(&*queue.path_prefix)
+            })
+            .max_by_key(|(_, queue)| queue.path_prefix.len())
+    }
+
+    /// Accelerators guaranteed to a customer; zero for one that is not declared.
+    pub fn guaranteed(&self, customer: &CustomerName) -> u32 {
+        self.customers
+            .get(customer)
+            .map_or(0, |entry| entry.guaranteed_accelerators)
+    }
+}
--- a/crates/node/src/connection/http_client.rs
+++ b/crates/node/src/connection/http_client.rs
@@ -71,19 +71,24 @@
 
 impl Default for HttpClient {
     fn default() -> Self {
+        Self::with_idle(IDLE_CONNECTIONS)
+    }
+}
+
+impl HttpClient {
+    /// A client that keeps up to `idle` unused connections per peer.
+    pub fn with_idle(idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_max_idle_per_host(IDLE_CONNECTIONS)
+            .pool_max_idle_per_host(idle)
             .retry_canceled_requests(false)
             .build(connector);
         Self { client }
     }
-}
 
-impl HttpClient {
     /// Sends one request and reads the whole answer within `timeout`.
     ///
     /// # Errors
@@ -106,6 +111,19 @@
                 address,
                 detail: error.to_string(),
             })?;
+        self.exchange_request(address, request, timeout).await
+    }
+
+    /// Sends a request that is built already, as [`Self::exchange`].
+    ///
+    /// # Errors
+    /// As [`Self::exchange`].
+    pub async fn exchange_request(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), ExchangeFault> {
         let exchange = self.send_whole(address, request);
         let answer = tokio::time::timeout(timeout, exchange).await;
         answer.unwrap_or(Err(ExchangeFault::NoAnswer { address }))
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -23,6 +23,7 @@
 pub mod planner_events;
 pub mod planner_port;
 pub mod seat_port;
+pub mod settings_reader;
 pub mod state_dump;
 pub mod usage_poll;
 pub mod zone_outlook;
--- /dev/null
+++ b/crates/node/src/process/settings_reader.rs
@@ -0,0 +1,217 @@
+//! Reads a settings file and collects all its faults, each with line, key and remedy.
+
+use std::fmt::{self, Display, Formatter};
+use std::net::SocketAddr;
+
+use flamingowalk_core::prelude::*;
+use ini::Ini;
+use thiserror::Error;
+
+/// One fault of a settings file.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("{file}:{line}: [{section}] {key}: {problem}; {remedy}")]
+pub struct SettingsFault {
+    /// File as named on the command line.
+    pub file: String,
+    /// Line, counted from one; zero when the key is absent.
+    pub line: usize,
+    /// Section of the key.
+    pub section: String,
+    /// Key.
+    pub key: String,
+    /// What is wrong.
+    pub problem: String,
+    /// What to do about it.
+    pub remedy: String,
+}
+
+/// All faults of a settings file.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub struct SettingsFaults {
+    /// The faults in the order in which they were found; never empty.
+    pub faults: Vec<SettingsFault>,
+}
+
+impl Display for SettingsFaults {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        for fault in &self.faults {
+            writeln!(f, "{fault}")?;
+        }
+        Ok(())
+    }
+}
+
+/// A key that a settings file may hold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KnownKey {
+    /// Section of the key.
+    pub section: &'static str,
+    /// Key.
+    pub key: &'static str,
+    /// Value when the key is absent; a key without one is required.
+    pub default: Option<&'static str>,
+}
+
+/// A key without a default.
+pub const fn required(section: &'static str, key: &'static str) -> KnownKey {
+    KnownKey {
+        section,
+        key,
+        default: None,
+    }
+}
+
+/// A key with a default.
+pub const fn optional(section: &'static str, key: &'static str, default: &'static str) -> KnownKey {
+    KnownKey {
+        section,
+        key,
+        default: Some(default),
+    }
+}
+
+/// Reads keys and collects faults.
+#[derive(Debug)]
+pub struct SettingsReader {
+    keys: &'static [KnownKey],
+    file: String,
+    lines: Vec<String>,
+    ini: Ini,
+    /// Faults found so far.
+    pub faults: Vec<SettingsFault>,
+}
+
+impl SettingsReader {
+    /// Opens INI text in which only `keys` may stand; `file` is used in faults only.
+    ///
+    /// # Errors
+    /// The text is no INI file.
+    pub fn open(file: &str, text: &str, keys: &'static [KnownKey]) -> Result<Self, SettingsFaults> {
+        match Ini::load_from_str_noescape(text) {
+            Ok(ini) => Ok(Self {
+                keys,
+                file: file.to_owned(),
+                lines: text.lines().map(str::to_owned).collect(),
+                ini,
+                faults: Vec::new(),
+            }),
+            Err(error) => Err(SettingsFaults {
+                faults: vec![SettingsFault {
+                    file: file.to_owned(),
+                    line: error.line + 1,
+                    section: String::new(),
+                    key: String::new(),
+                    problem: error.msg.to_string(),
+                    remedy: "write the file as INI sections of `key = value` lines".to_owned(),
+                }],
+            }),
+        }
+    }
+
+    /// Notes a fault of a key.
+    pub fn fault(&mut self, section: &str, key: &str, problem: &str, remedy: &str) {
+        let fault = SettingsFault {
+            file: self.file.clone(),
+            line: self.line_of(section, key),
+            section: section.to_owned(),
+            key: key.to_owned(),
+            problem: problem.to_owned(),
+            remedy: remedy.to_owned(),
+        };
+        self.faults.push(fault);
+    }
+
+    /// Line of a key counted from one; zero if it is absent.
+    fn line_of(&self, section: &str, key: &str) -> usize {
+        let mut current = "";
+        for (index, line) in self.lines.iter().enumerate() {
+            let line = line.trim();
+            if let Some(header) = line.strip_prefix('[') {
+                current = header.trim_end_matches(']').trim();
+            } else if current == section
+                && line
+                    .split('=')
+                    .next()
+                    .is_some_and(|name| name.trim() == key)
+            {
+                return index + 1;
+            }
+        }
+        0
+    }
+
+    /// Notes the keys that are not known.
+    pub fn check_known(&mut self) {
+        let mut unknown = Vec::new();
+        for (section, properties) in &self.ini {
+            let section = section.unwrap_or_default();
+            for (key, _) in properties {
+                if !self
+                    .keys
+                    .iter()
+                    .any(|known| known.section == section && known.key == key)
+                {
+                    unknown.push((section.to_owned(), key.to_owned()));
+                }
+            }
+        }
+        for (section, key) in unknown {
+            self.fault(
+                &section,
+                &key,
+                "unknown key",
+                "remove it or correct its spelling",
+            );
+        }
+    }
+
+    /// Value of a key, or its default; empty with a fault if there is neither.
+    pub fn text(&mut self, section: &str, key: &str) -> String {
+        let known = self
+            .keys
+            .iter()
+            .find(|known| known.section == section && known.key == key);
+        debug_assert!(known.is_some(), "key {section}.{key} is not declared");
+        let default = known.and_then(|known| known.default);
+        let value = self
+            .ini
+            .get_from(Some(section), key)
+            .or(default)
+            .unwrap_or_default();
+        let value = value.trim().to_owned();
+        if value.is_empty() {
+            self.fault(section, key, "no value", "add the key with a value");
+        }
+        value
+    }
+
+    /// Value of a key as an address.
+    pub fn address(&mut self, section: &str, key: &str) -> SocketAddr {
+        let value = self.text(section, key);
+        let fallback = SocketAddr::from(([127, 0, 0, 1], 0));
+        if value.is_empty() {
+            return fallback;
+        }
+        value.parse().unwrap_or_else(|_error| {
+            let problem = format!("{value:?} is not an address");
+            self.fault(
+                section,
+                key,
+                &problem,
+                "write an IP number and port, as 127.0.0.1:7000",
+            );
+            fallback
+        })
+    }
+
+    /// Value of a key as milliseconds above zero.
+    pub fn millis(&mut self, section: &str, key: &str) -> Duration {
+        let value = self.text(section, key);
+        let millis = value.parse::<u64>().ok().filter(|millis| *millis > 0);
+        Duration::from_millis(millis.unwrap_or_else(|| {
+            let problem = format!("{value:?} is not a whole number above zero");
+            self.fault(section, key, &problem, "write milliseconds, as 1000");
+            1
+        }))
+    }
+}
