Seat: a claim under way is given time before another host claims

A claim newer than every heartbeat now gets the patience of a silent planner. Also: a restored group that is done is not reported as an old run.

--- a/crates/domain/src/process/planner/look.rs
+++ b/crates/domain/src/process/planner/look.rs
@@ -278,8 +278,10 @@
         let located = self
             .jobs
             .get(&end.unit.job)
-            .and_then(|job| job.locate(&end.unit));
-        if let Some((key, _)) = located {
+            .and_then(|job| job.locate(&end.unit).map(|(key, _)| (job.group(&key), key)));
+        if let Some((Some(group), key)) = located
+            && group.phase != GroupPhase::Done
+        {
             log::warn!(target: "end", unit = end.unit.to_string().as_str(), run = end.run.0; "an earlier run was done");
             self.finish_group(now, &key);
             self.clear_group(now, key);
--- a/crates/domain/src/process/seat.rs
+++ b/crates/domain/src/process/seat.rs
@@ -85,6 +85,10 @@
     claims: u64,
     /// Nonce of a claim whose answer was lost.
     unsettled_claim: Option<u64>,
+    /// Epoch of the planner that gave the newest sign of life.
+    sign_epoch: SeatEpoch,
+    /// Newest epoch read from the seat stream, and when it was first read.
+    newest_claim: Option<(SeatEpoch, MonotonicTime)>,
 }
 
 impl PlannerSeat {
@@ -104,6 +108,8 @@
             is_retired: false,
             claims: 0,
             unsettled_claim: None,
+            sign_epoch: SeatEpoch(0),
+            newest_claim: None,
         }
     }
 
@@ -124,6 +130,7 @@
     pub fn note_heartbeat(&mut self, now: MonotonicTime, heartbeat: &PlannerHeartbeat) {
         self.sign_at = Some(now);
         self.has_yielded = heartbeat.has_yielded;
+        self.sign_epoch = self.sign_epoch.max(heartbeat.epoch);
     }
 
     /// Claims no seat any more.
@@ -191,6 +198,10 @@
             self.pause(now);
             return true;
         };
+        if self.is_claimed_anew(now, SeatEpoch(page.end.0)) {
+            self.pause(now);
+            return true;
+        }
         if self.is_unsettled_claim(page) {
             self.unsettled_claim = None;
             self.fence(SeatEpoch(page.end.0), next_ticket, actions);
@@ -221,6 +232,22 @@
         true
     }
 
+    /// Whether another host has claimed the seat and may be about to plan: its claim is
+    /// newer than every sign of life, and was first seen a short while ago.
+    fn is_claimed_anew(&mut self, now: MonotonicTime, newest: SeatEpoch) -> bool {
+        if newest <= self.sign_epoch || self.unsettled_claim.is_some() {
+            return false;
+        }
+        let seen_at = match self.newest_claim {
+            Some((epoch, seen_at)) if epoch == newest => seen_at,
+            _ => {
+                self.newest_claim = Some((newest, now));
+                now
+            }
+        };
+        now.since(seen_at) < CLAIM_PATIENCE
+    }
+
     /// Whether the newest claim is this process's, with its answer lost.
     fn is_unsettled_claim(&self, page: &NewestPage) -> bool {
         let newest = page.records.iter().max_by_key(|record| record.offset);
--- a/crates/entry/src/bin/flamingowalk-domain.rs
+++ b/crates/entry/src/bin/flamingowalk-domain.rs
@@ -130,7 +130,7 @@
         Ok(changed) if changed == *settings => log::info!("settings read again; unchanged"),
         Ok(_) => log::warn!("settings have changed; restart to apply them"),
         Err(text) => {
-            log::error!(faults = text.as_str(); "settings cannot be read; keeping the old ones")
+            log::error!(faults = text.as_str(); "settings cannot be read; keeping the old ones");
         }
     }
 }
