--- a/crates/domain/src/process/planner/look.rs
+++ b/crates/domain/src/process/planner/look.rs
@@ -68,7 +68,10 @@
         } else {
             Duration::ZERO
         };
-        let needs_lease = worker.is_occupied() || !worker.link.is_surveyed;
+        // A worker that does not answer gets no longer lease: its bound has to pass, so
+        // that what ran there can run elsewhere.
+        let needs_lease = (worker.is_occupied() || !worker.link.is_surveyed)
+            && worker.link.failures == 0;
         let order = LookOrder {
             acknowledged: worker.link.recorded_end,
             lease_until: (may_extend && needs_lease).then(|| worker.link.extend_lease(now, lease)),
