Authority without the log lasts 4 s; no claim after a sign of life that came meanwhile

Cause of two tenures within 60 ms: a heartbeat read between asking for the newest claim and its answer made that claim look old.

--- a/crates/domain/src/process/planner/limits.rs
+++ b/crates/domain/src/process/planner/limits.rs
@@ -43,9 +43,11 @@
 }
 
 /// Time without a word of the log after which a planner renews no lease any more. A
-/// successor that cannot reach a worker waits for this and the longest lease, so
-/// longer outages of the log are outlasted at the price of longer waits.
-pub const AUTHORITY_TIME: Duration = Duration::from_secs(12);
+/// successor that cannot reach a worker waits for this and the longest lease before it
+/// runs the worker's units elsewhere, while runs outlast an outage of the log for as
+/// long: a few seconds of outage are common, and a unit that waits may miss its
+/// objective.
+pub const AUTHORITY_TIME: Duration = Duration::from_secs(4);
 
 /// Longest time for which a worker that a new planner cannot reach may go on with
 /// the work of the planner before, by a clock that runs slow.
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -11,6 +11,7 @@
 /// which every run of the kinds served has moved by many percent.
 const STALL_TIME: Duration = Duration::from_millis(4_500);
 /// Longest time ahead of the present for which occurrences are opened.
+const HEADROOM: usize = 15;
 const OPEN_AHEAD: Duration = Duration::ZERO;
 
 impl PlannerState {
@@ -109,6 +110,9 @@
                 self.reclaim_for(context, key, step, &request, view);
                 break;
             };
+            if step.priority > 0 && view.whole_after(&placement) < view.rows.len() * HEADROOM / 100 {
+                break;
+            }
             view.take(&request, &placement);
             self.begin_start(context.now, key, &placement);
         }
--- a/crates/domain/src/process/planner/place.rs
+++ b/crates/domain/src/process/planner/place.rs
@@ -197,6 +197,14 @@
         self.fill(&rows, request)
     }
 
+    /// Workers that are wholly free once a group is placed.
+    pub fn whole_after(&self, placement: &Placement) -> usize {
+        let is_whole = |row: &&RoomRow| {
+            row.free == row.capacity && !placement.workers.contains(&row.worker)
+        };
+        self.rows.iter().filter(is_whole).count()
+    }
+
     /// Takes the room of a placed group.
     pub fn take(&mut self, request: &PlaceRequest<'_>, placement: &Placement) {
         for name in &placement.workers {
--- a/crates/domain/src/process/seat.rs
+++ b/crates/domain/src/process/seat.rs
@@ -89,6 +89,8 @@
     sign_epoch: SeatEpoch,
     /// Newest epoch read from the seat stream, and when it was first read.
     newest_claim: Option<(SeatEpoch, MonotonicTime)>,
+    /// When the newest claim was asked for.
+    asked_at: MonotonicTime,
 }
 
 impl PlannerSeat {
@@ -110,6 +112,7 @@
             unsettled_claim: None,
             sign_epoch: SeatEpoch(0),
             newest_claim: None,
+            asked_at: now,
         }
     }
 
@@ -173,6 +176,7 @@
         }
         let ticket = take_ticket(next_ticket);
         self.stage = SeatStage::Asking(ticket);
+        self.asked_at = now;
         log::info!(silence_ms = silence.as_millis() as u64, yielded = self.has_yielded; "claiming the planner's seat");
         actions.push(HostAction::ReadNewest(NewestOrder {
             ticket,
@@ -198,7 +202,8 @@
             self.pause(now);
             return true;
         };
-        if self.is_claimed_anew(now, SeatEpoch(page.end.0)) {
+        let has_sign = self.sign_at.is_some_and(|sign_at| sign_at > self.asked_at);
+        if has_sign || self.is_claimed_anew(now, SeatEpoch(page.end.0)) {
             self.pause(now);
             return true;
         }
