A simulated domain on a virtual clock, with faults; pauses end by themselves

The simulated world drives the real hosts through 38 cases. It found, each with its test failing first: a group whose pause was over waited for some other event (a pass now comes ten times a second); workers to be avoided left no worker at all on a small pool; a failed look was passed over because of an answer seconds before, so a dead worker's bound moved by one look (2.6 s).

--- /dev/null
+++ b/crates/domain-sim/src/lib.rs
@@ -0,0 +1,13 @@
+//! A planning domain on a virtual clock: the log, the workers and the callers are
+//! simulated, the hosts are the real [`DomainHost`](flamingowalk_domain::process::host::DomainHost).
+//! Tests bring faults about from outside and check what callers and workers see.
+
+pub mod load;
+pub mod sim_store;
+pub mod sim_worker;
+pub mod sim_world;
+
+pub use load::{LoadClass, LoadPlan};
+pub use sim_store::SimStore;
+pub use sim_worker::SimWorker;
+pub use sim_world::{JobReport, SimHost, SimWorld};
--- /dev/null
+++ b/crates/domain-sim/src/load.rs
@@ -0,0 +1,144 @@
+//! Loads like those of the users' sheets: classes of jobs with rates, widths and run
+//! times, drawn from a seed.
+
+use flamingowalk_domain::prelude::*;
+use flamingowalk_domain::request::submission::{JobSubmission, StepShape, UnitNeed};
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+/// Kind of job.
+#[derive(Clone, Debug)]
+pub struct LoadClass {
+    /// Queue of the class.
+    pub queue: QueueName,
+    /// Jobs a second.
+    pub rate: f64,
+    /// Mean number of units of a step.
+    pub width: f64,
+    /// Largest number of units of a step.
+    pub width_limit: u16,
+    /// Mean run time of a unit.
+    pub run_time: Duration,
+    /// Spread of run times over jobs, as a part of the mean.
+    pub spread: f64,
+    /// Longest run time.
+    pub longest: Duration,
+    /// Spread of estimates around the true time.
+    pub estimate_spread: f64,
+    /// What a unit needs beside accelerators.
+    pub need: UnitNeed,
+    /// Accelerators of a unit, each as likely.
+    pub accelerators: Vec<u32>,
+    /// Whether the units of a step are a gang.
+    pub is_gang: bool,
+    /// Part of the gangs that want one rack.
+    pub same_rack: f64,
+    /// Part of the jobs that keep checkpoints.
+    pub checkpoints: f64,
+    /// Worth of a job of mean work that is done in time, and late.
+    pub worth: (f64, f64),
+}
+
+/// A job of a load.
+#[derive(Clone, Debug)]
+pub struct LoadJob {
+    /// Identifier.
+    pub key: JobKey,
+    /// Class of the job in its plan.
+    pub class: usize,
+    /// When it is submitted.
+    pub at: MonotonicTime,
+    /// What is submitted.
+    pub submission: JobSubmission,
+    /// True run time of each unit on a sound worker.
+    pub work: Duration,
+}
+
+/// A load.
+#[derive(Clone, Debug)]
+pub struct LoadPlan {
+    /// Classes.
+    pub classes: Vec<LoadClass>,
+    /// Jobs in order of time.
+    pub jobs: Vec<LoadJob>,
+}
+
+impl LoadPlan {
+    /// Draws the jobs of a span of time. `burst` multiplies the rates by class within
+    /// its own span.
+    pub fn draw(
+        seed: u64,
+        classes: Vec<LoadClass>,
+        begin: MonotonicTime,
+        end: MonotonicTime,
+        burst: impl Fn(usize, MonotonicTime) -> f64,
+    ) -> Self {
+        const STEP: Duration = Duration::from_millis(50);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut jobs = Vec::new();
+        let mut at = begin;
+        while at < end {
+            for (index, class) in classes.iter().enumerate() {
+                let expected = class.rate * burst(index, at) * STEP.as_secs_f64();
+                if random.random_bool(expected.min(1.0)) {
+                    let job = draw_job(&mut random, class, index, at, jobs.len() as u64);
+                    jobs.push(job);
+                }
+            }
+            at = at + STEP;
+        }
+        Self { classes, jobs }
+    }
+}
+
+fn draw_job(
+    random: &mut ChaCha8Rng,
+    class: &LoadClass,
+    index: usize,
+    at: MonotonicTime,
+    number: u64,
+) -> LoadJob {
+    // Widths and run times are skewed: many small, few large.
+    let skew: f64 = -random.random_range(0.02_f64..1.0).ln();
+    let width = (class.width * skew)
+        .round()
+        .clamp(1.0, f64::from(class.width_limit));
+    let factor = 1.0 + class.spread * random.random_range(-1.5..1.5);
+    let work = class.run_time.mul_f64(factor.max(0.2)).min(class.longest);
+    let error = 1.0 + class.estimate_spread * random.random_range(-1.0..1.0);
+    let accelerators = class.accelerators.choose(random).copied().unwrap_or(0);
+    let shape = StepShape {
+        count: width as u16,
+        need: UnitNeed {
+            accelerators,
+            ..class.need
+        },
+        estimate_ms: work.mul_f64(error.max(0.1)).as_millis() as u64,
+        after: Vec::new(),
+        is_gang: class.is_gang,
+        same_rack: class.is_gang && random.random_bool(class.same_rack),
+        has_checkpoints: random.random_bool(class.checkpoints),
+        label: None,
+        data_rack: None,
+        worker_limit: None,
+        is_speculative: false,
+        is_long_running: false,
+        image: None,
+        tail_target_ms: None,
+        is_filler: false,
+        may_miss: None,
+    };
+    LoadJob {
+        key: JobKey(number * 7_919 + 1),
+        class: index,
+        at,
+        submission: JobSubmission {
+            spec: "spec".into(),
+            steps: vec![shape],
+            schedule: None,
+        },
+        work,
+    }
+}
--- /dev/null
+++ b/crates/domain-sim/src/sim_store.rs
@@ -0,0 +1,213 @@
+//! The platform's log, simulated: linearizable streams of keyed records, conditional
+//! and fenced appends.
+
+use bytes::Bytes;
+use flamingowalk_domain::prelude::*;
+use flamingowalk_domain::process::record::KeyedRecord;
+use flamingowalk_domain::process::stream::{
+    AppendGuard, AppendOrder, AppendedAt, NewestPage, StreamBody, StreamFault, StreamName,
+    StreamPage, StreamRecord,
+};
+use flamingowalk_domain::process::worker_report::WorkerReport;
+use flamingowalk_domain::version::manifest::DomainManifest;
+
+/// Appends of a writer whose answers are repeated.
+const KEPT_ANSWERS: usize = 5;
+
+#[derive(Clone, Debug, Default)]
+struct SimStream {
+    records: Vec<(Arc<str>, StreamBody)>,
+    /// Oldest offset that can still be read.
+    first: u64,
+    writer: Option<SimWriter>,
+}
+
+/// What the log knows of the planner's writer.
+#[derive(Clone, Debug)]
+struct SimWriter {
+    epoch: SeatEpoch,
+    last_sequence: Option<u64>,
+    answers: Vec<(u64, AppendedAt)>,
+}
+
+/// The log.
+#[derive(Clone, Debug, Default)]
+pub struct SimStore {
+    streams: BTreeMap<StreamName, SimStream>,
+}
+
+impl SimStore {
+    fn stream(&mut self, name: StreamName) -> &mut SimStream {
+        self.streams.entry(name).or_default()
+    }
+
+    /// Offset after the last record of a stream.
+    pub fn end(&self, name: StreamName) -> StreamOffset {
+        let stream = self.streams.get(&name);
+        StreamOffset(stream.map_or(0, |stream| stream.records.len() as u64))
+    }
+
+    /// Publishes a configuration.
+    pub fn put_manifest(&mut self, manifest: DomainManifest) {
+        let body = StreamBody::Manifest(Arc::new(manifest));
+        self.stream(StreamName::Config)
+            .records
+            .push(("config".into(), body));
+    }
+
+    /// Writes, or removes, what a worker says of itself.
+    pub fn put_worker(&mut self, name: &WorkerName, report: Option<Arc<WorkerReport>>) {
+        let body = StreamBody::Worker(name.clone(), report);
+        self.stream(StreamName::Workers)
+            .records
+            .push((name.as_str().into(), body));
+    }
+
+    /// Drops all records but the newest of each key.
+    pub fn drop_history(&mut self) {
+        for stream in self.streams.values_mut() {
+            stream.first = stream.records.len() as u64;
+        }
+    }
+
+    /// Carries an append out.
+    ///
+    /// # Errors
+    /// Its condition does not hold.
+    pub fn append(&mut self, order: &AppendOrder) -> Result<AppendedAt, StreamFault> {
+        let end = self.end(order.stream);
+        let stream = self.stream(order.stream);
+        match order.guard {
+            AppendGuard::None => {}
+            AppendGuard::At(at) if at == end => {}
+            AppendGuard::At(_) => return Err(StreamFault::Moved { end }),
+            AppendGuard::Writer { epoch, sequence } => {
+                if let Some(answer) = stream.check_writer(epoch, sequence)? {
+                    return Ok(answer);
+                }
+            }
+        }
+        for KeyedRecord { key, value } in &order.records {
+            let body = StreamBody::Own(Arc::clone(key), value.clone());
+            stream.records.push((Arc::clone(key), body));
+        }
+        let answer = AppendedAt {
+            first: end,
+            next: StreamOffset(stream.records.len() as u64),
+        };
+        if let AppendGuard::Writer { sequence, .. } = order.guard {
+            stream.note_answer(sequence, answer);
+        }
+        Ok(answer)
+    }
+
+    /// Records from an offset on.
+    ///
+    /// # Errors
+    /// They are gone.
+    pub fn read(&self, name: StreamName, from: StreamOffset) -> Result<StreamPage, StreamFault> {
+        let Some(stream) = self.streams.get(&name) else {
+            return Ok(StreamPage::default());
+        };
+        if from.0 < stream.first {
+            return Err(StreamFault::Gone {
+                first: StreamOffset(stream.first),
+            });
+        }
+        let end = stream.records.len() as u64;
+        let records = (from.0..end).map(|offset| StreamRecord {
+            offset: StreamOffset(offset),
+            body: stream.records[offset as usize].1.clone(),
+        });
+        Ok(StreamPage {
+            records: records.collect(),
+            next: StreamOffset(end.max(from.0)),
+            end: StreamOffset(end),
+        })
+    }
+
+    /// The newest record of each key.
+    pub fn newest(&self, name: StreamName) -> NewestPage {
+        let Some(stream) = self.streams.get(&name) else {
+            return NewestPage::default();
+        };
+        let mut newest: BTreeMap<&Arc<str>, (u64, &StreamBody)> = BTreeMap::new();
+        for (offset, (key, body)) in stream.records.iter().enumerate() {
+            newest.insert(key, (offset as u64, body));
+        }
+        let is_kept = |body: &StreamBody| {
+            !matches!(body, StreamBody::Own(_, None) | StreamBody::Worker(_, None))
+        };
+        let records =
+            newest
+                .into_values()
+                .filter(|(_, body)| is_kept(body))
+                .map(|(offset, body)| StreamRecord {
+                    offset: StreamOffset(offset),
+                    body: body.clone(),
+                });
+        NewestPage {
+            records: records.collect(),
+            next_after: None,
+            end: self.end(name),
+        }
+    }
+
+    /// Values of the domain's own records in a stream, in order.
+    pub fn own_records(&self, name: StreamName) -> Vec<(Arc<str>, Option<Bytes>)> {
+        let stream = self.streams.get(&name);
+        let records = stream
+            .map(|stream| stream.records.as_slice())
+            .unwrap_or_default();
+        let own = records.iter().filter_map(|(key, body)| match body {
+            StreamBody::Own(_, value) => Some((Arc::clone(key), value.clone())),
+            _ => None,
+        });
+        own.collect()
+    }
+}
+
+impl SimStream {
+    /// The first answer of a repeated append, nothing for a new one.
+    fn check_writer(
+        &mut self,
+        epoch: SeatEpoch,
+        sequence: u64,
+    ) -> Result<Option<AppendedAt>, StreamFault> {
+        let is_new = self
+            .writer
+            .as_ref()
+            .is_none_or(|writer| writer.epoch < epoch);
+        if is_new {
+            self.writer = Some(SimWriter {
+                epoch,
+                last_sequence: None,
+                answers: Vec::new(),
+            });
+        }
+        let Some(writer) = &self.writer else {
+            return Ok(None);
+        };
+        if writer.epoch > epoch {
+            return Err(StreamFault::Fenced);
+        }
+        let repeated = writer.answers.iter().find(|(known, _)| *known == sequence);
+        if let Some((_, answer)) = repeated {
+            return Ok(Some(*answer));
+        }
+        match writer.last_sequence {
+            Some(last) if sequence != last + 1 => Err(StreamFault::Sequence { expected: last + 1 }),
+            _ => Ok(None),
+        }
+    }
+
+    fn note_answer(&mut self, sequence: u64, answer: AppendedAt) {
+        if let Some(writer) = &mut self.writer {
+            writer.last_sequence = Some(sequence);
+            writer.answers.push((sequence, answer));
+            if writer.answers.len() > KEPT_ANSWERS {
+                writer.answers.remove(0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain-sim/src/sim_worker.rs
@@ -0,0 +1,269 @@
+//! A worker, simulated: fenced orders, leases on its own clock, gangs, checkpoints,
+//! and ends that are listed until they are acknowledged.
+
+use flamingowalk_domain::prelude::*;
+use flamingowalk_domain::process::action::{LookOrder, StartOrder, WorkerOrder};
+use flamingowalk_domain::process::event::{
+    EndCause, EndedUnit, RefusalCause, RunningUnit, WorkerAnswer, WorkerListing,
+};
+use flamingowalk_domain::process::worker_report::WorkerReport;
+use flamingowalk_domain::request::submission::UnitNeed;
+
+/// A run on the worker.
+#[derive(Clone, Debug)]
+pub struct SimRun {
+    /// Number of the run.
+    pub run: RunNumber,
+    /// What it takes.
+    pub need: UnitNeed,
+    /// When it began to work; nothing while its gang is not complete.
+    pub began_at: Option<MonotonicTime>,
+    /// When it arrived.
+    pub arrived_at: MonotonicTime,
+    /// Work that it still had to do when it began.
+    pub work: Duration,
+    /// All work of the unit.
+    pub whole_work: Duration,
+    /// Work per time on this worker; one on a sound one.
+    pub speed: f64,
+    /// Whether it keeps checkpoints.
+    pub has_checkpoints: bool,
+    /// Whether it fails instead of being done.
+    pub will_fail: bool,
+    /// When it is gone after a stop.
+    pub stops_at: Option<MonotonicTime>,
+}
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub struct SimWorker {
+    /// What it says of itself.
+    pub report: WorkerReport,
+    /// When its present life began.
+    pub born_at: MonotonicTime,
+    /// Whether it runs.
+    pub is_up: bool,
+    /// Whether hosts reach it.
+    pub is_reachable: bool,
+    /// Whether its runs stand still.
+    pub is_stalled: bool,
+    /// Whether everything that it starts fails.
+    pub fails_all: bool,
+    /// Work per time; one for a sound worker.
+    pub speed: f64,
+    /// Orders to start that are answered by nobody and carried out this much later.
+    pub late_starts: Option<Duration>,
+    /// Runs by unit.
+    pub running: BTreeMap<UnitKey, SimRun>,
+    /// Ends that were not acknowledged.
+    pub ended: Vec<EndedUnit>,
+    /// Newest run of each unit that was stopped or ended here.
+    finished: BTreeMap<UnitKey, RunNumber>,
+    fence: SeatEpoch,
+    lease_until: WorkerClock,
+    last_end: u64,
+}
+
+impl SimWorker {
+    /// A worker that runs nothing.
+    pub fn new(report: WorkerReport, born_at: MonotonicTime) -> Self {
+        Self {
+            report,
+            born_at,
+            is_up: true,
+            is_reachable: true,
+            is_stalled: false,
+            fails_all: false,
+            speed: 1.0,
+            late_starts: None,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            finished: BTreeMap::new(),
+            fence: SeatEpoch(0),
+            lease_until: WorkerClock(0),
+            last_end: 0,
+        }
+    }
+
+    /// Its clock.
+    pub fn clock(&self, now: MonotonicTime) -> WorkerClock {
+        WorkerClock(now.since(self.born_at).as_millis() as u64)
+    }
+
+    /// Starts anew: knows and runs nothing of before.
+    pub fn restart(&mut self, now: MonotonicTime) {
+        let mut report = self.report.clone();
+        report.incarnation = WorkerIncarnation(report.incarnation.0 + 1 + now.0 / 1_000);
+        *self = Self {
+            speed: self.speed,
+            ..Self::new(report, now)
+        };
+    }
+
+    /// What it occupies.
+    pub fn used(&self) -> UnitNeed {
+        self.running
+            .values()
+            .fold(UnitNeed::default(), |sum, run| sum.plus(&run.need))
+    }
+
+    /// Carries out an order of a planner, unless a higher epoch was seen.
+    pub fn take_order(
+        &mut self,
+        now: MonotonicTime,
+        life: WorkerIncarnation,
+        epoch: SeatEpoch,
+        order: &WorkerOrder,
+        make_run: impl FnOnce(&StartOrder) -> SimRun,
+    ) -> WorkerAnswer {
+        let clock = self.clock(now);
+        if life != self.report.incarnation {
+            return refuse(RefusalCause::OtherLife, clock);
+        }
+        if epoch < self.fence {
+            return refuse(RefusalCause::Fenced, clock);
+        }
+        self.fence = epoch;
+        match order {
+            WorkerOrder::Start(start) => self.start(now, start, make_run),
+            WorkerOrder::Stop { unit, run } => self.stop(now, *unit, *run),
+            WorkerOrder::Look(look) => self.look(now, look),
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: MonotonicTime,
+        order: &StartOrder,
+        make_run: impl FnOnce(&StartOrder) -> SimRun,
+    ) -> WorkerAnswer {
+        let clock = self.clock(now);
+        if order.lease_until <= clock {
+            return refuse(RefusalCause::LeaseOver, clock);
+        }
+        self.lease_until = self.lease_until.max(order.lease_until);
+        if let Some(known) = self.running.get(&order.unit)
+            && known.run == order.run
+        {
+            return WorkerAnswer::Done { clock };
+        }
+        let is_old = self
+            .finished
+            .get(&order.unit)
+            .is_some_and(|run| order.run <= *run);
+        if is_old || self.running.contains_key(&order.unit) {
+            return refuse(RefusalCause::OldRun, clock);
+        }
+        self.running.insert(order.unit, make_run(order));
+        WorkerAnswer::Done { clock }
+    }
+
+    fn stop(&mut self, now: MonotonicTime, unit: UnitKey, run: RunNumber) -> WorkerAnswer {
+        let clock = self.clock(now);
+        let newest = self.finished.entry(unit).or_default();
+        *newest = (*newest).max(run);
+        if let Some(known) = self.running.get_mut(&unit)
+            && known.run <= run
+        {
+            known.stops_at.get_or_insert(now + STOP_TIME);
+        }
+        WorkerAnswer::Done { clock }
+    }
+
+    fn look(&mut self, now: MonotonicTime, order: &LookOrder) -> WorkerAnswer {
+        self.ended.retain(|end| end.number > order.acknowledged);
+        if let Some(until) = order.lease_until {
+            self.lease_until = self.lease_until.max(until);
+        }
+        WorkerAnswer::Listed(self.list(now))
+    }
+
+    /// What it runs and what has ended.
+    pub fn list(&self, now: MonotonicTime) -> WorkerListing {
+        let running = self.running.iter().map(|(unit, run)| RunningUnit {
+            unit: *unit,
+            run: run.run,
+            saved: run.checkpoint(now, self.is_stalled),
+            percent: run.percent(now, self.is_stalled),
+            load: None,
+        });
+        WorkerListing {
+            incarnation: Some(self.report.incarnation),
+            clock: self.clock(now),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+
+    /// Ends a run.
+    pub fn end(&mut self, now: MonotonicTime, unit: UnitKey, cause: EndCause) {
+        let Some(run) = self.running.remove(&unit) else {
+            return;
+        };
+        let newest = self.finished.entry(unit).or_default();
+        *newest = (*newest).max(run.run);
+        self.last_end += 1;
+        self.ended.push(EndedUnit {
+            number: self.last_end,
+            unit,
+            run: run.run,
+            cause,
+            saved: run.checkpoint(now, self.is_stalled),
+        });
+    }
+
+    /// Whether everything on it is past its lease.
+    pub fn is_lapsed(&self, now: MonotonicTime) -> bool {
+        !self.running.is_empty() && self.clock(now) >= self.lease_until
+    }
+}
+
+/// Time within which a stopped run is gone.
+pub const STOP_TIME: Duration = Duration::from_millis(500);
+/// Work between two checkpoints.
+const CHECKPOINT_WORK: Duration = Duration::from_secs(1);
+
+impl SimRun {
+    /// Work done, with what earlier runs saved.
+    fn done_work(&self, now: MonotonicTime, is_stalled: bool) -> Duration {
+        let before = self.whole_work.saturating_sub(self.work);
+        let Some(began_at) = self.began_at.filter(|_| !is_stalled) else {
+            return before;
+        };
+        let done = now.since(began_at).mul_f64(self.speed);
+        before + done.min(self.work)
+    }
+
+    /// When it will have done its work; nothing while it waits.
+    pub fn due_at(&self) -> Option<MonotonicTime> {
+        let began_at = self.began_at?;
+        Some(began_at + self.work.div_f64(self.speed))
+    }
+
+    fn percent(&self, now: MonotonicTime, is_stalled: bool) -> u32 {
+        let done = self.done_work(now, is_stalled).as_secs_f64();
+        (100.0 * done / self.whole_work.as_secs_f64().max(0.001)) as u32
+    }
+
+    /// Checkpoints name the seconds of work that they hold.
+    fn checkpoint(&self, now: MonotonicTime, is_stalled: bool) -> Option<Arc<str>> {
+        if !self.has_checkpoints {
+            return None;
+        }
+        let done = self.done_work(now, is_stalled).as_millis() / CHECKPOINT_WORK.as_millis();
+        (done > 0).then(|| format!("{done}").into())
+    }
+}
+
+/// Work that a checkpoint holds.
+pub fn checkpoint_work(saved: Option<&str>) -> Duration {
+    let seconds: u32 = saved.and_then(|text| text.parse().ok()).unwrap_or(0);
+    CHECKPOINT_WORK * seconds
+}
+
+const fn refuse(cause: RefusalCause, clock: WorkerClock) -> WorkerAnswer {
+    WorkerAnswer::Refused {
+        cause,
+        clock: Some(clock),
+    }
+}
--- /dev/null
+++ b/crates/domain-sim/tests/domain.rs
@@ -0,0 +1,4 @@
+//! Tests of a whole planning domain on a virtual clock.
+
+mod faults;
+mod support;
--- /dev/null
+++ b/crates/domain-sim/tests/faults.rs
@@ -0,0 +1,438 @@
+//! Faults on the whole path of a domain, on a virtual clock: whatever happens, no
+//! worker sees what it must not see, and every accepted job is done in the end.
+
+use crate::support::{BATCH, URGENT, all_done, gang, job, manifest, settled_world, step, workers};
+use flamingowalk_domain::prelude::*;
+use flamingowalk_domain::request::front_request::{FrontAnswer, FrontFault, JobPhase};
+use flamingowalk_domain::request::submission::OccurrenceSchedule;
+use flamingowalk_domain_sim::SimWorld;
+use rstest::rstest;
+
+/// Time within which everything has to be done after the last fault is over: the
+/// successor's wait for a worker that it cannot reach, and a run.
+const SETTLE_LIMIT: Duration = Duration::from_secs(40);
+
+/// Submits a mixed load for ten seconds while `fault` acts on the world each second.
+fn run_with_fault(seed: u64, mut fault: impl FnMut(&mut SimWorld, u64)) -> SimWorld {
+    let mut world = settled_world(seed, 4, 12);
+    for second in 0..10 {
+        fault(&mut world, second);
+        for part in 0..2_u64 {
+            let number = second * 2 + part;
+            let host = (number % 4) as usize;
+            let key = JobKey(number + 1);
+            let work = Duration::from_millis(900 + number * 150);
+            if part == 0 {
+                let steps = vec![gang(3, 4)];
+                world.submit(host, URGENT, key, &job(steps), work);
+            } else {
+                let mut second_step = step(4, 1);
+                second_step.after = vec![0];
+                second_step.has_checkpoints = true;
+                let steps = vec![step(6, 2), second_step];
+                world.submit(host, BATCH, key, &job(steps), work);
+            }
+            world.run_for(Duration::from_millis(500));
+        }
+    }
+    world
+}
+
+#[track_caller]
+fn check_settled(mut world: SimWorld) -> SimWorld {
+    let is_done = world.run_until(SETTLE_LIMIT, all_done);
+    let open: Vec<_> = world
+        .jobs
+        .iter()
+        .filter(|(_, job)| job.is_accepted && job.done_at.is_none())
+        .map(|(key, _)| key.to_string())
+        .collect();
+    assert_eq!(world.faults, Vec::<String>::new());
+    assert!(is_done, "jobs not done: {open:?}");
+    world
+}
+
+fn on_workers(
+    world: &mut SimWorld,
+    names: &[WorkerName],
+    act: impl Fn(&mut SimWorld, &WorkerName),
+) {
+    for name in names {
+        act(world, name);
+    }
+}
+
+fn planner_of(world: &SimWorld) -> usize {
+    world.planner().unwrap_or(0)
+}
+
+#[test]
+fn path_calm_all_done() {
+    let world = check_settled(run_with_fault(1, |_, _| {}));
+    assert_eq!(
+        world.jobs.values().filter(|job| job.is_accepted).count(),
+        20
+    );
+    assert!(
+        world.wasted < 1.0,
+        "work lost on a calm day: {}",
+        world.wasted
+    );
+}
+
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn path_planner_killed_and_back(#[case] seed: u64) {
+    check_settled(run_with_fault(seed, |world, second| {
+        if second == 3 || second == 6 {
+            let index = planner_of(world);
+            world.kill_host(index);
+            world.start_host(index);
+        }
+    }));
+}
+
+#[test]
+fn path_planner_frozen_wakes_deposed() {
+    check_settled(run_with_fault(4, |world, second| {
+        if second == 3 {
+            let index = planner_of(world);
+            world.hosts[index].frozen_until = world.now() + Duration::from_secs(4);
+        }
+    }));
+}
+
+#[test]
+fn path_planner_cut_from_store() {
+    check_settled(run_with_fault(5, |world, second| match second {
+        3 => {
+            let index = planner_of(world);
+            world.hosts[index].reaches_store = false;
+        }
+        8 => world
+            .hosts
+            .iter_mut()
+            .for_each(|host| host.reaches_store = true),
+        _ => {}
+    }));
+}
+
+#[test]
+fn path_planner_cut_from_workers() {
+    check_settled(run_with_fault(6, |world, second| match second {
+        3 => {
+            let index = planner_of(world);
+            world.hosts[index].reaches_workers = false;
+        }
+        6 => world
+            .hosts
+            .iter_mut()
+            .for_each(|host| host.reaches_workers = true),
+        _ => {}
+    }));
+}
+
+#[test]
+fn path_store_down_then_back() {
+    check_settled(run_with_fault(7, |world, second| {
+        world.is_store_up = !(3..8).contains(&second);
+    }));
+}
+
+#[test]
+fn path_store_slow() {
+    check_settled(run_with_fault(8, |world, second| {
+        world.store_factor = if (3..8).contains(&second) { 60 } else { 1 };
+    }));
+}
+
+#[rstest]
+#[case(9)]
+#[case(10)]
+fn path_store_answers_lost(#[case] seed: u64) {
+    check_settled(run_with_fault(seed, |world, second| {
+        world.lost_answers = if (2..8).contains(&second) { 0.4 } else { 0.0 };
+    }));
+}
+
+#[test]
+fn path_store_history_dropped() {
+    check_settled(run_with_fault(11, |world, second| {
+        if second == 4 {
+            world.store.drop_history();
+        }
+    }));
+}
+
+#[test]
+fn path_starts_carried_out_late() {
+    check_settled(run_with_fault(12, |world, second| {
+        if (3..7).contains(&second) {
+            for worker in world.workers.values_mut().step_by(3) {
+                worker.late_starts = Some(Duration::from_secs(3));
+            }
+        }
+    }));
+}
+
+#[test]
+fn path_workers_crash_and_return() {
+    check_settled(run_with_fault(13, |world, second| {
+        let names: Vec<_> = world.workers.keys().step_by(4).cloned().collect();
+        match second {
+            3 => on_workers(world, &names, SimWorld::crash_worker),
+            5 => on_workers(world, &names, SimWorld::restart_worker),
+            _ => {}
+        }
+    }));
+}
+
+#[test]
+fn path_workers_gone_for_good() {
+    check_settled(run_with_fault(14, |world, second| {
+        if second == 4 {
+            let names: Vec<_> = world.workers.keys().take(3).cloned().collect();
+            on_workers(world, &names, SimWorld::crash_worker);
+        }
+    }));
+}
+
+#[test]
+fn path_workers_cut_off_run_on() {
+    check_settled(run_with_fault(15, |world, second| {
+        let is_cut = (3..8).contains(&second);
+        for worker in world.workers.values_mut().step_by(3) {
+            worker.is_reachable = !is_cut;
+        }
+    }));
+}
+
+#[test]
+fn path_workers_fail_all() {
+    check_settled(run_with_fault(16, |world, second| {
+        let fails = (2..7).contains(&second);
+        for worker in world.workers.values_mut().step_by(6) {
+            worker.fails_all = fails;
+        }
+    }));
+}
+
+#[test]
+fn path_all_hosts_lose_power() {
+    check_settled(run_with_fault(17, |world, second| {
+        if second == 5 {
+            for index in 0..world.hosts.len() {
+                world.kill_host(index);
+            }
+        }
+        if second == 6 {
+            for index in 0..world.hosts.len() {
+                world.start_host(index);
+            }
+        }
+    }));
+}
+
+#[test]
+fn path_worker_drains_gets_nothing_new() {
+    let world = check_settled(run_with_fault(18, |world, second| {
+        if second == 3 {
+            let name = WorkerName::from("worker-000");
+            world.drain_worker(&name);
+        }
+    }));
+    let worker = &world.workers[&WorkerName::from("worker-000")];
+    assert!(worker.running.is_empty());
+}
+
+/// A worker that left for good while looks at it were repeated: each look moved the
+/// bound after which its runs count as lost, so they never ran again.
+#[test]
+fn lease_silent_worker_not_extended() {
+    let mut world = settled_world(21, 3, 2);
+    let work = Duration::from_secs(3);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(2, 8)]), work);
+    world.run_for(Duration::from_secs(1));
+    world.crash_worker(&"worker-000".into());
+    let limit = world.limits.lease_limit + Duration::from_secs(1);
+    let is_restarted = world.run_until(limit, |world| world.starts == 3);
+    assert!(is_restarted, "the unit was not started elsewhere");
+    check_settled(world);
+}
+
+/// Two hosts took the seat one after the other when a planner yielded, since a
+/// heartbeat that came between question and answer made a new claim look old.
+#[rstest]
+fn seat_yield_taken_once(#[values(31, 32, 33, 34, 35, 36)] seed: u64) {
+    let mut world = settled_world(seed, 6, 4);
+    let before = world
+        .store
+        .end(flamingowalk_domain::process::stream::StreamName::Seat);
+    let index = planner_of(&world);
+    world.drain_host(index);
+    world.run_for(Duration::from_secs(3));
+    let after = world
+        .store
+        .end(flamingowalk_domain::process::stream::StreamName::Seat);
+    assert_eq!(after.0 - before.0, 1, "claims after one yield");
+    assert!(world.planner().is_some());
+}
+
+#[rstest]
+fn seat_all_restart_claimed_once(#[values(41, 42, 43, 44)] seed: u64) {
+    let mut world = settled_world(seed, 6, 4);
+    let before = world
+        .store
+        .end(flamingowalk_domain::process::stream::StreamName::Seat);
+    for index in 0..6 {
+        world.kill_host(index);
+        world.start_host(index);
+    }
+    world.run_for(Duration::from_secs(5));
+    let after = world
+        .store
+        .end(flamingowalk_domain::process::stream::StreamName::Seat);
+    assert_eq!(after.0 - before.0, 1, "claims after one restart of all");
+}
+
+#[test]
+fn submit_repeated_stays_one_job() {
+    let mut world = settled_world(51, 3, 4);
+    let submission = job(vec![gang(2, 4)]);
+    let work = Duration::from_secs(1);
+    let first = world.submit(0, URGENT, JobKey(7), &submission, work);
+    let second = world.submit(1, URGENT, JobKey(7), &submission, work);
+    world.run_for(Duration::from_secs(3));
+    let third = world.submit(2, URGENT, JobKey(7), &submission, work);
+    world.run_for(Duration::from_secs(1));
+    for ticket in [first, second, third] {
+        assert_eq!(world.answers[&ticket], FrontAnswer::Accepted);
+    }
+    assert_eq!(world.starts, 2);
+}
+
+#[test]
+fn submit_store_down_not_run_or_unsettled() {
+    let mut world = settled_world(52, 3, 4);
+    world.is_store_up = false;
+    let work = Duration::from_secs(1);
+    let early = world.submit(0, URGENT, JobKey(8), &job(vec![step(1, 1)]), work);
+    world.run_for(Duration::from_secs(3));
+    let late = world.submit(0, URGENT, JobKey(9), &job(vec![step(1, 1)]), work);
+    world.run_for(Duration::from_secs(3));
+    assert_eq!(
+        world.answers[&early],
+        FrontAnswer::Refused(FrontFault::Unsettled)
+    );
+    assert!(matches!(
+        world.answers[&late],
+        FrontAnswer::Refused(FrontFault::NotRun { .. })
+    ));
+}
+
+#[test]
+fn cancel_running_job_stops_units() {
+    let mut world = settled_world(53, 3, 4);
+    let work = Duration::from_secs(20);
+    world.submit(0, BATCH, JobKey(10), &job(vec![step(6, 2)]), work);
+    world.run_for(Duration::from_secs(2));
+    let ticket = world.cancel(1, BATCH, JobKey(10));
+    world.run_for(Duration::from_secs(2));
+    assert_eq!(world.answers[&ticket], FrontAnswer::Cancelled);
+    assert!(
+        world
+            .workers
+            .values()
+            .all(|worker| worker.running.is_empty())
+    );
+    let asked = world.ask(2, BATCH, JobKey(10));
+    world.run_for(Duration::from_secs(1));
+    assert_eq!(
+        world.answers[&asked],
+        FrontAnswer::Phase(JobPhase::Cancelled)
+    );
+}
+
+#[test]
+fn ask_unknown_job_after_tail() {
+    let mut world = settled_world(54, 3, 4);
+    let ticket = world.ask(0, BATCH, JobKey(99));
+    world.run_for(Duration::from_millis(200));
+    assert_eq!(
+        world.answers[&ticket],
+        FrontAnswer::Refused(FrontFault::NoJob)
+    );
+}
+
+#[test]
+fn job_poison_fails_after_its_attempts() {
+    let mut world = settled_world(55, 3, 4);
+    for worker in world.workers.values_mut() {
+        worker.fails_all = true;
+    }
+    let work = Duration::from_millis(300);
+    world.submit(0, BATCH, JobKey(11), &job(vec![step(1, 1)]), work);
+    world.run_for(Duration::from_secs(30));
+    let ticket = world.ask(0, BATCH, JobKey(11));
+    world.run_for(Duration::from_millis(200));
+    assert_eq!(world.answers[&ticket], FrontAnswer::Phase(JobPhase::Failed));
+    assert_eq!(world.starts, 3);
+}
+
+#[test]
+fn schedule_occurrences_not_early() {
+    let mut world = settled_world(56, 3, 4);
+    let first_at = 1_790_000_000_000 + world.now().0 / 1_000 + 2_000;
+    let mut submission = job(vec![step(2, 1)]);
+    submission.schedule = Some(OccurrenceSchedule {
+        first_at,
+        interval_ms: 1_000,
+        count: 3,
+    });
+    world.submit(
+        0,
+        BATCH,
+        JobKey(12),
+        &submission,
+        Duration::from_millis(1_500),
+    );
+    world.run_for(Duration::from_millis(1_900));
+    assert_eq!(world.starts, 0);
+    world.run_for(Duration::from_millis(700));
+    assert_eq!(world.starts, 2);
+    world.run_for(Duration::from_secs(6));
+    assert_eq!(world.starts, 6);
+    check_settled(world);
+}
+
+#[test]
+fn manifest_never_goes_back() {
+    let mut world = settled_world(57, 2, 2);
+    world.store.put_manifest(manifest(9));
+    world.run_for(Duration::from_secs(2));
+    world.store.put_manifest(manifest(5));
+    world.run_for(Duration::from_secs(2));
+    for host in &world.hosts {
+        let manifest = host.host.as_ref().and_then(|host| host.manifest());
+        assert_eq!(manifest.map(|manifest| manifest.version), Some(9));
+    }
+}
+
+#[test]
+fn worker_entry_of_unknown_service_unused() {
+    let mut reports = workers(2);
+    reports[0].service = "other".into();
+    let mut world = SimWorld::new(58, manifest(1), 2, reports);
+    world.run_for(Duration::from_secs(4));
+    let work = Duration::from_secs(1);
+    world.submit(0, BATCH, JobKey(13), &job(vec![step(4, 2)]), work);
+    world.run_for(Duration::from_secs(3));
+    assert!(
+        world.workers[&WorkerName::from("worker-000")]
+            .ended
+            .is_empty()
+    );
+    check_settled(world);
+}
--- /dev/null
+++ b/crates/domain-sim/tests/support.rs
@@ -0,0 +1,140 @@
+//! A small domain for tests: two queues, racks of workers, and jobs that are easy to
+//! check.
+
+use flamingowalk_domain::prelude::*;
+use flamingowalk_domain::process::worker_report::WorkerReport;
+use flamingowalk_domain::request::submission::{JobSubmission, StepShape, UnitNeed};
+use flamingowalk_domain::version::manifest::{
+    CustomerEntry, DomainManifest, QueueSettings, ServiceSettings,
+};
+use flamingowalk_domain_sim::SimWorld;
+
+/// Path of the urgent queue.
+pub const URGENT: &str = "/urgent/";
+/// Path of the queue that may wait.
+pub const BATCH: &str = "/batch/";
+/// Workers of a rack.
+pub const RACK: usize = 4;
+
+fn queue(path: &str, priority: u8, stretch: f64) -> QueueSettings {
+    QueueSettings {
+        host: "jobs.example".into(),
+        path_prefix: path.into(),
+        service: "service".into(),
+        priority,
+        max_attempts: 3,
+        stretch,
+        target_latency: Duration::from_millis(250),
+        is_public: false,
+        advice: None,
+    }
+}
+
+/// A configuration with both queues.
+pub fn manifest(version: u64) -> DomainManifest {
+    let mut manifest = DomainManifest {
+        version,
+        ..DomainManifest::default()
+    };
+    manifest
+        .queues
+        .insert("urgent".into(), queue(URGENT, 0, 1.5));
+    manifest.queues.insert("batch".into(), queue(BATCH, 2, 3.0));
+    manifest
+        .services
+        .insert("service".into(), ServiceSettings::default());
+    manifest.keys.insert("key".into(), "customer".into());
+    let entry = CustomerEntry {
+        guaranteed_accelerators: 16,
+    };
+    manifest.customers.insert("customer".into(), entry);
+    manifest
+}
+
+/// Workers with 8 accelerators each, in racks.
+pub fn workers(count: usize) -> Vec<WorkerReport> {
+    let worker = |index: usize| {
+        let rack = format!("rack-{}", index / RACK);
+        WorkerReport {
+            name: format!("worker-{index:03}").into(),
+            incarnation: WorkerIncarnation(1),
+            service: "service".into(),
+            address: ([127, 0, 0, 1], 9_000 + index as u16).into(),
+            zone: format!("zone-{}", index % 3).into(),
+            is_draining: false,
+            capacity: UnitNeed {
+                cpu_millis: 32_000,
+                memory_mb: 65_536,
+                accelerators: 8,
+            },
+            labels: ["a".into(), LabelName::from(rack.as_str())].into(),
+            rack: Some(rack.as_str().into()),
+            clock: WorkerClock(0),
+            remaining: None,
+        }
+    };
+    (0..count).map(worker).collect()
+}
+
+/// A world that has elected a planner and looked at its workers.
+pub fn settled_world(seed: u64, hosts: usize, count: usize) -> SimWorld {
+    // RUST_LOG shows the decisions of a failing test; a second test of the process
+    // finds the logger installed.
+    let _ = env_logger::builder().is_test(true).try_init();
+    let mut world = SimWorld::new(seed, manifest(1), hosts, workers(count));
+    world.run_for(Duration::from_secs(4));
+    assert!(world.planner().is_some(), "nobody plans after 4 s");
+    world
+}
+
+/// A step of equal units.
+pub fn step(count: u16, accelerators: u32) -> StepShape {
+    StepShape {
+        count,
+        need: UnitNeed {
+            cpu_millis: 2_000,
+            memory_mb: 2_000,
+            accelerators,
+        },
+        estimate_ms: 2_000,
+        after: Vec::new(),
+        is_gang: false,
+        same_rack: false,
+        has_checkpoints: false,
+        label: None,
+        data_rack: None,
+        worker_limit: None,
+        is_speculative: false,
+        is_long_running: false,
+        image: None,
+        tail_target_ms: None,
+        is_filler: false,
+        may_miss: None,
+    }
+}
+
+/// A job of these steps.
+pub fn job(steps: Vec<StepShape>) -> JobSubmission {
+    JobSubmission {
+        spec: "spec".into(),
+        steps,
+        schedule: None,
+    }
+}
+
+/// A gang of units.
+pub fn gang(count: u16, accelerators: u32) -> StepShape {
+    StepShape {
+        is_gang: true,
+        ..step(count, accelerators)
+    }
+}
+
+/// Whether every accepted job that was not cancelled is done.
+pub fn all_done(world: &SimWorld) -> bool {
+    world
+        .jobs
+        .values()
+        .filter(|job| job.is_accepted && job.cancelled_at.is_none())
+        .all(|job| job.done_at.is_some())
+}
--- a/crates/domain/src/process/planner/look.rs
+++ b/crates/domain/src/process/planner/look.rs
@@ -12,7 +12,9 @@
 };
 use crate::process::planner::job::{GroupPhase, MemberStage};
 use crate::process::planner::limits::AUTHORITY_TIME;
-use crate::process::planner::state::{CallKind, PendingCall, PlanContext, PlannerState, StopOrder};
+use crate::process::planner::state::{
+    CallKind, ORDER_TIME, PendingCall, PlanContext, PlannerState, StopOrder,
+};
 use crate::process::planner::worker::PendingLook;
 use crate::process::planner::writer::CommitEffect;
 use crate::process::record::JobRecord;
@@ -70,8 +72,8 @@
         };
         // A worker that does not answer gets no longer lease: its bound has to pass, so
         // that what ran there can run elsewhere.
-        let needs_lease = (worker.is_occupied() || !worker.link.is_surveyed)
-            && worker.link.failures == 0;
+        let needs_lease =
+            (worker.is_occupied() || !worker.link.is_surveyed) && worker.link.failures == 0;
         let order = LookOrder {
             acknowledged: worker.link.recorded_end,
             lease_until: (may_extend && needs_lease).then(|| worker.link.extend_lease(now, lease)),
@@ -129,8 +131,11 @@
                     self.take_exchange_refusal(context, call, *cause);
                 }
             }
-            // A failure says nothing if the worker has answered something sent later.
-            Err(_) if link.answered_at.is_some_and(|at| at > call.sent_at) => {}
+            // A failure of one connection says nothing while another brings answers.
+            Err(_)
+                if link
+                    .answered_at
+                    .is_some_and(|at| now.since(at) < ORDER_TIME) => {}
             Err(fault) => {
                 if link.failures == 0 {
                     log::info!(target: "worker", worker = call.worker.as_str(), fault = fault.word(); "worker does not answer");
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -110,7 +110,8 @@
                 self.reclaim_for(context, key, step, &request, view);
                 break;
             };
-            if step.priority > 0 && view.whole_after(&placement) < view.rows.len() * HEADROOM / 100 {
+            if step.priority > 0 && view.whole_after(&placement) < view.rows.len() * HEADROOM / 100
+            {
                 break;
             }
             view.take(&request, &placement);
--- a/crates/domain/src/process/planner/place.rs
+++ b/crates/domain/src/process/planner/place.rs
@@ -90,7 +90,6 @@
                 .label
                 .as_ref()
                 .is_none_or(|label| self.labels.contains(label))
-            && !request.avoided.contains(&self.worker)
     }
 
     /// Members that fit now.
@@ -113,9 +112,7 @@
 impl RoomView {
     /// A place for a group, if there is one.
     pub fn place(&self, request: &PlaceRequest<'_>) -> Option<Placement> {
-        let suited: Vec<usize> = (0..self.rows.len())
-            .filter(|index| self.rows[*index].suits(request))
-            .collect();
+        let suited = self.suited(request);
         let shape = request.shape;
         if let Some(rack) = &shape.data_rack {
             let near: Vec<usize> = suited
@@ -151,6 +148,21 @@
         })
     }
 
+    /// Workers that may run the group: those to be avoided only if there is no other.
+    fn suited(&self, request: &PlaceRequest<'_>) -> Vec<usize> {
+        let suited: Vec<usize> = (0..self.rows.len())
+            .filter(|index| self.rows[*index].suits(request))
+            .collect();
+        let is_avoided = |index: &usize| request.avoided.contains(&self.rows[*index].worker);
+        if request.avoided.is_empty() || suited.iter().all(is_avoided) {
+            return suited;
+        }
+        suited
+            .into_iter()
+            .filter(|index| !is_avoided(index))
+            .collect()
+    }
+
     /// Fills the fullest workers first.
     fn fill(&self, suited: &[usize], request: &PlaceRequest<'_>) -> Option<Vec<WorkerName>> {
         let mut open: Vec<(usize, u32)> = suited
@@ -199,9 +211,8 @@
 
     /// Workers that are wholly free once a group is placed.
     pub fn whole_after(&self, placement: &Placement) -> usize {
-        let is_whole = |row: &&RoomRow| {
-            row.free == row.capacity && !placement.workers.contains(&row.worker)
-        };
+        let is_whole =
+            |row: &&RoomRow| row.free == row.capacity && !placement.workers.contains(&row.worker);
         self.rows.iter().filter(is_whole).count()
     }
 
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -26,7 +26,10 @@
 
 /// Time for an answer of a start or a stop; a worker answers within a few
 /// milliseconds, and members of a gang wait for each other meanwhile.
-const ORDER_TIME: Duration = Duration::from_millis(600);
+pub(super) const ORDER_TIME: Duration = Duration::from_millis(600);
+
+/// Longest time between two passes; pauses end by time alone, at a tenth of a second.
+const REPLAN_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What a pass works with beside the state.
 #[derive(Debug)]
@@ -95,6 +98,9 @@
     /// Queues that take no further jobs for now.
     pub(super) full_queues: Vec<FullQueue>,
     heartbeat_at: MonotonicTime,
+    /// When to plan even if no event asked for it: pauses of groups and workers end by
+    /// time alone.
+    replan_at: MonotonicTime,
     /// Whether a worker or the log told of a higher epoch.
     is_deposed: bool,
     is_yielding: bool,
@@ -137,6 +143,7 @@
             orphans: Vec::new(),
             full_queues: Vec::new(),
             heartbeat_at: now,
+            replan_at: now,
             is_deposed: false,
             is_yielding: false,
             has_yielded: false,
@@ -341,6 +348,10 @@
             let heartbeat = self.heartbeat();
             self.writer.push(&JobRecord::Heartbeat(heartbeat), None);
         }
+        if context.now >= self.replan_at {
+            self.replan_at = context.now + REPLAN_INTERVAL;
+            self.is_dirty = true;
+        }
         self.open_occurrences(context);
         self.expire_leases(context);
         self.expire_orphans(context.now);
