--- a/crates/domain/src/process/planner/job.rs
+++ b/crates/domain/src/process/planner/job.rs
@@ -2,6 +2,7 @@
 //! step, with where the newest run of each group is.
 
 use crate::prelude::*;
+use crate::process::planner::speed::MemberProgress;
 use crate::process::record::{AcceptedJob, GroupRecord, GroupStage, MemberPlace};
 use crate::request::submission::StepShape;
 
@@ -60,25 +61,13 @@
     pub not_before: MonotonicTime,
     /// When the newest run's start was sent.
     pub started_at: MonotonicTime,
-    /// Part of the work that is done, in percent, and when it last rose.
-    pub progress: GroupProgress,
+    /// Whether the newest run began from the start and was seen to, so that its time
+    /// teaches how long such runs take.
+    pub is_whole_run: bool,
     /// Workers that failed it, to be avoided while others have room.
     pub failed_on: Vec<WorkerName>,
 }
 
-/// Progress as the workers list it.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct GroupProgress {
-    /// Percent at the newest listing.
-    pub percent: u32,
-    /// When the percent last rose.
-    pub risen_at: MonotonicTime,
-    /// Percent at the start of the run.
-    pub first_percent: Option<u32>,
-    /// When the first percent was listed.
-    pub first_at: MonotonicTime,
-}
-
 /// How far a group is.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum GroupPhase {
@@ -96,7 +85,7 @@
 }
 
 /// One member of a group's newest run.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PlanMember {
     /// Worker.
     pub worker: WorkerName,
@@ -104,6 +93,8 @@
     pub incarnation: WorkerIncarnation,
     /// How far it is.
     pub stage: MemberStage,
+    /// Its progress as its worker lists it.
+    pub progress: MemberProgress,
 }
 
 /// How far a member is.
--- a/crates/domain/src/process/planner/look.rs
+++ b/crates/domain/src/process/planner/look.rs
@@ -353,11 +353,7 @@
         if group.phase == GroupPhase::Done {
             return;
         }
-        let was_fresh = group
-            .progress
-            .first_percent
-            .is_none_or(|percent| percent < 5);
-        if was_fresh && group.phase == GroupPhase::Active {
+        if group.is_whole_run && group.phase == GroupPhase::Active {
             let ran = now.since(group.started_at);
             self.run_times.note_run(&queue, shape.estimate_ms, ran);
         }
@@ -452,10 +448,10 @@
         match (member.stage, listed) {
             (MemberStage::Starting, Some(listed)) => {
                 self.set_stage(&key, index, |_| MemberStage::Running(context.now));
-                self.note_progress(context.now, &key, listed);
+                self.note_progress(context.now, &key, index, listed);
             }
             (MemberStage::Running(_), Some(listed)) => {
-                self.note_progress(context.now, &key, listed);
+                self.note_progress(context.now, &key, index, listed);
             }
             (MemberStage::Running(since), None) if is_whole && sent_at >= since => {
                 log::info!(target: "end", unit = unit.to_string().as_str(); "run is not there any more");
@@ -469,23 +465,59 @@
         }
     }
 
-    fn note_progress(&mut self, now: MonotonicTime, key: &GroupKey, listed: &RunningUnit) {
+    fn note_progress(
+        &mut self,
+        now: MonotonicTime,
+        key: &GroupKey,
+        index: usize,
+        listed: &RunningUnit,
+    ) {
         let Some(group) = self.group_mut(key) else {
             return;
         };
-        let progress = &mut group.progress;
-        if progress.first_percent.is_none() {
-            progress.first_percent = Some(listed.percent);
-            progress.first_at = now;
-            progress.risen_at = now;
-        }
-        if listed.percent > progress.percent {
-            progress.percent = listed.percent;
-            progress.risen_at = now;
-        }
         if listed.saved.is_some() {
             group.saved.clone_from(&listed.saved);
         }
+        let member = group.members.get_mut(index);
+        let has_pace = member.is_some_and(|member| member.progress.note(now, listed.percent));
+        if has_pace {
+            self.learn_speed(now, key, index);
+        }
+    }
+
+    /// Compares the pace of a gang's member with that of the others.
+    fn learn_speed(&mut self, now: MonotonicTime, key: &GroupKey, index: usize) {
+        let Some(group) = self.jobs.get(&key.job).and_then(|job| job.group(key)) else {
+            return;
+        };
+        let Some(member) = group.members.get(index) else {
+            return;
+        };
+        let Some(pace) = member.progress.pace else {
+            return;
+        };
+        // What a worker of speed one would do, by each of the other members.
+        let others: Vec<f64> = group
+            .members
+            .iter()
+            .filter(|other| other.worker != member.worker)
+            .filter_map(|other| {
+                let speed = self.workers.get(&other.worker)?.speed;
+                let pace = other.progress.pace.filter(|pace| *pace > 0.0)?;
+                Some(pace.ln() - speed.log())
+            })
+            .collect();
+        if others.is_empty() {
+            return;
+        }
+        let mean = others.iter().sum::<f64>() / others.len() as f64;
+        let name = member.worker.clone();
+        let ratio = pace / mean.exp();
+        if let Some(worker) = self.workers.get_mut(&name)
+            && worker.speed.note_ratio(now, ratio)
+        {
+            log::info!(target: "worker", worker = name.as_str(), ratio; "worker is slowed down");
+        }
     }
 
     /// Stops runs that nobody asked for: they were started by an earlier planner and
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -2,14 +2,11 @@
 //! that fit, first things first.
 
 use crate::prelude::*;
-use crate::process::planner::job::{MemberStage, PlanOccurrence};
+use crate::process::planner::job::PlanOccurrence;
 use crate::process::planner::order::{WaitingStep, waiting_steps};
 use crate::process::planner::place::{PlaceRequest, Placement, RoomRow, RoomView, StepKey};
 use crate::process::planner::state::{PlanContext, PlannerState};
 
-/// Time without progress after which a run stands still: two looks, and a listing in
-/// which every run of the kinds served has moved by many percent.
-const STALL_TIME: Duration = Duration::from_millis(4_500);
 /// Longest time ahead of the present for which occurrences are opened.
 const HEADROOM: usize = 15;
 const OPEN_AHEAD: Duration = Duration::ZERO;
@@ -102,6 +99,7 @@
                 count: shape.group_size(),
                 avoided: &failed_on,
                 allows_remote: context.now >= step.due_by,
+                is_urgent: step.priority == 0,
             };
             if self.start_claimed(context, key, &request) {
                 continue;
@@ -176,52 +174,4 @@
         }
         self.is_dirty |= is_opened;
     }
-
-    /// Stops runs that stand still, and sets their workers aside.
-    pub(super) fn check_progress(&mut self, context: &mut PlanContext<'_>) {
-        let now = context.now;
-        let mut stalled = Vec::new();
-        for worker in self
-            .workers
-            .values()
-            .filter(|worker| worker.link.failures == 0)
-        {
-            for holding in worker.holdings.values() {
-                let job = self.jobs.get(&holding.group.job);
-                let Some(job) = job.filter(|job| !job.is_closing) else {
-                    continue;
-                };
-                let is_lasting = job
-                    .shape(holding.group.step)
-                    .is_some_and(|shape| shape.is_long_running);
-                let Some(group) = job.group(&holding.group) else {
-                    continue;
-                };
-                let is_running = group
-                    .members
-                    .get(holding.member)
-                    .is_some_and(|member| matches!(member.stage, MemberStage::Running(_)));
-                let progress = &group.progress;
-                let is_still = progress.first_percent.is_some()
-                    && now.since(progress.risen_at) >= STALL_TIME
-                    && worker
-                        .link
-                        .answered_at
-                        .is_some_and(|at| at.since(progress.risen_at) >= STALL_TIME);
-                if is_running && is_still && !is_lasting {
-                    stalled.push((worker.report.name.clone(), holding.group, holding.member));
-                }
-            }
-        }
-        for (name, key, member) in stalled {
-            log::info!(target: "stop", group = key.to_string().as_str(), worker = name.as_str(); "run stands still; stopping it");
-            self.avoid_member_worker(&key, member);
-            if key.index.is_some()
-                && let Some(worker) = self.workers.get_mut(&name)
-            {
-                worker.health.set_aside(now);
-            }
-            self.clear_group(now, key);
-        }
-    }
 }
--- a/crates/domain/src/process/planner/place.rs
+++ b/crates/domain/src/process/planner/place.rs
@@ -20,6 +20,8 @@
     pub capacity: UnitNeed,
     /// What is free and kept for nobody.
     pub free: UnitNeed,
+    /// Step of the worker's speed; higher is faster.
+    pub tier: i32,
     /// Units of each step of each occurrence on it, where the step limits them.
     pub limited: BTreeMap<StepKey, u16>,
 }
@@ -59,6 +61,8 @@
     pub avoided: &'a [WorkerName],
     /// Whether a place where the units slow down will do.
     pub allows_remote: bool,
+    /// Whether it should end as soon as it can; others leave fast workers to it.
+    pub is_urgent: bool,
 }
 
 /// Room of all workers that may get something.
@@ -78,6 +82,7 @@
             labels: worker.report.labels.clone(),
             capacity: worker.report.capacity,
             free: worker.room_for(None),
+            tier: worker.speed.tier(),
             limited: BTreeMap::new(),
         }
     }
@@ -120,21 +125,22 @@
                 .copied()
                 .filter(|index| self.rows[*index].rack.as_ref() == Some(rack))
                 .collect();
-            if let Some(workers) = self.fill(&near, request) {
+            if let Some(workers) = self.fill_by_speed(&near, request, Self::fill) {
                 return Some(Placement {
                     workers,
                     is_remote: false,
                 });
             }
         } else if shape.same_rack && shape.is_gang && request.count > 1 {
-            if let Some(workers) = self.fill_rack(&suited, request) {
+            if let Some(workers) = self.fill_by_speed(&suited, request, Self::fill_rack) {
                 return Some(Placement {
                     workers,
                     is_remote: false,
                 });
             }
         } else {
-            return self.fill(&suited, request).map(|workers| Placement {
+            let workers = self.fill_by_speed(&suited, request, Self::fill);
+            return workers.map(|workers| Placement {
                 workers,
                 is_remote: false,
             });
@@ -163,6 +169,33 @@
             .collect()
     }
 
+    /// Looks for a place among workers of like speed: a gang is as slow as its slowest
+    /// member, and what is urgent gets the fast ones.
+    fn fill_by_speed(
+        &self,
+        suited: &[usize],
+        request: &PlaceRequest<'_>,
+        fill: impl Fn(&Self, &[usize], &PlaceRequest<'_>) -> Option<Vec<WorkerName>>,
+    ) -> Option<Vec<WorkerName>> {
+        let tiers: BTreeSet<i32> = suited.iter().map(|index| self.rows[*index].tier).collect();
+        let among = |keep: &dyn Fn(i32) -> bool| -> Vec<usize> {
+            let kept = suited.iter().filter(|index| keep(self.rows[**index].tier));
+            kept.copied().collect()
+        };
+        if !request.is_urgent {
+            for tier in &tiers {
+                let found = fill(self, &among(&|other| other == *tier), request);
+                if found.is_some() {
+                    return found;
+                }
+            }
+        }
+        tiers
+            .iter()
+            .rev()
+            .find_map(|tier| fill(self, &among(&|other| other >= *tier), request))
+    }
+
     /// Fills the fullest workers first.
     fn fill(&self, suited: &[usize], request: &PlaceRequest<'_>) -> Option<Vec<WorkerName>> {
         let mut open: Vec<(usize, u32)> = suited
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -4,8 +4,9 @@
 use crate::prelude::*;
 use crate::process::action::{StartOrder, WorkerOrder};
 use crate::process::event::{RefusalCause, WorkerAnswer, WorkerFault};
-use crate::process::planner::job::{GroupPhase, GroupProgress, MemberStage, PlanMember};
+use crate::process::planner::job::{GroupPhase, MemberStage, PlanMember};
 use crate::process::planner::place::Placement;
+use crate::process::planner::speed::MemberProgress;
 use crate::process::planner::state::{CallKind, PlanContext, PlannerState, StopOrder};
 use crate::process::planner::worker::Holding;
 use crate::process::planner::writer::CommitEffect;
@@ -50,6 +51,7 @@
                 worker: name.clone(),
                 incarnation: worker.incarnation(),
                 stage: MemberStage::Recording,
+                progress: MemberProgress::default(),
             });
         }
         let (run, record) = (group.run, group.record());
@@ -86,7 +88,7 @@
         if let Some(group) = self.group_mut(&key) {
             group.phase = GroupPhase::Active;
             group.started_at = context.now;
-            group.progress = GroupProgress::default();
+            group.is_whole_run = saved.is_none();
             for member in &mut group.members {
                 member.stage = MemberStage::Starting;
             }
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -220,7 +220,12 @@
             .map(|worker| worker.report.incarnation);
         match known {
             None => {
-                log::info!(target: "worker", worker = name.as_str(), life = report.incarnation.0; "worker listed");
+                log::info!(
+                    target: "worker", worker = name.as_str(), life = report.incarnation.0,
+                    zone = report.zone.as_str(),
+                    rack = report.rack.as_ref().map_or("none", RackName::as_str);
+                    "worker listed"
+                );
                 let worker = PlanWorker::new(report, context.now);
                 self.workers.insert(name.clone(), worker);
                 self.adopt_orphans(context.now, name);
--- a/crates/domain/src/process/planner/takeover.rs
+++ b/crates/domain/src/process/planner/takeover.rs
@@ -4,10 +4,9 @@
 
 use crate::prelude::*;
 use crate::process::job_book::{BookedJob, JobBook};
-use crate::process::planner::job::{
-    GroupPhase, GroupProgress, MemberStage, PlanJob, PlanMember, PlanOccurrence,
-};
+use crate::process::planner::job::{GroupPhase, MemberStage, PlanJob, PlanMember, PlanOccurrence};
 use crate::process::planner::limits::orphan_bound;
+use crate::process::planner::speed::MemberProgress;
 use crate::process::planner::state::{PlanContext, PlannerState};
 use crate::process::planner::worker::Holding;
 use crate::process::record::{AcceptedJob, GroupRecord, GroupStage};
@@ -125,13 +124,7 @@
         group.failures = record.failures;
         group.saved.clone_from(&record.saved);
         group.started_at = now;
-        // How much was done before is not known, so the run teaches no run time.
-        group.progress = GroupProgress {
-            first_percent: Some(100),
-            first_at: now,
-            risen_at: now,
-            percent: 0,
-        };
+        group.is_whole_run = false;
         match record.stage {
             GroupStage::Waiting => {}
             GroupStage::Done => {
@@ -149,6 +142,7 @@
                         worker: place.0.clone(),
                         incarnation: place.1,
                         stage: MemberStage::Running(now),
+                        progress: MemberProgress::default(),
                     });
                 }
                 self.hold_restored(now, key, need);
--- a/crates/domain/src/process/planner/worker.rs
+++ b/crates/domain/src/process/planner/worker.rs
@@ -7,6 +7,7 @@
 use crate::process::action::CallTicket;
 use crate::process::planner::health::WorkerHealth;
 use crate::process::planner::limits::with_drift;
+use crate::process::planner::speed::WorkerSpeed;
 use crate::process::worker_report::WorkerReport;
 use crate::request::submission::UnitNeed;
 
@@ -44,6 +45,8 @@
     pub link: WorkerLink,
     /// What its results say of it.
     pub health: WorkerHealth,
+    /// How fast it is.
+    pub speed: WorkerSpeed,
 }
 
 /// A look that is under way.
@@ -115,6 +118,7 @@
                 ..WorkerLink::default()
             },
             health: WorkerHealth::default(),
+            speed: WorkerSpeed::default(),
             report,
         }
     }
@@ -171,6 +175,7 @@
             && self.link.is_surveyed
             && self.link.failures == 0
             && self.health.is_open(now)
+            && !self.speed.is_slowed(now)
     }
 
     /// Whether something may run or has to be settled on it.
