--- a/crates/domain/src/process/front_desk.rs
+++ b/crates/domain/src/process/front_desk.rs
@@ -114,10 +114,21 @@
     ) {
         let ticket = request.ticket;
         let verb = verb_word(&request.verb);
+        let path = Arc::clone(&request.path);
         match self.admit(view, request) {
             Ok(Some(answer)) => finish(ticket, verb, answer, actions),
             Ok(None) => self.send_append(view.now, ticket, next_ticket, actions),
-            Err(fault) => finish(ticket, verb, FrontAnswer::Refused(fault), actions),
+            Err(fault) => {
+                let answer = FrontAnswer::Refused(fault);
+                log::info!(
+                    target: "request", request = ticket.0, path = &*path, verb,
+                    answer = answer_word(&answer),
+                    config = view.manifest.map_or(0, |manifest| manifest.version),
+                    log_age_ms = view.proved_at.map_or(0, |at| view.now.since(at).as_millis() as u64);
+                    "request refused"
+                );
+                finish(ticket, verb, answer, actions);
+            }
         }
     }
 
--- a/crates/domain/src/process/planner/look.rs
+++ b/crates/domain/src/process/planner/look.rs
@@ -445,6 +445,14 @@
             return;
         };
         let listed = running.get(&unit).filter(|listed| listed.run == group.run);
+        if let Some(listed) = listed {
+            log::debug!(
+                target: "progress", unit = unit.to_string().as_str(),
+                worker = member.worker.as_str(), percent = listed.percent,
+                el = context.now.since(group.started_at).as_millis() as u64;
+                "pct"
+            );
+        }
         match (member.stage, listed) {
             (MemberStage::Starting, Some(listed)) => {
                 self.set_stage(&key, index, |_| MemberStage::Running(context.now));
