Room is kept for large groups that do not fit yet

The first blocked groups now keep the slots that come free first; what ends before may use them. A step about to miss its objective may use the part kept for urgent work.

--- a/crates/domain/src/process/planner.rs
+++ b/crates/domain/src/process/planner.rs
@@ -5,6 +5,7 @@
 pub mod estimate;
 pub mod health;
 pub mod job;
+pub mod keep;
 pub mod limits;
 pub mod look;
 pub mod order;
--- /dev/null
+++ b/crates/domain/src/process/planner/keep.rs
@@ -0,0 +1,181 @@
+//! Room kept for large groups that do not fit yet. Without it, small groups would take
+//! every piece that comes free, and a gang that needs whole workers would wait for as
+//! long as small ones come. What ends before the kept room is needed may still use it.
+
+use crate::prelude::*;
+use crate::process::planner::job::MemberStage;
+use crate::process::planner::place::{PlaceRequest, RoomKeep, RoomView};
+use crate::process::planner::state::PlannerState;
+use crate::request::submission::UnitNeed;
+
+/// Part of a worker from which a single unit counts as large.
+const LARGE_SHARE: f64 = 0.5;
+/// Time until a run that should have ended is expected to end.
+const OVERDUE_TIME: Duration = Duration::from_millis(500);
+
+/// Room that comes free on a worker.
+#[derive(Clone, Copy, Debug)]
+struct RoomRelease {
+    at: MonotonicTime,
+    need: UnitNeed,
+}
+
+/// A slot of a group on a worker, and when it comes free.
+#[derive(Clone, Copy, Debug)]
+struct SlotTime {
+    row: usize,
+    at: MonotonicTime,
+}
+
+impl PlannerState {
+    /// Keeps the room that comes free first for a group that does not fit now.
+    pub(super) fn keep_room_for(
+        &self,
+        now: MonotonicTime,
+        request: &PlaceRequest<'_>,
+        view: &mut RoomView,
+    ) -> bool {
+        let is_large = |need: &UnitNeed, whole: &UnitNeed| need.share_of(whole) >= LARGE_SHARE;
+        let suited = view.suited(request);
+        let is_kept = request.count > 1
+            || suited
+                .first()
+                .is_some_and(|row| is_large(&request.shape.need, &view.rows[*row].capacity));
+        if !is_kept {
+            return false;
+        }
+        let Some(slots) = self.first_slots(now, request, view, &suited) else {
+            return false;
+        };
+        let from = slots.iter().map(|slot| slot.at).max().unwrap_or(now);
+        for slot in slots {
+            view.rows[slot.row].keeps.push(RoomKeep {
+                need: request.shape.need,
+                from,
+            });
+        }
+        true
+    }
+
+    /// The slots that come free first, within one rack where the group wants one.
+    fn first_slots(
+        &self,
+        now: MonotonicTime,
+        request: &PlaceRequest<'_>,
+        view: &RoomView,
+        suited: &[usize],
+    ) -> Option<Vec<SlotTime>> {
+        let shape = request.shape;
+        let needs_rack = shape.same_rack && request.count > 1;
+        let mut racks: BTreeMap<Option<&RackName>, Vec<SlotTime>> = BTreeMap::new();
+        for index in suited {
+            let row = &view.rows[*index];
+            let is_near = shape
+                .data_rack
+                .as_ref()
+                .is_none_or(|rack| row.rack.as_ref() == Some(rack));
+            if is_near {
+                let rack = row.rack.as_ref().filter(|_| needs_rack);
+                let times = self.slot_times(now, request, view, *index);
+                racks.entry(rack).or_default().extend(times);
+            }
+        }
+        let count = usize::from(request.count);
+        racks
+            .into_values()
+            .filter(|slots| slots.len() >= count)
+            .map(|mut slots| {
+                slots.sort_by_key(|slot| slot.at);
+                slots.truncate(count);
+                slots
+            })
+            .min_by_key(|slots| slots.last().map(|slot| slot.at))
+    }
+
+    /// When the slots of a worker come free, one after the other.
+    fn slot_times(
+        &self,
+        now: MonotonicTime,
+        request: &PlaceRequest<'_>,
+        view: &RoomView,
+        index: usize,
+    ) -> Vec<SlotTime> {
+        let row = &view.rows[index];
+        let most = u32::from(request.count);
+        let mut room = row.free;
+        for keep in &row.keeps {
+            room = room.minus(&keep.need);
+        }
+        let mut slots = request.shape.need.times_in(&room, most);
+        let mut times: Vec<SlotTime> = (0..slots)
+            .map(|_| SlotTime {
+                row: index,
+                at: now,
+            })
+            .collect();
+        for release in self.releases(now, &row.worker) {
+            room = room.plus(&release.need);
+            let fitting = request.shape.need.times_in(&room, most);
+            for _ in slots..fitting {
+                times.push(SlotTime {
+                    row: index,
+                    at: release.at,
+                });
+            }
+            slots = slots.max(fitting);
+        }
+        times
+    }
+
+    /// Expected ends of what occupies a worker, in order.
+    fn releases(&self, now: MonotonicTime, name: &WorkerName) -> Vec<RoomRelease> {
+        let Some(worker) = self.workers.get(name) else {
+            return Vec::new();
+        };
+        let mut releases: Vec<RoomRelease> = worker
+            .holdings
+            .values()
+            .map(|holding| RoomRelease {
+                at: self.expected_end(now, &holding.group, holding.member),
+                need: holding.need,
+            })
+            .collect();
+        releases.sort_by_key(|release| release.at);
+        releases
+    }
+
+    /// When a member of a run is expected to end.
+    pub(super) fn expected_end(
+        &self,
+        now: MonotonicTime,
+        key: &GroupKey,
+        index: usize,
+    ) -> MonotonicTime {
+        let soon = now + OVERDUE_TIME;
+        let Some(job) = self.jobs.get(&key.job) else {
+            return soon;
+        };
+        let (Some(group), Some(shape)) = (job.group(key), job.shape(key.step)) else {
+            return soon;
+        };
+        let Some(member) = group.members.get(index) else {
+            return soon;
+        };
+        if matches!(
+            member.stage,
+            MemberStage::Stopping | MemberStage::Stopped(_) | MemberStage::Gone
+        ) {
+            return now + self.limits.stop_grace;
+        }
+        let progress = &member.progress;
+        let paced = progress.pace.zip(progress.listed_at);
+        let end = if let Some((pace, listed_at)) = paced.filter(|(pace, _)| *pace > 0.0) {
+            let left = f64::from(100_u32.saturating_sub(progress.percent));
+            listed_at + Duration::from_secs_f64(left / pace)
+        } else {
+            let queue = &job.accepted.queue;
+            group.started_at + self.run_times.expected(queue, shape.estimate_ms)
+        };
+        end.max(soon)
+    }
+}
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -7,8 +7,16 @@
 use crate::process::planner::place::{PlaceRequest, Placement, RoomRow, RoomView, StepKey};
 use crate::process::planner::state::{PlanContext, PlannerState};
 
+/// Part of the workers, in percent, that work which can wait leaves wholly free for
+/// urgent work: about what urgent jobs take on the users' sheets, so that a burst of
+/// twice as many finds room without stopping anything.
+const HEADROOM_PERCENT: usize = 15;
+/// Time before a step would miss its objective from which it may use that part too.
+const PRESSING_MARGIN: Duration = Duration::from_secs(2);
+/// Groups for which room is kept in one pass; more would idle room for work that
+/// begins much later.
+const KEEP_LIMIT: usize = 3;
 /// Longest time ahead of the present for which occurrences are opened.
-const HEADROOM: usize = 15;
 const OPEN_AHEAD: Duration = Duration::ZERO;
 
 impl PlannerState {
@@ -19,8 +27,9 @@
             return;
         }
         let mut view = self.room_view(context.now);
+        let mut kept = 0;
         for step in &waiting {
-            self.plan_step(context, step, &mut view);
+            self.plan_step(context, step, &mut view, &mut kept);
         }
     }
 
@@ -71,7 +80,9 @@
         context: &mut PlanContext<'_>,
         step: &WaitingStep,
         view: &mut RoomView,
+        kept: &mut usize,
     ) {
+        let now = context.now;
         let Some(job) = self.jobs.get(&step.key.job) else {
             return;
         };
@@ -79,6 +90,8 @@
         let Some(shape) = accepted.submission.steps.get(usize::from(step.key.step)) else {
             return;
         };
+        let run_time = self.run_times.expected(&accepted.queue, shape.estimate_ms);
+        let is_pressing = now + run_time + PRESSING_MARGIN >= step.due_by;
         for index in &step.groups {
             let key = GroupKey {
                 job: step.key.job,
@@ -98,22 +111,30 @@
                 shape,
                 count: shape.group_size(),
                 avoided: &failed_on,
-                allows_remote: context.now >= step.due_by,
+                allows_remote: now >= step.due_by,
                 is_urgent: step.priority == 0,
+                ends_at: now + run_time,
             };
             if self.start_claimed(context, key, &request) {
                 continue;
             }
             let Some(placement) = view.place(&request) else {
                 self.reclaim_for(context, key, step, &request, view);
+                if step.priority > 0
+                    && *kept < KEEP_LIMIT
+                    && self.keep_room_for(now, &request, view)
+                {
+                    *kept += 1;
+                }
                 break;
             };
-            if step.priority > 0 && view.whole_after(&placement) < view.rows.len() * HEADROOM / 100
-            {
+            let headroom = view.rows.len() * HEADROOM_PERCENT / 100;
+            let must_wait = step.priority > 0 && !is_pressing;
+            if must_wait && view.whole_after(&placement) < headroom {
                 break;
             }
             view.take(&request, &placement);
-            self.begin_start(context.now, key, &placement);
+            self.begin_start(now, key, &placement);
         }
     }
 
--- a/crates/domain/src/process/planner/place.rs
+++ b/crates/domain/src/process/planner/place.rs
@@ -24,6 +24,17 @@
     pub tier: i32,
     /// Units of each step of each occurrence on it, where the step limits them.
     pub limited: BTreeMap<StepKey, u16>,
+    /// Room that larger groups wait for.
+    pub keeps: Vec<RoomKeep>,
+}
+
+/// Room of a worker that is kept for a group that does not fit yet.
+#[derive(Clone, Copy, Debug)]
+pub struct RoomKeep {
+    /// What is kept.
+    pub need: UnitNeed,
+    /// When the group is expected to begin; what ends before may use the room.
+    pub from: MonotonicTime,
 }
 
 /// A step of an occurrence.
@@ -61,8 +72,11 @@
     pub avoided: &'a [WorkerName],
     /// Whether a place where the units slow down will do.
     pub allows_remote: bool,
-    /// Whether it should end as soon as it can; others leave fast workers to it.
+    /// Whether it should end as soon as it can; others leave fast workers to it, and
+    /// no room is kept from it.
     pub is_urgent: bool,
+    /// When it is expected to end if it starts now.
+    pub ends_at: MonotonicTime,
 }
 
 /// Room of all workers that may get something.
@@ -84,6 +98,7 @@
             free: worker.room_for(None),
             tier: worker.speed.tier(),
             limited: BTreeMap::new(),
+            keeps: Vec::new(),
         }
     }
 
@@ -100,7 +115,13 @@
     /// Members that fit now.
     pub fn slots(&self, request: &PlaceRequest<'_>) -> u32 {
         let most = u32::from(request.count);
-        let fitting = request.shape.need.times_in(&self.free, most);
+        let mut free = self.free;
+        for keep in &self.keeps {
+            if !request.is_urgent && keep.from < request.ends_at {
+                free = free.minus(&keep.need);
+            }
+        }
+        let fitting = request.shape.need.times_in(&free, most);
         let Some(limit) = request.shape.worker_limit else {
             return fitting;
         };
@@ -155,7 +176,7 @@
     }
 
     /// Workers that may run the group: those to be avoided only if there is no other.
-    fn suited(&self, request: &PlaceRequest<'_>) -> Vec<usize> {
+    pub fn suited(&self, request: &PlaceRequest<'_>) -> Vec<usize> {
         let suited: Vec<usize> = (0..self.rows.len())
             .filter(|index| self.rows[*index].suits(request))
             .collect();
