No wait before the first proof of the tail; a host's own past tenure counts as vacated

Cause: a starting host waited a second at the tail of a quiet stream before it knew that it had read everything, and 1.3 s more for a planner that had run in its own earlier process. Ruled out: reading the configuration (20 ms).

--- a/crates/domain/src/process/host.rs
+++ b/crates/domain/src/process/host.rs
@@ -10,6 +10,7 @@
 use crate::process::event::HostEvent;
 use crate::process::front_desk::{DeskView, FrontDesk};
 use crate::process::job_book::{BookChange, JobBook};
+use crate::process::planner::limits::AUTHORITY_TIME;
 use crate::process::planner::state::PlanContext;
 use crate::process::planner::{PlanLimits, PlannerState};
 use crate::process::record::JobRecord;
@@ -473,7 +474,13 @@
         for (name, report) in &self.reports {
             planner.take_report(&mut context, name, Some(Arc::clone(report)));
         }
-        planner.take_book(&mut context, &self.book);
+        // A planner that is known to have ended renews no lease any more.
+        let authority = if self.seat.is_vacated() {
+            Duration::ZERO
+        } else {
+            AUTHORITY_TIME
+        };
+        planner.take_book(&mut context, &self.book, authority);
         planner.tick(&mut context);
         self.planner = Some(planner);
         self.jobs.set_pace(Duration::ZERO);
--- a/crates/domain/src/process/planner/limits.rs
+++ b/crates/domain/src/process/planner/limits.rs
@@ -50,9 +50,10 @@
 pub const AUTHORITY_TIME: Duration = Duration::from_secs(4);
 
 /// Longest time for which a worker that a new planner cannot reach may go on with
-/// the work of the planner before, by a clock that runs slow.
-pub fn orphan_bound(limits: &PlanLimits) -> Duration {
-    with_drift(AUTHORITY_TIME + limits.lease_limit)
+/// the work of the planner before, which renewed leases for `authority` at most; by a
+/// clock that runs slow.
+pub fn orphan_bound(limits: &PlanLimits, authority: Duration) -> Duration {
+    with_drift(authority + limits.lease_limit)
 }
 
 /// A duration on a worker's clock as it may last on this host's.
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -95,6 +95,8 @@
     pub(super) claims: BTreeMap<GroupKey, RoomClaim>,
     /// Recorded members on workers that nobody lists, and until when they may run.
     pub(super) orphans: Vec<(GroupKey, usize, MonotonicTime)>,
+    /// When no lease that an earlier planner gave holds any more.
+    pub(super) orphan_bound: MonotonicTime,
     /// Queues that take no further jobs for now.
     pub(super) full_queues: Vec<FullQueue>,
     heartbeat_at: MonotonicTime,
@@ -141,6 +143,7 @@
             is_dirty: true,
             claims: BTreeMap::new(),
             orphans: Vec::new(),
+            orphan_bound: now,
             full_queues: Vec::new(),
             heartbeat_at: now,
             replan_at: now,
--- a/crates/domain/src/process/planner/takeover.rs
+++ b/crates/domain/src/process/planner/takeover.rs
@@ -12,15 +12,22 @@
 use crate::process::record::{AcceptedJob, GroupRecord, GroupStage};
 
 impl PlannerState {
-    /// Takes all open jobs of the book. The workers have to be known before.
-    pub fn take_book(&mut self, context: &mut PlanContext<'_>, book: &JobBook) {
+    /// Takes all open jobs of the book. The workers have to be known before. The
+    /// planner before renews leases for `authority` at most.
+    pub fn take_book(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        book: &JobBook,
+        authority: Duration,
+    ) {
+        let bound = context.now + orphan_bound(&self.limits, authority);
+        self.orphan_bound = bound;
         for (key, booked) in book.jobs() {
             if let Some(accepted) = booked.accepted.as_ref().filter(|_| booked.is_open()) {
                 self.add_job(context, *key, accepted);
                 self.restore_groups(context, *key, booked);
             }
         }
-        let bound = context.now + orphan_bound(&self.limits);
         for worker in self.workers.values_mut() {
             worker.link.lease_bound = bound;
         }
@@ -191,8 +198,7 @@
             self.clear_group(now, *key);
             return;
         }
-        let bound = now + orphan_bound(&self.limits);
-        self.orphans.push((*key, index, bound));
+        self.orphans.push((*key, index, self.orphan_bound));
     }
 
     /// Occupies the room of recorded runs on a worker that is listed again, or counts
--- a/crates/domain/src/process/seat.rs
+++ b/crates/domain/src/process/seat.rs
@@ -72,8 +72,11 @@
     stage: SeatStage,
     /// When the planner last gave a sign of life, by this host's clock.
     sign_at: Option<MonotonicTime>,
-    /// Whether the planner said that it has stopped.
-    has_yielded: bool,
+    /// Whether no planner of an earlier epoch can be at work: it said that it has
+    /// stopped, or ran in an earlier process of this host.
+    is_vacated: bool,
+    /// Highest epoch that this process held.
+    held: SeatEpoch,
     /// No claim before.
     pause_until: MonotonicTime,
     /// Patience of this host.
@@ -104,7 +107,8 @@
             identity,
             stage: SeatStage::Watching,
             sign_at: None,
-            has_yielded: false,
+            is_vacated: false,
+            held: SeatEpoch(0),
             pause_until: now,
             patience,
             is_retired: false,
@@ -132,7 +136,8 @@
     /// Takes a sign of life of a planner.
     pub fn note_heartbeat(&mut self, now: MonotonicTime, heartbeat: &PlannerHeartbeat) {
         self.sign_at = Some(now);
-        self.has_yielded = heartbeat.has_yielded;
+        let is_own_past = heartbeat.host == self.identity.host && heartbeat.epoch > self.held;
+        self.is_vacated = heartbeat.has_yielded || is_own_past;
         self.sign_epoch = self.sign_epoch.max(heartbeat.epoch);
     }
 
@@ -165,7 +170,7 @@
             return;
         }
         let silence = now.since(self.sign_at.unwrap_or(steady_since).max(steady_since));
-        let is_vacant = self.sign_at.is_none() || self.has_yielded;
+        let is_vacant = self.sign_at.is_none() || self.is_vacated;
         let least = if is_vacant {
             Duration::ZERO
         } else {
@@ -177,7 +182,7 @@
         let ticket = take_ticket(next_ticket);
         self.stage = SeatStage::Asking(ticket);
         self.asked_at = now;
-        log::info!(silence_ms = silence.as_millis() as u64, yielded = self.has_yielded; "claiming the planner's seat");
+        log::info!(silence_ms = silence.as_millis() as u64, vacated = self.is_vacated; "claiming the planner's seat");
         actions.push(HostAction::ReadNewest(NewestOrder {
             ticket,
             stream: StreamName::Seat,
@@ -333,9 +338,15 @@
             return None;
         }
         self.stage = SeatStage::Holding(epoch);
+        self.held = epoch;
         Some(epoch)
     }
 
+    /// Whether no planner of an earlier epoch can be at work.
+    pub const fn is_vacated(&self) -> bool {
+        self.is_vacated
+    }
+
     fn pause(&mut self, now: MonotonicTime) {
         self.stage = SeatStage::Watching;
         self.pause_until = now + RETRY_PAUSE;
--- a/crates/domain/src/process/stream_follower.rs
+++ b/crates/domain/src/process/stream_follower.rs
@@ -133,7 +133,9 @@
                 sent_at: now,
                 is_fresh: false,
             });
-            actions.push(self.order(ticket, TAIL_WAIT));
+            // Until the tail was reached once, a wait there would only delay the proof.
+            let wait = self.proved_at.map_or(Duration::ZERO, |_| TAIL_WAIT);
+            actions.push(self.order(ticket, wait));
         }
         let is_following = matches!(self.stage, FollowStage::Following);
         if self.wants_fresh && self.fresh.is_none() && is_following {
