Paces from a run's start, implausible paces, appends confirmed by reading

A planner whose append answers are lost now learns from its own records that they are written; before, it fell silent and the seat was claimed in turn (writer_answers_lost_keeps_seat fails without it).

--- a/crates/domain-sim/tests/faults.rs
+++ b/crates/domain-sim/tests/faults.rs
@@ -436,3 +436,28 @@
     );
     check_settled(world);
 }
+
+/// A planner whose answers were lost took each append for unanswered until its
+/// timeout, fell silent for longer than others wait, and lost the seat in turn.
+#[test]
+fn writer_answers_lost_keeps_seat() {
+    let mut world = settled_world(61, 4, 6);
+    let seat = flamingowalk_domain::process::stream::StreamName::Seat;
+    let before = world.store.end(seat);
+    world.lost_answers = 1.0;
+    let work = Duration::from_secs(1);
+    for number in 0..5 {
+        let submission = job(vec![gang(2, 4)]);
+        world.submit(
+            number as usize % 4,
+            URGENT,
+            JobKey(number + 1),
+            &submission,
+            work,
+        );
+        world.run_for(Duration::from_secs(1));
+    }
+    assert_eq!(world.store.end(seat), before, "the seat was claimed anew");
+    assert!(world.run_until(Duration::from_secs(2), all_done));
+    assert_eq!(world.jobs.values().filter(|job| job.is_accepted).count(), 5);
+}
--- a/crates/domain/src/process/host.rs
+++ b/crates/domain/src/process/host.rs
@@ -296,6 +296,12 @@
                     planner.cancel_job(&mut context, job);
                 }
             }
+            BookChange::Marked(mark) => {
+                if let Some(planner) = &mut self.planner {
+                    let mut context = plan_context(now, wall, &mut self.next_ticket, actions);
+                    planner.take_mark(&mut context, mark);
+                }
+            }
             BookChange::Heartbeat => {
                 if let Some(heartbeat) = self.book.heartbeat() {
                     self.seat.note_heartbeat(now, heartbeat);
--- a/crates/domain/src/process/job_book.rs
+++ b/crates/domain/src/process/job_book.rs
@@ -3,7 +3,7 @@
 
 use crate::prelude::*;
 use crate::process::record::{
-    AcceptedJob, GroupRecord, JobOutcome, JobRecord, PlannerHeartbeat, RecordKey,
+    AcceptedJob, AppendMark, GroupRecord, JobOutcome, JobRecord, PlannerHeartbeat, RecordKey,
 };
 use crate::request::front_request::JobPhase;
 
@@ -37,6 +37,8 @@
     Cancelled(JobKey),
     /// The planner is at work, or has stopped.
     Heartbeat,
+    /// An append of the planner is in the log.
+    Marked(AppendMark),
 }
 
 /// All jobs that the log tells of.
@@ -108,6 +110,7 @@
                 self.heartbeat = Some(heartbeat);
                 BookChange::Heartbeat
             }
+            JobRecord::Mark(mark) => BookChange::Marked(mark),
             JobRecord::Dropped(key) => {
                 self.drop_key(key);
                 BookChange::None
@@ -144,7 +147,10 @@
                     job.recorded.remove(&group);
                 }
             }
-            RecordKey::Cancellation(_) | RecordKey::Outcome(_) | RecordKey::Heartbeat => {}
+            RecordKey::Cancellation(_)
+            | RecordKey::Outcome(_)
+            | RecordKey::Heartbeat
+            | RecordKey::Mark => {}
         }
     }
 
--- a/crates/domain/src/process/planner.rs
+++ b/crates/domain/src/process/planner.rs
@@ -2,11 +2,13 @@
 //! lives for one tenure of the seat. [`PlannerState`] takes typed events and returns
 //! typed actions; what it must not forget goes to the jobs stream before it acts.
 
+pub mod end;
 pub mod estimate;
 pub mod health;
 pub mod job;
 pub mod keep;
 pub mod limits;
+pub mod listing;
 pub mod look;
 pub mod order;
 pub mod pass;
--- /dev/null
+++ b/crates/domain/src/process/planner/end.rs
@@ -0,0 +1,255 @@
+//! Ends of runs: what each means for its group and its job. Whatever has to outlast
+//! the planner is recorded before the worker is told to forget the end.
+
+use metrics::counter;
+
+use crate::prelude::*;
+use crate::process::event::{EndCause, EndedUnit};
+use crate::process::planner::job::GroupPhase;
+use crate::process::planner::state::{PlanContext, PlannerState};
+use crate::process::planner::writer::CommitEffect;
+use crate::process::record::{JobOutcome, JobRecord};
+
+/// Runs that ended, by `cause`.
+pub const RUNS_ENDED: &str = "flamingowalk_domain_runs_ended_total";
+
+impl PlannerState {
+    /// Takes the ends of a listing that were not taken before.
+    pub(super) fn take_ends(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        name: &WorkerName,
+        ended: &[EndedUnit],
+    ) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let (life, seen) = (worker.incarnation(), worker.link.seen_end);
+        let Some(last) = ended.iter().map(|end| end.number).max() else {
+            return;
+        };
+        for end in ended.iter().filter(|end| end.number > seen) {
+            counter!(RUNS_ENDED, "cause" => end.cause.word()).increment(1);
+            self.take_end(context, name, end);
+        }
+        if last <= seen {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.link.seen_end = last;
+        }
+        let effect = CommitEffect::Forget(name.clone(), life, last);
+        self.writer.push_effect(effect);
+    }
+
+    fn take_end(&mut self, context: &mut PlanContext<'_>, name: &WorkerName, end: &EndedUnit) {
+        let now = context.now;
+        let located = self.locate_run(&end.unit, end.run);
+        log::info!(
+            target: "end", unit = end.unit.to_string().as_str(), run = end.run.0,
+            worker = name.as_str(), cause = end.cause.word(), known = located.is_some();
+            "run ended"
+        );
+        let Some((key, index)) = located else {
+            self.take_old_end(now, end);
+            return;
+        };
+        if self.member_worker(&key, index).as_ref() != Some(name) {
+            return;
+        }
+        if let Some(group) = self.group_mut(&key)
+            && end.saved.is_some()
+        {
+            group.saved.clone_from(&end.saved);
+        }
+        match end.cause {
+            EndCause::Done => {
+                if let Some(worker) = self.workers.get_mut(name) {
+                    worker.health.note_done();
+                }
+                self.finish_group(now, &key);
+                self.release_member(now, &key, index);
+            }
+            EndCause::Failed => self.take_failure(context, name, key, index),
+            EndCause::Stopped | EndCause::Lapsed | EndCause::Broken | EndCause::Alone => {
+                self.release_member(now, &key, index);
+                self.clear_group(now, key);
+            }
+        }
+    }
+
+    /// An end of a run that is not the newest of its unit. A run that was done counts
+    /// whatever came after it.
+    fn take_old_end(&mut self, now: MonotonicTime, end: &EndedUnit) {
+        if end.cause != EndCause::Done {
+            return;
+        }
+        let located = self
+            .jobs
+            .get(&end.unit.job)
+            .and_then(|job| job.locate(&end.unit).map(|(key, _)| (job.group(&key), key)));
+        if let Some((Some(group), key)) = located
+            && group.phase != GroupPhase::Done
+        {
+            log::warn!(target: "end", unit = end.unit.to_string().as_str(), run = end.run.0; "an earlier run was done");
+            self.finish_group(now, &key);
+            self.clear_group(now, key);
+        }
+    }
+
+    fn take_failure(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        name: &WorkerName,
+        key: GroupKey,
+        index: usize,
+    ) {
+        let now = context.now;
+        let is_set_aside = self
+            .workers
+            .get_mut(name)
+            .is_some_and(|worker| worker.health.note_failure(now, key.job));
+        if is_set_aside {
+            log::info!(target: "worker", worker = name.as_str(); "worker set aside: it fails what it starts");
+        }
+        self.avoid_member_worker(&key, index);
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let limit = job.accepted.max_attempts;
+        let is_lasting = job
+            .shape(key.step)
+            .is_some_and(|shape| shape.is_long_running);
+        let Some(group) = job.group_mut(&key) else {
+            return;
+        };
+        // One failed member ends the run of the whole gang; a second one of the same
+        // run is no further attempt.
+        let is_first = matches!(group.phase, GroupPhase::Active);
+        if is_first {
+            group.failures += 1;
+        }
+        let is_spent = group.failures >= limit && !is_lasting;
+        let record = group.record();
+        self.writer.push(&JobRecord::Group(key, record), None);
+        self.release_member(now, &key, index);
+        self.clear_group(now, key);
+        if is_spent {
+            self.fail_job(now, key.job);
+        }
+    }
+
+    /// Notes that a group is done, and what follows for its job.
+    pub(super) fn finish_group(&mut self, now: MonotonicTime, key: &GroupKey) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let queue = job.accepted.queue.clone();
+        let Some(shape) = job.shape(key.step).cloned() else {
+            return;
+        };
+        let Some(group) = job.group_mut(key) else {
+            return;
+        };
+        if group.phase == GroupPhase::Done {
+            return;
+        }
+        let started_at = group.started_at;
+        if group.is_whole_run && group.phase == GroupPhase::Active {
+            let slowest = self.slowest_factor(key);
+            let ran = now.since(started_at).mul_f64(slowest);
+            self.run_times.note_run(&queue, shape.estimate_ms, ran);
+        }
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let Some(group) = job.group_mut(key) else {
+            return;
+        };
+        group.phase = GroupPhase::Done;
+        let record = group.record();
+        self.writer.push(&JobRecord::Group(*key, record), None);
+        if let Some(occurrence) = job.occurrences.get_mut(&key.occurrence) {
+            if let Some(step) = occurrence.steps.get_mut(usize::from(key.step)) {
+                step.done += 1;
+            }
+            if occurrence.is_done() {
+                job.done_occurrences += 1;
+            }
+        }
+        self.is_dirty = true;
+        self.finish_job(key.job);
+    }
+
+    /// Usual speed of the slowest worker of a group's run.
+    fn slowest_factor(&self, key: &GroupKey) -> f64 {
+        let group = self.jobs.get(&key.job).and_then(|job| job.group(key));
+        let members = group
+            .map(|group| group.members.as_slice())
+            .unwrap_or_default();
+        members
+            .iter()
+            .filter_map(|member| self.workers.get(&member.worker))
+            .map(|worker| worker.speed.factor())
+            .min_by(f64::total_cmp)
+            .unwrap_or(1.0)
+    }
+
+    /// Records the outcome of a job of which everything is done.
+    pub(super) fn finish_job(&mut self, key: JobKey) {
+        let is_done = self
+            .jobs
+            .get(&key)
+            .is_some_and(|job| job.is_done() && !job.is_closing);
+        if !is_done {
+            return;
+        }
+        log::info!(target: "job", job = key.to_string().as_str(); "job completed");
+        self.writer
+            .push(&JobRecord::Outcome(key, JobOutcome::Completed), None);
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.is_closing = true;
+        }
+        self.close_job_if_clear(key);
+    }
+
+    /// Everything of a worker's present life is gone.
+    pub(super) fn lose_worker_units(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        name: &WorkerName,
+        why: &str,
+    ) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        worker.strays.clear();
+        let held: Vec<_> = worker
+            .holdings
+            .values()
+            .map(|holding| (holding.group, holding.member))
+            .collect();
+        if !held.is_empty() {
+            log::info!(target: "end", worker = name.as_str(), runs = held.len(), why; "runs are lost");
+        }
+        for (key, index) in held {
+            self.release_member(context.now, &key, index);
+            self.clear_group(context.now, key);
+        }
+        self.stopping.retain(|_, stop| stop.worker != *name);
+    }
+
+    /// Counts as gone what runs on workers whose lease has certainly lapsed.
+    pub(super) fn expire_leases(&mut self, context: &mut PlanContext<'_>) {
+        let now = context.now;
+        let lapsed: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.is_occupied() && now >= worker.link.lease_bound)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in lapsed {
+            self.lose_worker_units(context, &name, "the lease has lapsed");
+        }
+    }
+}
--- a/crates/domain/src/process/planner/speed.rs
+++ b/crates/domain/src/process/planner/speed.rs
@@ -5,14 +5,16 @@
 use crate::prelude::*;
 
 /// Least time over which a pace is taken: listings tell whole percents.
-const LEAST_SPAN: Duration = Duration::from_millis(700);
+const LEAST_SPAN: Duration = Duration::from_millis(500);
 /// Least weight of a new pace in the usual speed.
 const LEAST_GAIN: f64 = 0.15;
-/// Logarithm of the pace, over the expected one, below which a worker is slowed down:
-/// less than half as fast as it should be.
-const SLOWED_LOG: f64 = -0.7;
-/// Time for which a worker counts as slowed down after it was last seen to be.
-const SLOWED_TIME: Duration = Duration::from_secs(3);
+/// Difference of the logarithms of a pace and the expected one that no usual speed
+/// explains: half or twice as fast as it should be.
+const ODD_LOG: f64 = 0.7;
+/// First time for which a worker counts as slowed down after it was last seen to be.
+const FIRST_SLOWED: Duration = Duration::from_secs(3);
+/// Longest such time.
+const LONGEST_SLOWED: Duration = Duration::from_secs(12);
 /// Logarithm of the speed that one tier spans.
 const TIER_LOG: f64 = 0.14;
 /// Limit of the logarithm of a usual speed: four times as fast or slow as others.
@@ -27,6 +29,8 @@
     paces: u32,
     /// It counts as slowed down before.
     slowed_until: MonotonicTime,
+    /// How often in a row it was found slowed down.
+    slowed_times: u32,
 }
 
 /// Progress of one member of a group.
@@ -51,9 +55,26 @@
     at: MonotonicTime,
 }
 
+/// A new pace of a member.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PaceChange {
+    /// Percent a second.
+    pub pace: f64,
+    /// The pace before, if there was one.
+    pub before: Option<f64>,
+}
+
 impl MemberProgress {
-    /// Takes a listed percent; whether a new pace is known.
-    pub fn note(&mut self, now: MonotonicTime, percent: u32) -> bool {
+    /// Begins with nothing done: the first listing then tells a pace.
+    pub const fn begin(&mut self, now: MonotonicTime) {
+        self.mark = Some(ProgressMark {
+            percent: 0,
+            at: now,
+        });
+    }
+
+    /// Takes a listed percent; the new pace, if one can be told.
+    pub fn note(&mut self, now: MonotonicTime, percent: u32) -> Option<PaceChange> {
         if percent > self.percent {
             self.risen_at = Some(now);
         }
@@ -61,20 +82,39 @@
         self.percent = percent;
         let Some(mark) = self.mark else {
             self.mark = Some(ProgressMark { percent, at: now });
-            return false;
+            return None;
         };
         let span = now.since(mark.at);
         // A member that has done all its work waits for the others.
         if span < LEAST_SPAN || percent >= 100 {
-            return false;
+            return None;
         }
         let rise = percent.saturating_sub(mark.percent);
-        self.pace = Some(f64::from(rise) / span.as_secs_f64());
+        let pace = f64::from(rise) / span.as_secs_f64();
+        let before = self.pace.replace(pace);
         self.mark = Some(ProgressMark { percent, at: now });
-        true
+        Some(PaceChange { pace, before })
     }
 }
 
+impl PaceChange {
+    /// Whether the pace fell to less than half.
+    pub fn is_fall(&self) -> bool {
+        self.before
+            .is_some_and(|before| log_ratio(self.pace, before) < -ODD_LOG)
+    }
+
+    /// Whether the pace rose to more than twice.
+    pub fn is_rise(&self) -> bool {
+        self.before
+            .is_some_and(|before| log_ratio(self.pace, before) > ODD_LOG)
+    }
+}
+
+fn log_ratio(pace: f64, other: f64) -> f64 {
+    (pace.max(0.01) / other.max(0.01)).ln()
+}
+
 impl WorkerSpeed {
     /// Usual speed; one for a worker like the others.
     pub fn factor(&self) -> f64 {
@@ -96,17 +136,37 @@
         self.log
     }
 
+    /// Counts the worker as slowed down, longer each time in a row.
+    pub fn note_slowed(&mut self, now: MonotonicTime) {
+        if !self.is_slowed(now) {
+            self.slowed_times += 1;
+        }
+        let factor = 2_u32.saturating_pow(self.slowed_times.saturating_sub(1).min(8));
+        let time = FIRST_SLOWED.saturating_mul(factor).min(LONGEST_SLOWED);
+        self.slowed_until = self.slowed_until.max(now + time);
+    }
+
+    /// The worker is as fast as usual again.
+    pub const fn note_recovered(&mut self, now: MonotonicTime) {
+        self.slowed_until = now;
+    }
+
     /// Takes how the worker's pace stands to that of sound workers with the same work;
-    /// whether the worker counts as slowed down.
+    /// whether the worker is slowed down.
     pub fn note_ratio(&mut self, now: MonotonicTime, ratio: f64) -> bool {
         let log = ratio.max(0.001).ln();
-        if log - self.log < SLOWED_LOG {
-            self.slowed_until = now + SLOWED_TIME;
+        if log - self.log < -ODD_LOG {
+            self.note_slowed(now);
             return true;
         }
+        // Far faster than the others: they are slowed down, and teach nothing.
+        if log - self.log > ODD_LOG {
+            return false;
+        }
         let gain = LEAST_GAIN.max(1.0 / (f64::from(self.paces) + 1.5));
         self.log = (self.log + gain * (log - self.log)).clamp(-LOG_LIMIT, LOG_LIMIT);
         self.paces += 1;
+        self.slowed_times = 0;
         false
     }
 }
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -147,12 +147,7 @@
             return;
         };
         match result {
-            Ok(WorkerAnswer::Done { .. }) => {
-                self.set_stage(&key, index, |stage| match stage {
-                    MemberStage::Starting => MemberStage::Running(context.now),
-                    other => other,
-                });
-            }
+            Ok(WorkerAnswer::Done { .. }) => self.note_started(context.now, &key, index),
             Ok(WorkerAnswer::Refused { cause, .. }) => {
                 self.take_refusal(context, key, index, *cause);
             }
@@ -168,6 +163,23 @@
         }
     }
 
+    /// The worker has taken the start of a member.
+    fn note_started(&mut self, now: MonotonicTime, key: &GroupKey, index: usize) {
+        let Some(group) = self.group_mut(key) else {
+            return;
+        };
+        let is_whole_run = group.is_whole_run;
+        let Some(member) = group.members.get_mut(index) else {
+            return;
+        };
+        if member.stage == MemberStage::Starting {
+            member.stage = MemberStage::Running(now);
+            if is_whole_run {
+                member.progress.begin(now);
+            }
+        }
+    }
+
     fn take_refusal(
         &mut self,
         context: &mut PlanContext<'_>,
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -14,7 +14,7 @@
 use crate::process::planner::reclaim::RoomClaim;
 use crate::process::planner::worker::PlanWorker;
 use crate::process::planner::writer::{CommitEffect, PlanWriter, WriteStep};
-use crate::process::record::{FullQueue, JobRecord, PlannerHeartbeat, RecordKey};
+use crate::process::record::{AppendMark, FullQueue, JobRecord, PlannerHeartbeat, RecordKey};
 use crate::process::seat::HEARTBEAT_INTERVAL;
 use crate::process::stream::{AppendedAt, StreamFault};
 use crate::process::stream_follower::take_ticket;
@@ -319,6 +319,13 @@
         true
     }
 
+    /// Takes the number of an append that was read back, whose answer may be lost.
+    pub fn take_mark(&mut self, context: &mut PlanContext<'_>, mark: AppendMark) {
+        if let Some(effects) = self.writer.take_mark(context.now, mark) {
+            self.carry_out(context, effects);
+        }
+    }
+
     fn carry_out(&mut self, context: &mut PlanContext<'_>, effects: Vec<CommitEffect>) {
         for effect in effects {
             match effect {
--- a/crates/domain/src/process/planner/verifier.rs
+++ b/crates/domain/src/process/planner/verifier.rs
@@ -24,7 +24,9 @@
             }
             // Before a worker was looked at, runs are held there of which some are gone.
             if worker.link.is_surveyed && !used.fits(&worker.report.capacity) {
-                faults.push(format!("worker {name} holds more than it has"));
+                let units: Vec<String> = worker.holdings.keys().map(UnitKey::to_string).collect();
+                let held = units.join(", ");
+                faults.push(format!("worker {name} holds more than it has: {held}"));
             }
             if worker.free != worker.report.capacity.minus(&used) {
                 faults.push(format!("worker {name} counts its free room wrongly"));
--- a/crates/domain/src/process/planner/writer.rs
+++ b/crates/domain/src/process/planner/writer.rs
@@ -5,7 +5,7 @@
 
 use crate::prelude::*;
 use crate::process::action::{CallTicket, HostAction};
-use crate::process::record::{JobRecord, KeyedRecord};
+use crate::process::record::{AppendMark, JobRecord, KeyedRecord};
 use crate::process::stream::{AppendGuard, AppendOrder, AppendedAt, StreamFault, StreamName};
 use crate::process::stream_follower::take_ticket;
 
@@ -135,11 +135,13 @@
         }
         let ticket = take_ticket(next_ticket);
         sent.ticket = Some(ticket);
+        let mark = JobRecord::Mark(AppendMark(epoch, sequence)).encode();
+        let records = sent.batch.records.values().cloned();
         actions.push(HostAction::Append {
             ticket,
             order: AppendOrder {
                 stream: StreamName::Jobs,
-                records: sent.batch.records.values().cloned().collect(),
+                records: records.chain([mark]).collect(),
                 guard: AppendGuard::Writer { epoch, sequence },
             },
             timeout: APPEND_TIME,
@@ -180,14 +182,7 @@
         }
         sent.ticket = None;
         let step = match result {
-            Ok(_) => {
-                self.sequence += 1;
-                self.has_written = true;
-                self.confirmed_at = now;
-                let sent = self.sent.take();
-                let effects = sent.map(|sent| sent.batch.effects).unwrap_or_default();
-                WriteStep::Written(effects)
-            }
+            Ok(_) => WriteStep::Written(self.note_written(now)),
             Err(StreamFault::Sequence { expected }) if !self.has_written => {
                 // The announcement of the epoch counted differently.
                 self.sequence = *expected;
@@ -201,4 +196,19 @@
         };
         Some(step)
     }
+
+    /// Takes the number of an append that was read back: if it is the one under way,
+    /// its effects may follow, whatever became of its answer.
+    pub fn take_mark(&mut self, now: MonotonicTime, mark: AppendMark) -> Option<Vec<CommitEffect>> {
+        let is_under_way = self.sent.is_some() && mark == AppendMark(self.epoch, self.sequence);
+        is_under_way.then(|| self.note_written(now))
+    }
+
+    fn note_written(&mut self, now: MonotonicTime) -> Vec<CommitEffect> {
+        self.sequence += 1;
+        self.has_written = true;
+        self.confirmed_at = now;
+        let sent = self.sent.take();
+        sent.map(|sent| sent.batch.effects).unwrap_or_default()
+    }
 }
--- a/crates/domain/src/process/record.rs
+++ b/crates/domain/src/process/record.rs
@@ -12,6 +12,8 @@
 
 /// Key of the record that the planner repeats while it works.
 const HEARTBEAT_KEY: &str = "h";
+/// Key of the record that numbers the planner's appends.
+const MARK_KEY: &str = "w";
 /// Key of the claims in the seat stream.
 pub const SEAT_KEY: &str = "seat";
 
@@ -37,6 +39,8 @@
     Group(GroupKey),
     /// Sign of life of the planner.
     Heartbeat,
+    /// Number of the planner's newest append.
+    Mark,
 }
 
 /// A job with everything that decides how it is run, as of its acceptance.
@@ -128,6 +132,16 @@
     pub retry_after_ms: u64,
 }
 
+/// Number of an append of the planner, so that a planner whose answer was lost learns
+/// from reading that it was carried out.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AppendMark(
+    /// Tenure of the planner.
+    pub SeatEpoch,
+    /// Number of the append within the tenure.
+    pub u64,
+);
+
 /// Claim of the planner's seat; counts only if it was appended under the condition
 /// that no other claim came between.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -151,6 +165,8 @@
     Group(GroupKey, GroupRecord),
     /// The planner is at work.
     Heartbeat(PlannerHeartbeat),
+    /// The planner's append of this number is in the log.
+    Mark(AppendMark),
     /// Nothing is to be known of this key any more.
     Dropped(RecordKey),
 }
@@ -180,13 +196,16 @@
             Self::Outcome(job) => format!("o/{job}").into(),
             Self::Group(group) => group_text(group).into(),
             Self::Heartbeat => HEARTBEAT_KEY.into(),
+            Self::Mark => MARK_KEY.into(),
         }
     }
 
     /// Reads the text of a key.
     pub fn parse(text: &str) -> Option<Self> {
-        if text == HEARTBEAT_KEY {
-            return Some(Self::Heartbeat);
+        match text {
+            HEARTBEAT_KEY => return Some(Self::Heartbeat),
+            MARK_KEY => return Some(Self::Mark),
+            _ => {}
         }
         let (kind, rest) = text.split_once('/')?;
         match kind {
@@ -244,6 +263,7 @@
                 (RecordKey::Group(*group), Some(encode_value(&row)))
             }
             Self::Heartbeat(heartbeat) => (RecordKey::Heartbeat, Some(encode_value(heartbeat))),
+            Self::Mark(mark) => (RecordKey::Mark, Some(encode_value(mark))),
             Self::Dropped(key) => (*key, None),
         };
         KeyedRecord {
@@ -270,6 +290,7 @@
                 Self::Group(group, row.into())
             }
             RecordKey::Heartbeat => Self::Heartbeat(decode_value(key, value)?),
+            RecordKey::Mark => Self::Mark(decode_value(key, value)?),
         })
     }
 }
