--- a/crates/domain/src/process/planner/takeover.rs
+++ b/crates/domain/src/process/planner/takeover.rs
@@ -10,6 +10,7 @@
 use crate::process::planner::state::{PlanContext, PlannerState};
 use crate::process::planner::worker::Holding;
 use crate::process::record::{AcceptedJob, GroupRecord, GroupStage};
+use crate::request::submission::{JobSubmission, StepShape};
 
 impl PlannerState {
     /// Takes all open jobs of the book. The workers have to be known before. The
@@ -72,7 +73,8 @@
         let accepted_at = context.now - Duration::from_millis(age);
         log::info!(
             target: "job", job = key.to_string().as_str(), queue = accepted.queue.as_str(),
-            priority = accepted.priority, age_ms = age;
+            priority = accepted.priority, age_ms = age,
+            features = job_features(&accepted.submission).as_str();
             "job taken"
         );
         self.jobs
@@ -253,3 +255,34 @@
         }
     }
 }
+
+/// What a job asks for beside room, in words for log lines.
+fn job_features(submission: &JobSubmission) -> String {
+    let has = |test: fn(&StepShape) -> bool| submission.steps.iter().any(test);
+    let words = [
+        (has(|step| step.is_gang), "gang"),
+        (has(|step| step.same_rack), "rack"),
+        (has(|step| step.data_rack.is_some()), "data-rack"),
+        (has(|step| step.label.is_some()), "label"),
+        (has(|step| step.worker_limit.is_some()), "spread"),
+        (has(|step| step.has_checkpoints), "checkpoints"),
+        (has(|step| step.is_speculative), "speculative"),
+        (has(|step| step.is_long_running), "lasting"),
+        (has(|step| step.image.is_some()), "image"),
+        (has(|step| step.tail_target_ms.is_some()), "serving"),
+        (has(|step| step.is_filler), "filler"),
+        (has(|step| step.may_miss.is_some()), "may-miss"),
+        (submission.schedule.is_some(), "scheduled"),
+    ];
+    let units: usize = submission
+        .steps
+        .iter()
+        .map(|step| usize::from(step.count))
+        .sum();
+    let mut text = format!("steps:{},units:{units}", submission.steps.len());
+    for (_, word) in words.into_iter().filter(|(is_so, _)| *is_so) {
+        text.push(',');
+        text.push_str(word);
+    }
+    text
+}
