--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -115,6 +115,16 @@
         #[bpaf(argument("FORMAT"), fallback(OutputFormat::Table))]
         output: OutputFormat,
     },
+    /// Explain a job, unit or worker from captured log lines of a planning domain
+    #[bpaf(command)]
+    Explain {
+        /// File with captured lines of one or more hosts; may be given more than once
+        #[bpaf(argument("FILE"), some("name a file with captured lines"))]
+        log: Vec<PathBuf>,
+        /// Identifier of the job, unit, group or worker
+        #[bpaf(positional("ID"))]
+        id: String,
+    },
     /// Run an example in this process, with stand-ins for the platform
     #[bpaf(command)]
     Try {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caller_verbs;
 pub mod command;
 pub mod exit;
+pub mod explain;
 pub mod folder_verbs;
 pub mod host_verbs;
 pub mod output;
@@ -88,6 +89,7 @@
         Command::Cancel { host, output, job } => caller_verbs::cancel(host, output, &job).await,
         Command::Drain { host } => host_verbs::drain(host).await,
         Command::Dump { host, output } => host_verbs::dump(host, output).await,
+        Command::Explain { log, id } => explain::explain(&id, &log),
         Command::Try { example, output } => try_run::run_example(&example, output).await,
     }
 }
--- a/crates/cli/tests/operator_pages.rs
+++ b/crates/cli/tests/operator_pages.rs
@@ -43,6 +43,20 @@
     }
 }
 
+#[test]
+fn domain_settings_page_lists_every_key() {
+    let rows = table_rows(&page("domain-settings.md"));
+    let documented: Vec<_> = rows
+        .iter()
+        .map(|row| (row[0].as_str(), row[1].as_str(), row[2].as_str()))
+        .collect();
+    let known: Vec<_> = flamingowalk_domain_node::settings::KNOWN_KEYS
+        .iter()
+        .map(|key| (key.section, key.key, key.default.unwrap_or("")))
+        .collect();
+    assert_eq!(documented, known);
+}
+
 #[test]
 fn settings_page_lists_every_key() {
     let rows = table_rows(&page("settings.md"));
--- a/crates/domain-node/src/settings.rs
+++ b/crates/domain-node/src/settings.rs
@@ -37,13 +37,14 @@
 }
 
 /// Every key, in the order of the operators' page.
-pub const KNOWN_KEYS: [KnownKey; 17] = [
+pub const KNOWN_KEYS: [KnownKey; 18] = [
     required("host", "name"),
     optional("host", "cpu-share", "1"),
     required("listen", "caller"),
     required("listen", "ready"),
     required("listen", "status"),
     required("platform", "log"),
+    optional("platform", "orders", "request"),
     optional("bounds", "lease-s", "10"),
     optional("bounds", "stop-grace-s", "1"),
     optional("bounds", "gang-timeout-s", "3"),
@@ -86,6 +87,11 @@
             drain_wait: seconds(&mut reader, "drain", "wait-s"),
             drain_limit: seconds(&mut reader, "drain", "limit-s"),
         };
+        if reader.text("platform", "orders") != "request" {
+            let problem = "workers that take their orders with heartbeats are not supported";
+            let remedy = "run on workers that take orders by request, and write request";
+            reader.fault("platform", "orders", problem, remedy);
+        }
         if settings.drain_limit < settings.drain_wait {
             let problem = "the limit is below drain.wait-s";
             let remedy = "raise the limit or lower the wait";
--- /dev/null
+++ b/crates/domain-node/tests/settings.rs
@@ -0,0 +1,56 @@
+//! Settings of a host of a planning domain.
+
+use std::time::Duration;
+
+use flamingowalk_domain_node::DomainSettings;
+use rstest::rstest;
+
+const SETTINGS: &str = "\
+[host]
+name = front-1
+cpu-share = 0.25
+[listen]
+caller = 10.1.0.19:8521
+ready = 10.1.0.19:8523
+status = 10.1.0.19:7000
+[platform]
+log = 10.200.1.7:8524
+orders = request
+[bounds]
+lease-s = 10000e-3
+stop-grace-s = 900e-3
+checkpoint-s = 1
+";
+
+#[test]
+fn settings_whole() {
+    let settings = DomainSettings::parse("host.ini", SETTINGS).expect("settings");
+    assert_eq!(settings.limits.lease_limit, Duration::from_secs(10));
+    assert_eq!(settings.limits.stop_grace, Duration::from_millis(900));
+    assert_eq!(settings.limits.gang_timeout, Duration::from_secs(3));
+    assert!((settings.cpu_share - 0.25).abs() < 1e-9);
+}
+
+#[rstest]
+#[case::missing("name = front-1", "", "[host] name")]
+#[case::no_address("ready = 10.1.0.19:8523", "ready = here", "[listen] ready")]
+#[case::no_number("lease-s = 10000e-3", "lease-s = e-3", "[bounds] lease-s")]
+#[case::negative("checkpoint-s = 1", "checkpoint-s = -1", "[bounds] checkpoint-s")]
+#[case::unknown_key("checkpoint-s = 1", "checkpoints = 1", "[bounds] checkpoints")]
+#[case::heartbeat_orders("orders = request", "orders = heartbeat", "[platform] orders")]
+fn settings_fault_names_key(#[case] from: &str, #[case] to: &str, #[case] expected: &str) {
+    let text = SETTINGS.replace(from, to);
+    let faults = DomainSettings::parse("host.ini", &text).expect_err("a fault");
+    let text = faults.to_string();
+    assert!(text.contains(expected), "{text}");
+    assert!(text.contains("; "), "no remedy in {text}");
+}
+
+#[test]
+fn settings_all_faults_at_once() {
+    let text = SETTINGS
+        .replace("10.1.0.19:8521", "x")
+        .replace("10.200.1.7:8524", "y");
+    let faults = DomainSettings::parse("host.ini", &text).expect_err("faults");
+    assert_eq!(faults.faults.len(), 2);
+}
