--- a/crates/domain/src/process/planner/listing.rs
+++ b/crates/domain/src/process/planner/listing.rs
@@ -20,6 +20,8 @@
     /// Whether its ends are not cut, so that what is in neither list is gone.
     is_whole: bool,
     running: BTreeMap<UnitKey, &'a RunningUnit>,
+    /// Worker's time of the listing.
+    clock: WorkerClock,
 }
 
 /// What a listing says of a holding.
@@ -62,6 +64,7 @@
             sent_at: call.sent_at,
             is_whole,
             running: runs.map(|run| (run.unit, run)).collect(),
+            clock: listing.clock,
         };
         self.match_running(context, name, &listed);
         if let Some(worker) = self.workers.get_mut(name)
@@ -143,10 +146,10 @@
         match (member.stage, run) {
             (MemberStage::Starting, Some(run)) => {
                 self.set_stage(key, holding.member, |_| MemberStage::Running(now));
-                self.note_progress(now, key, holding.member, run);
+                self.note_progress(now, key, holding.member, listed.clock, run);
             }
             (MemberStage::Running(_), Some(run)) => {
-                self.note_progress(now, key, holding.member, run);
+                self.note_progress(now, key, holding.member, listed.clock, run);
             }
             (MemberStage::Running(since), None) if is_conclusive(since) => {
                 return HoldingMatch::Vanished;
--- a/crates/domain/src/process/planner/progress.rs
+++ b/crates/domain/src/process/planner/progress.rs
@@ -40,6 +40,7 @@
         now: MonotonicTime,
         key: &GroupKey,
         index: usize,
+        clock: WorkerClock,
         listed: &RunningUnit,
     ) {
         let Some(group) = self.group_mut(key) else {
@@ -57,7 +58,7 @@
             "progress listed"
         );
         let name = member.worker.clone();
-        let Some(change) = member.progress.note(now, listed.percent) else {
+        let Some(change) = member.progress.note(now, clock, listed.percent) else {
             return;
         };
         if change.is_rise() {
--- a/crates/domain/src/process/planner/speed.rs
+++ b/crates/domain/src/process/planner/speed.rs
@@ -36,7 +36,7 @@
 /// Progress of one member of a group.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct MemberProgress {
-    /// Percent of the newest listing that a pace was taken from, and when it came.
+    /// Percent of the newest listing that a pace was taken from.
     mark: Option<ProgressMark>,
     /// Percent at the newest listing.
     pub percent: u32,
@@ -48,11 +48,12 @@
     pub pace: Option<f64>,
 }
 
-/// A listed percent.
+/// A listed percent, and the worker's time of the listing: this host may be late to
+/// take it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct ProgressMark {
     percent: u32,
-    at: MonotonicTime,
+    clock: WorkerClock,
 }
 
 /// A new pace of a member.
@@ -66,25 +67,28 @@
 
 impl MemberProgress {
     /// Begins with nothing done: the first listing then tells a pace.
-    pub const fn begin(&mut self, now: MonotonicTime) {
-        self.mark = Some(ProgressMark {
-            percent: 0,
-            at: now,
-        });
+    pub const fn begin(&mut self, clock: WorkerClock) {
+        self.mark = Some(ProgressMark { percent: 0, clock });
     }
 
-    /// Takes a listed percent; the new pace, if one can be told.
-    pub fn note(&mut self, now: MonotonicTime, percent: u32) -> Option<PaceChange> {
+    /// Takes a percent, listed at the worker's time `clock`; the new pace, if one can
+    /// be told.
+    pub fn note(
+        &mut self,
+        now: MonotonicTime,
+        clock: WorkerClock,
+        percent: u32,
+    ) -> Option<PaceChange> {
         if percent > self.percent {
             self.risen_at = Some(now);
         }
         self.listed_at = Some(now);
         self.percent = percent;
         let Some(mark) = self.mark else {
-            self.mark = Some(ProgressMark { percent, at: now });
+            self.mark = Some(ProgressMark { percent, clock });
             return None;
         };
-        let span = now.since(mark.at);
+        let span = Duration::from_millis(clock.0.saturating_sub(mark.clock.0));
         // A member that has done all its work waits for the others.
         if span < LEAST_SPAN || percent >= 100 {
             return None;
@@ -92,7 +96,7 @@
         let rise = percent.saturating_sub(mark.percent);
         let pace = f64::from(rise) / span.as_secs_f64();
         let before = self.pace.replace(pace);
-        self.mark = Some(ProgressMark { percent, at: now });
+        self.mark = Some(ProgressMark { percent, clock });
         Some(PaceChange { pace, before })
     }
 }
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -147,7 +147,9 @@
             return;
         };
         match result {
-            Ok(WorkerAnswer::Done { .. }) => self.note_started(context.now, &key, index),
+            Ok(WorkerAnswer::Done { clock }) => {
+                self.note_started(context.now, *clock, &key, index);
+            }
             Ok(WorkerAnswer::Refused { cause, .. }) => {
                 self.take_refusal(context, key, index, *cause);
             }
@@ -164,7 +166,13 @@
     }
 
     /// The worker has taken the start of a member.
-    fn note_started(&mut self, now: MonotonicTime, key: &GroupKey, index: usize) {
+    fn note_started(
+        &mut self,
+        now: MonotonicTime,
+        clock: WorkerClock,
+        key: &GroupKey,
+        index: usize,
+    ) {
         let Some(group) = self.group_mut(key) else {
             return;
         };
@@ -175,7 +183,7 @@
         if member.stage == MemberStage::Starting {
             member.stage = MemberStage::Running(now);
             if is_whole_run {
-                member.progress.begin(now);
+                member.progress.begin(clock);
             }
         }
     }
