A lost log is told at once; urgent groups prefer fast workers when they take room back

A host whose reads fail twice in a row counts as cut from the log and answers what waits: not run where that is certain, else unsettled. An urgent group that finds no room near its data or in one rack for 1.2 s takes any, since its bound is seconds.

--- a/crates/domain/src/process/front_desk.rs
+++ b/crates/domain/src/process/front_desk.rs
@@ -393,7 +393,8 @@
                 && view.proved_at.is_some_and(|proved_at| proved_at >= since)
             {
                 self.end(ticket, FrontAnswer::Refused(FrontFault::NoJob), actions);
-            } else if now >= request.give_up_at {
+            } else if now >= request.give_up_at || !view.has_log {
+                // Another host may have what this one has lost.
                 let fault = give_up_fault(request);
                 self.end(ticket, FrontAnswer::Refused(fault), actions);
             } else if request.pending.is_none() && now >= request.append_at {
--- a/crates/domain/src/process/host.rs
+++ b/crates/domain/src/process/host.rs
@@ -39,7 +39,10 @@
 const WORKERS_PACE: Duration = Duration::from_millis(300);
 /// Age of the newest answer of the log from which a host counts as cut from it: a
 /// read waits 1 s at the tail, and its answer may take half a second more.
-const LOG_SILENCE: Duration = Duration::from_millis(1_700);
+const LOG_SILENCE: Duration = Duration::from_millis(1_500);
+/// Failed reads in a row from which a host counts as cut from the log: one may be a
+/// connection that was reset.
+const LOG_FAILURES: u32 = 2;
 /// Time between two looks for jobs that ended so long ago that nobody asks any more.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -135,7 +138,9 @@
 
     fn has_log(&self, now: MonotonicTime) -> bool {
         let is_recent = |at: MonotonicTime| now.since(at) < LOG_SILENCE;
-        self.jobs.proved_at().is_some() && self.jobs.answered_at().is_some_and(is_recent)
+        self.jobs.proved_at().is_some()
+            && self.jobs.failures() < LOG_FAILURES
+            && self.jobs.answered_at().is_some_and(is_recent)
     }
 
     /// Takes an event and says what to do.
--- a/crates/domain/src/process/planner/order.rs
+++ b/crates/domain/src/process/planner/order.rs
@@ -20,6 +20,8 @@
     pub is_hopeless: bool,
     /// When the occurrence should be done.
     pub due_by: MonotonicTime,
+    /// When the occurrence was due to begin.
+    pub ready_at: MonotonicTime,
 }
 
 /// Objective after which completion counts as late, and after which it is worth
@@ -109,6 +111,7 @@
             priority: job.accepted.priority,
             is_hopeless: now > late_by,
             due_by,
+            ready_at: occurrence.due_at,
         });
     }
 }
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -13,6 +13,9 @@
 const HEADROOM_PERCENT: usize = 15;
 /// Time before a step would miss its objective from which it may use that part too.
 const PRESSING_MARGIN: Duration = Duration::from_secs(2);
+/// Time for which an urgent group waits for room near its data or in one rack; its
+/// reclaim bound is a few seconds.
+const RACK_PATIENCE: Duration = Duration::from_millis(1_200);
 /// Groups for which room is kept in one pass; more would idle room for work that
 /// begins much later.
 const KEEP_LIMIT: usize = 3;
@@ -92,6 +95,9 @@
         };
         let run_time = self.run_times.expected(&accepted.queue, shape.estimate_ms);
         let is_pressing = now + run_time + PRESSING_MARGIN >= step.due_by;
+        let is_urgent = step.priority == 0;
+        let waited = now.since(step.ready_at);
+        let allows_remote = now >= step.due_by || (is_urgent && waited >= RACK_PATIENCE);
         for index in &step.groups {
             let key = GroupKey {
                 job: step.key.job,
@@ -111,8 +117,8 @@
                 shape,
                 count: shape.group_size(),
                 avoided: &failed_on,
-                allows_remote: now >= step.due_by,
-                is_urgent: step.priority == 0,
+                allows_remote,
+                is_urgent,
                 ends_at: now + run_time,
             };
             if self.start_claimed(context, key, &request) {
--- a/crates/domain/src/process/planner/reclaim.rs
+++ b/crates/domain/src/process/planner/reclaim.rs
@@ -14,6 +14,9 @@
 const ACCELERATOR_CORES: f64 = 8.0;
 /// Cost of stopping a run at all, in core seconds: its start is paid again.
 const STOP_COST: f64 = 4.0;
+/// Cost, in core seconds, of each step by which the worker of an urgent member is
+/// slower than others: as much as ten seconds of a unit of the users' renders.
+const SLOW_TIER_COST: f64 = 100.0;
 /// Time for which room is kept beside the stop's own grace, for answers and looks.
 const CLAIM_SLACK: Duration = Duration::from_millis(1_500);
 
@@ -48,9 +51,15 @@
         if step.priority != 0 || step.is_hopeless {
             return;
         }
-        let Some((placement, victims)) =
-            self.find_victims(context.now, step.priority, request, view)
-        else {
+        let near = PlaceRequest {
+            allows_remote: false,
+            ..*request
+        };
+        let mut found = self.find_victims(context.now, step.priority, &near, view);
+        if found.is_none() && request.allows_remote {
+            found = self.find_victims(context.now, step.priority, request, view);
+        }
+        let Some((placement, victims)) = found else {
             return;
         };
         log::info!(
@@ -120,13 +129,16 @@
         request: &PlaceRequest<'_>,
         view: &RoomView,
     ) -> Option<(Placement, Vec<GroupKey>)> {
-        let needs_rack = request.shape.same_rack && request.shape.is_gang && request.count > 1;
+        let is_strict = !request.allows_remote;
+        let needs_rack =
+            is_strict && request.shape.same_rack && request.shape.is_gang && request.count > 1;
         let mut racks: BTreeMap<Option<&RackName>, Vec<ClearingPlan>> = BTreeMap::new();
         for row in &view.rows {
             let is_near = request
                 .shape
                 .data_rack
                 .as_ref()
+                .filter(|_| is_strict)
                 .is_none_or(|rack| row.rack.as_ref() == Some(rack));
             let Some(worker) = self.workers.get(&row.worker).filter(|_| is_near) else {
                 continue;
@@ -144,7 +156,10 @@
             if needs_rack && rack.is_none() {
                 continue;
             }
-            let plans = self.clearing_plans(now, priority, request, worker, &row.free);
+            let mut plans = self.clearing_plans(now, priority, request, worker, &row.free);
+            for plan in &mut plans {
+                plan.cost += slowness_cost(row.tier, plan.slots);
+            }
             racks.entry(rack).or_default().extend(plans);
         }
         let found = racks
@@ -256,6 +271,11 @@
     Some((workers, victims.into_iter().collect(), cost))
 }
 
+/// What running on a slow worker costs an urgent group, beside the work that is lost.
+fn slowness_cost(tier: i32, slots: u32) -> f64 {
+    SLOW_TIER_COST * f64::from(tier.min(0).unsigned_abs()) * f64::from(slots)
+}
+
 /// Work that is lost when a group's run is stopped, in core seconds.
 fn lost_work(now: MonotonicTime, job: &PlanJob, group: &PlanGroup, need: &UnitNeed) -> f64 {
     let cores = need.cpu_millis as f64 / 1_000.0 + f64::from(need.accelerators) * ACCELERATOR_CORES;
--- a/crates/domain/src/process/stream_follower.rs
+++ b/crates/domain/src/process/stream_follower.rs
@@ -65,6 +65,8 @@
     answered_at: Option<MonotonicTime>,
     /// Since when every read was answered.
     steady_since: Option<MonotonicTime>,
+    /// Reads in a row that failed.
+    failures: u32,
 }
 
 impl StreamFollower {
@@ -85,6 +87,7 @@
             proved_at: None,
             answered_at: None,
             steady_since: None,
+            failures: 0,
         }
     }
 
@@ -104,6 +107,11 @@
         self.steady_since
     }
 
+    /// Reads in a row that failed.
+    pub const fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// Lowest offset that was not handed out.
     pub const fn next_offset(&self) -> StreamOffset {
         self.next
@@ -270,10 +278,12 @@
     fn note_answer(&mut self, now: MonotonicTime) {
         self.answered_at = Some(now);
         self.steady_since.get_or_insert(now);
+        self.failures = 0;
     }
 
     fn note_failure(&mut self, now: MonotonicTime) {
         self.steady_since = None;
+        self.failures += 1;
         self.due_at = now + RETRY_PAUSE;
     }
 }
