Runs move off workers that leave; a removed entry says that its worker has left

An entry that is removed less than 4 s after a report was written says that the worker has left; its runs count as lost at once. The bound is proved by reading: a report is not older than the read before it that reached the tail, so that a frozen or slow planner never takes a silent worker for one that left. Ruled out: a count of steady reads (6 s without a failed read), which does not hold for a planner that was frozen between two reads.

Also: the work lost by a stop is weighed by the step's own checkpoints, not by those of the job's first step.

Tests leave_removed_worker_runs_again_at_once and leave_draining_worker_run_moves failed before.

--- a/crates/domain-sim/src/sim_world.rs
+++ b/crates/domain-sim/src/sim_world.rs
@@ -866,6 +866,13 @@
         self.write_report(name);
     }
 
+    /// Takes a worker away: everything on it is lost, and its entry is removed at once.
+    pub fn remove_worker(&mut self, name: &WorkerName) {
+        self.crash_worker(name);
+        self.last_reports.remove(name);
+        self.store.put_worker(name, None);
+    }
+
     fn report(&mut self, name: &WorkerName) {
         self.push(REPORT_INTERVAL, WorldEvent::Report(name.clone()));
         self.write_report(name);
--- a/crates/domain-sim/tests/faults.rs
+++ b/crates/domain-sim/tests/faults.rs
@@ -262,6 +262,46 @@
     check_settled(world);
 }
 
+/// Runs of a worker that had left were waited for until their leases lapsed, though
+/// the removal of its entry said that they were gone; a unit was late or lost by it.
+#[test]
+fn leave_removed_worker_runs_again_at_once() {
+    let mut world = settled_world(22, 3, 2);
+    world.run_for(Duration::from_secs(6));
+    let work = Duration::from_secs(4);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(2, 8)]), work);
+    world.run_for(Duration::from_secs(2));
+    world.remove_worker(&"worker-000".into());
+    let is_restarted = world.run_until(Duration::from_secs(6), |world| world.starts == 3);
+    assert!(is_restarted, "the unit was not started elsewhere");
+    check_settled(world);
+}
+
+/// A run on a leaving worker stayed until the worker was gone, though it had a
+/// checkpoint and others had room.
+#[test]
+fn leave_draining_worker_run_moves() {
+    let mut world = settled_world(23, 3, 2);
+    let mut long = step(1, 8);
+    long.has_checkpoints = true;
+    long.estimate_ms = 8_000;
+    let work = Duration::from_secs(8);
+    world.submit(0, BATCH, JobKey(1), &job(vec![long]), work);
+    world.run_for(Duration::from_secs(3));
+    let (name, _) = world
+        .workers
+        .iter()
+        .find(|(_, worker)| !worker.running.is_empty())
+        .expect("a worker runs the unit");
+    let name = name.clone();
+    world.drain_worker(&name);
+    let is_moved = world.run_until(Duration::from_secs(3), |world| world.starts == 2);
+    assert!(is_moved, "the unit was not moved");
+    let rest = Duration::from_secs(8);
+    assert!(world.run_until(rest, all_done), "the checkpoint was lost");
+    check_settled(world);
+}
+
 /// Two hosts took the seat one after the other when a planner yielded, since a
 /// heartbeat that came between question and answer made a new claim look old.
 #[rstest]
--- a/crates/domain/src/process/host.rs
+++ b/crates/domain/src/process/host.rs
@@ -337,6 +337,7 @@
         output: FollowOutput,
         actions: &mut Vec<HostAction>,
     ) {
+        let written_after = output.written_after;
         let mut missing: BTreeSet<WorkerName> = BTreeSet::new();
         if output.begins_anew {
             missing = self.reports.keys().cloned().collect();
@@ -345,14 +346,14 @@
             match record.body {
                 StreamBody::Worker(name, report) => {
                     missing.remove(&name);
-                    self.take_report(now, wall, &name, report, actions);
+                    self.take_report(now, wall, &name, report, written_after, actions);
                 }
                 StreamBody::Skipped(cause) => skip_record(StreamName::Workers, &cause),
                 StreamBody::Manifest(_) | StreamBody::Own(..) => {}
             }
         }
         for name in missing {
-            self.take_report(now, wall, &name, None, actions);
+            self.take_report(now, wall, &name, None, written_after, actions);
         }
     }
 
@@ -362,6 +363,7 @@
         wall: WallTime,
         name: &WorkerName,
         report: Option<Arc<WorkerReport>>,
+        written_after: MonotonicTime,
         actions: &mut Vec<HostAction>,
     ) {
         match &report {
@@ -374,7 +376,7 @@
         }
         if let Some(planner) = &mut self.planner {
             let mut context = plan_context(now, wall, &mut self.next_ticket, actions);
-            planner.take_report(&mut context, name, report);
+            planner.take_report(&mut context, name, report, written_after);
         }
     }
 
@@ -483,7 +485,8 @@
         );
         let mut context = plan_context(now, wall, &mut self.next_ticket, actions);
         for (name, report) in &self.reports {
-            planner.take_report(&mut context, name, Some(Arc::clone(report)));
+            let written_after = MonotonicTime::default();
+            planner.take_report(&mut context, name, Some(Arc::clone(report)), written_after);
         }
         // A planner that is known to have ended renews no lease any more.
         let authority = if self.seat.is_vacated() {
--- a/crates/domain/src/process/planner.rs
+++ b/crates/domain/src/process/planner.rs
@@ -4,9 +4,11 @@
 
 pub mod end;
 pub mod estimate;
+pub mod headroom;
 pub mod health;
 pub mod job;
 pub mod keep;
+pub mod leaving;
 pub mod limits;
 pub mod listing;
 pub mod look;
@@ -15,6 +17,7 @@
 pub mod place;
 pub mod progress;
 pub mod reclaim;
+pub mod report;
 pub mod speed;
 pub mod start;
 pub mod state;
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -7,10 +7,6 @@
 use crate::process::planner::place::{PlaceRequest, Placement, RoomRow, RoomView, StepKey};
 use crate::process::planner::state::{PlanContext, PlannerState};
 
-/// Part of the workers, in percent, that work which can wait leaves wholly free for
-/// urgent work: about what urgent jobs take on the users' sheets, so that a burst of
-/// twice as many finds room without stopping anything.
-const HEADROOM_PERCENT: usize = 15;
 /// Time before a step would miss its objective from which it may use that part too.
 const PRESSING_MARGIN: Duration = Duration::from_secs(2);
 /// Time for which an urgent group waits for room near its data or in one rack; its
@@ -134,7 +130,7 @@
                 }
                 break;
             };
-            let headroom = view.rows.len() * HEADROOM_PERCENT / 100;
+            let headroom = self.headroom(view);
             let must_wait = step.priority > 0 && !is_pressing;
             if must_wait && view.whole_after(&placement) < headroom {
                 break;
--- a/crates/domain/src/process/planner/reclaim.rs
+++ b/crates/domain/src/process/planner/reclaim.rs
@@ -2,18 +2,21 @@
 //! first whose loss costs least. The room is kept for it until they are gone.
 
 use crate::prelude::*;
-use crate::process::planner::job::{GroupPhase, PlanGroup, PlanJob};
+use crate::process::planner::job::{GroupPhase, PlanGroup};
 use crate::process::planner::order::WaitingStep;
 use crate::process::planner::place::{PlaceRequest, Placement, RoomView};
 use crate::process::planner::state::{PlanContext, PlannerState};
 use crate::process::planner::worker::PlanWorker;
-use crate::request::submission::UnitNeed;
+use crate::request::submission::{StepShape, UnitNeed};
 
 /// Cores to which an accelerator is equal in the weight of lost work, by the users'
 /// price of it.
 const ACCELERATOR_CORES: f64 = 8.0;
 /// Cost of stopping a run at all, in core seconds: its start is paid again.
 const STOP_COST: f64 = 4.0;
+/// Seconds of work that a run with checkpoints loses at most; the platform makes one
+/// for each second of work.
+const CHECKPOINT_LOSS: f64 = 1.0;
 /// Cost, in core seconds, of each step by which the worker of an urgent member is
 /// slower than others: as much as ten seconds of a unit of the users' renders.
 const SLOW_TIER_COST: f64 = 100.0;
@@ -192,6 +195,9 @@
             let Some(group) = job.group(&holding.group) else {
                 continue;
             };
+            let Some(shape) = job.shape(holding.group.step) else {
+                continue;
+            };
             if job.accepted.priority <= priority || group.phase != GroupPhase::Active {
                 continue;
             }
@@ -199,11 +205,7 @@
                 known.1 = known.1.plus(&holding.need);
                 continue;
             }
-            victims.push((
-                holding.group,
-                holding.need,
-                lost_work(now, job, group, &holding.need),
-            ));
+            victims.push((holding.group, holding.need, lost_work(now, shape, group)));
         }
         victims.sort_by(|left, right| left.2.total_cmp(&right.2));
         let most = u32::from(request.count);
@@ -277,16 +279,15 @@
 }
 
 /// Work that is lost when a group's run is stopped, in core seconds.
-fn lost_work(now: MonotonicTime, job: &PlanJob, group: &PlanGroup, need: &UnitNeed) -> f64 {
+pub(super) fn lost_work(now: MonotonicTime, shape: &StepShape, group: &PlanGroup) -> f64 {
+    let need = &shape.need;
     let cores = need.cpu_millis as f64 / 1_000.0 + f64::from(need.accelerators) * ACCELERATOR_CORES;
     let ran = now.since(group.started_at).as_secs_f64();
-    let has_checkpoints = job
-        .accepted
-        .submission
-        .steps
-        .first()
-        .is_some_and(|shape| shape.has_checkpoints);
-    let lost = if has_checkpoints { ran.min(1.0) } else { ran };
+    let lost = if shape.has_checkpoints {
+        ran.min(CHECKPOINT_LOSS)
+    } else {
+        ran
+    };
     let members = group.members.len().max(1) as f64;
     STOP_COST + lost * cores * members
 }
--- /dev/null
+++ b/crates/domain/src/process/planner/report.rs
@@ -0,0 +1,106 @@
+//! What workers say of themselves. Decides whether an entry that is gone means that
+//! the worker has left, with all its runs, or that it is silent and may run on.
+
+use crate::prelude::*;
+use crate::process::planner::state::{PlanContext, PlannerState};
+use crate::process::planner::worker::PlanWorker;
+use crate::process::worker_report::WorkerReport;
+
+/// Silence of a worker below which the removal of its entry says that it has left: an
+/// entry of a silent worker stays for three of its heartbeats of 1.5 s, measured on a
+/// clock that may run 2% slow against this one.
+const LEAST_SILENCE: Duration = Duration::from_secs(4);
+
+impl PlannerState {
+    /// Takes what a worker says of itself, or that its entry is gone. The record was
+    /// not written before `written_after`.
+    pub fn take_report(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        name: &WorkerName,
+        report: Option<Arc<WorkerReport>>,
+        written_after: MonotonicTime,
+    ) {
+        let Some(report) = report else {
+            return self.take_removal(context, name);
+        };
+        let known = self
+            .workers
+            .get(name)
+            .map(|worker| worker.report.incarnation);
+        match known {
+            None => {
+                log::info!(
+                    target: "worker", worker = name.as_str(), life = report.incarnation.0,
+                    zone = report.zone.as_str(),
+                    rack = report.rack.as_ref().map_or("none", RackName::as_str);
+                    "worker listed"
+                );
+                let worker = PlanWorker::new(report, context.now, written_after);
+                self.workers.insert(name.clone(), worker);
+                self.adopt_orphans(context.now, name);
+                self.is_dirty = true;
+            }
+            Some(life) if life < report.incarnation => {
+                self.replace_worker(context, name, report, written_after);
+            }
+            Some(life) if life > report.incarnation => {}
+            Some(_) => self.refresh_worker(name, report, written_after),
+        }
+    }
+
+    /// The entry of a worker is gone: the worker has left, or was silent for so long
+    /// that it may be cut off and run on.
+    fn take_removal(&mut self, context: &mut PlanContext<'_>, name: &WorkerName) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        worker.is_listed = false;
+        let silence = context.now.since(worker.reported_after);
+        let has_left = silence < LEAST_SILENCE;
+        log::info!(
+            target: "worker", worker = name.as_str(), silence_ms = silence.as_millis() as u64,
+            left = has_left;
+            "worker is not listed any more"
+        );
+        if has_left {
+            self.lose_worker_units(context, name, "the worker has left");
+        }
+    }
+
+    fn refresh_worker(
+        &mut self,
+        name: &WorkerName,
+        report: Arc<WorkerReport>,
+        written_after: MonotonicTime,
+    ) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let was_usable = worker.is_listed && !worker.is_leaving;
+        if report.is_draining && !worker.is_leaving {
+            log::info!(target: "worker", worker = name.as_str(); "worker is leaving");
+        }
+        worker.is_listed = true;
+        worker.is_leaving |= report.is_draining;
+        worker.report = report;
+        worker.reported_after = worker.reported_after.max(written_after);
+        worker.recount();
+        self.is_dirty |= was_usable != (worker.is_listed && !worker.is_leaving);
+    }
+
+    /// The worker has started anew: nothing of its earlier life runs any more.
+    pub(super) fn replace_worker(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        name: &WorkerName,
+        report: Arc<WorkerReport>,
+        written_after: MonotonicTime,
+    ) {
+        log::info!(target: "worker", worker = name.as_str(), life = report.incarnation.0; "worker started anew");
+        self.lose_worker_units(context, name, "worker started anew");
+        let worker = PlanWorker::new(report, context.now, written_after);
+        self.workers.insert(name.clone(), worker);
+        self.is_dirty = true;
+    }
+}
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -18,7 +18,6 @@
 use crate::process::seat::HEARTBEAT_INTERVAL;
 use crate::process::stream::{AppendedAt, StreamFault};
 use crate::process::stream_follower::take_ticket;
-use crate::process::worker_report::WorkerReport;
 use crate::version::manifest::DomainManifest;
 
 /// Orders to workers that ended, by `order` and `outcome`.
@@ -203,72 +202,6 @@
         }
     }
 
-    /// Takes what a worker says of itself, or that its entry is gone.
-    pub fn take_report(
-        &mut self,
-        context: &mut PlanContext<'_>,
-        name: &WorkerName,
-        report: Option<Arc<WorkerReport>>,
-    ) {
-        let Some(report) = report else {
-            if let Some(worker) = self.workers.get_mut(name) {
-                worker.is_listed = false;
-                log::info!(target: "worker", worker = name.as_str(); "worker is not listed any more");
-            }
-            return;
-        };
-        let known = self
-            .workers
-            .get(name)
-            .map(|worker| worker.report.incarnation);
-        match known {
-            None => {
-                log::info!(
-                    target: "worker", worker = name.as_str(), life = report.incarnation.0,
-                    zone = report.zone.as_str(),
-                    rack = report.rack.as_ref().map_or("none", RackName::as_str);
-                    "worker listed"
-                );
-                let worker = PlanWorker::new(report, context.now);
-                self.workers.insert(name.clone(), worker);
-                self.adopt_orphans(context.now, name);
-                self.is_dirty = true;
-            }
-            Some(life) if life < report.incarnation => self.replace_worker(context, name, report),
-            Some(life) if life > report.incarnation => {}
-            Some(_) => self.refresh_worker(name, report),
-        }
-    }
-
-    fn refresh_worker(&mut self, name: &WorkerName, report: Arc<WorkerReport>) {
-        let Some(worker) = self.workers.get_mut(name) else {
-            return;
-        };
-        let was_usable = worker.is_listed && !worker.is_leaving;
-        if report.is_draining && !worker.is_leaving {
-            log::info!(target: "worker", worker = name.as_str(); "worker is leaving");
-        }
-        worker.is_listed = true;
-        worker.is_leaving |= report.is_draining;
-        worker.report = report;
-        worker.recount();
-        self.is_dirty |= was_usable != (worker.is_listed && !worker.is_leaving);
-    }
-
-    /// The worker has started anew: nothing of its earlier life runs any more.
-    pub(super) fn replace_worker(
-        &mut self,
-        context: &mut PlanContext<'_>,
-        name: &WorkerName,
-        report: Arc<WorkerReport>,
-    ) {
-        log::info!(target: "worker", worker = name.as_str(), life = report.incarnation.0; "worker started anew");
-        self.lose_worker_units(context, name, "worker started anew");
-        let worker = PlanWorker::new(report, context.now);
-        self.workers.insert(name.clone(), worker);
-        self.is_dirty = true;
-    }
-
     /// Takes a worker's answer.
     pub fn take_answer(
         &mut self,
@@ -372,6 +305,7 @@
         self.expire_orphans(context.now);
         self.expire_claims(context.now);
         self.check_progress(context);
+        self.move_from_leaving(context);
         self.forget_workers(context);
     }
 
--- a/crates/domain/src/process/planner/worker.rs
+++ b/crates/domain/src/process/planner/worker.rs
@@ -29,6 +29,8 @@
 pub struct PlanWorker {
     /// What it last said of itself.
     pub report: Arc<WorkerReport>,
+    /// Time before which it did not say that.
+    pub reported_after: MonotonicTime,
     /// Whether its entry is still in the workers stream.
     pub is_listed: bool,
     /// Whether any source said that it is leaving; stays for its life.
@@ -101,12 +103,17 @@
 
 impl PlanWorker {
     /// A worker that was not looked at yet.
-    pub fn new(report: Arc<WorkerReport>, now: MonotonicTime) -> Self {
+    pub fn new(
+        report: Arc<WorkerReport>,
+        now: MonotonicTime,
+        reported_after: MonotonicTime,
+    ) -> Self {
         let clock = ClockReading {
             clock: report.clock,
             read_at: now,
         };
         Self {
+            reported_after,
             is_listed: true,
             is_leaving: report.is_draining,
             holdings: BTreeMap::new(),
--- a/crates/domain/src/process/stream_follower.rs
+++ b/crates/domain/src/process/stream_follower.rs
@@ -42,6 +42,9 @@
     /// Whether everything handed out before is void, since records were lost: these
     /// records begin a state anew.
     pub begins_anew: bool,
+    /// Time before which none of these records was written: an earlier read, sent
+    /// then, had reached the tail. The clock's zero where nothing proves one.
+    pub written_after: MonotonicTime,
 }
 
 /// Reader of one stream.
@@ -213,6 +216,7 @@
             .filter(|record| record.offset >= known)
             .collect();
         self.next = self.next.max(page.next);
+        let written_after = self.proved_at.unwrap_or_default();
         let has_reached_tail = self.next >= page.end;
         if has_reached_tail {
             self.proved_at = self.proved_at.max(Some(read.sent_at));
@@ -230,6 +234,7 @@
         Some(FollowOutput {
             records,
             begins_anew: false,
+            written_after,
         })
     }
 
@@ -261,6 +266,7 @@
         Some(FollowOutput {
             records: page.records,
             begins_anew,
+            written_after: MonotonicTime::default(),
         })
     }
 
