Fillers and serving units never share a worker; steps keep the units that they may not miss

Cause: the planner counted the processor time of fillers as taken, put them beside units that serve users, and stopped any less urgent run for an urgent group, also more units of a long-running step than the step may miss.

A filler takes memory and accelerators but no processor time, goes where processors are idle, and gives way when a serving unit finds no room. Pacing was ruled out for now: with no filler beside a serving unit nothing has to be paced, at the price of workers that fillers leave unused.

Four tests in crates/domain-sim/tests/sharing.rs failed before.

--- a/crates/domain-sim/src/sim_worker.rs
+++ b/crates/domain-sim/src/sim_worker.rs
@@ -28,6 +28,8 @@
     pub speed: f64,
     /// Whether it keeps checkpoints.
     pub has_checkpoints: bool,
+    /// Whether it works until it is stopped.
+    pub is_long_running: bool,
     /// Whether it fails instead of being done.
     pub will_fail: bool,
     /// When it is gone after a stop.
@@ -236,11 +238,14 @@
 
     /// When it will have done its work; nothing while it waits.
     pub fn due_at(&self) -> Option<MonotonicTime> {
-        let began_at = self.began_at?;
+        let began_at = self.began_at.filter(|_| !self.is_long_running)?;
         Some(began_at + self.work.div_f64(self.speed))
     }
 
     fn percent(&self, now: MonotonicTime, is_stalled: bool) -> u32 {
+        if self.is_long_running {
+            return 100;
+        }
         let done = self.done_work(now, is_stalled).as_secs_f64();
         (100.0 * done / self.whole_work.as_secs_f64().max(0.001)) as u32
     }
--- a/crates/domain-sim/src/sim_world.rs
+++ b/crates/domain-sim/src/sim_world.rs
@@ -952,6 +952,7 @@
         whole_work,
         speed,
         has_checkpoints: shape.is_some_and(|shape| shape.has_checkpoints),
+        is_long_running: shape.is_some_and(|shape| shape.is_long_running),
         will_fail: fails_all,
         stops_at: None,
     }
--- a/crates/domain-sim/tests/domain.rs
+++ b/crates/domain-sim/tests/domain.rs
@@ -1,4 +1,5 @@
 //! Tests of a whole planning domain on a virtual clock.
 
 mod faults;
+mod sharing;
 mod support;
--- /dev/null
+++ b/crates/domain-sim/tests/sharing.rs
@@ -0,0 +1,104 @@
+//! Units that share workers: fillers, units that serve users, and long-running steps of
+//! which only some units may be away.
+
+use crate::support::{BATCH, URGENT, job, settled_world, step};
+use flamingowalk_domain::prelude::*;
+use flamingowalk_domain::request::submission::StepShape;
+use flamingowalk_domain_sim::{SimWorker, SimWorld};
+
+/// Work of units whose end does not matter to a test.
+const LONG_WORK: Duration = Duration::from_mins(1);
+
+/// A long-running step.
+fn lasting(count: u16, accelerators: u32) -> StepShape {
+    StepShape {
+        is_long_running: true,
+        ..step(count, accelerators)
+    }
+}
+
+fn filler(count: u16, cpu_millis: u64) -> StepShape {
+    let mut filler = step(count, 0);
+    filler.is_filler = true;
+    filler.need.cpu_millis = cpu_millis;
+    filler
+}
+
+fn serving(count: u16) -> StepShape {
+    StepShape {
+        tail_target_ms: Some(50),
+        ..lasting(count, 8)
+    }
+}
+
+fn runs_of(worker: &SimWorker, job: u64) -> usize {
+    let of_job = |unit: &&UnitKey| unit.job == JobKey(job);
+    worker.running.keys().filter(of_job).count()
+}
+
+fn running(world: &SimWorld, job: u64) -> usize {
+    let workers = world.workers.values();
+    workers.map(|worker| runs_of(worker, job)).sum()
+}
+
+#[test]
+fn filler_processor_time_counts_for_nobody() {
+    let mut world = settled_world(51, 3, 1);
+    let shape = filler(4, 8_000);
+    world.submit(0, BATCH, JobKey(1), &job(vec![shape]), LONG_WORK);
+    world.run_for(Duration::from_secs(1));
+    assert_eq!(running(&world, 1), 4);
+    let mut whole = step(1, 1);
+    whole.need.cpu_millis = 32_000;
+    world.submit(0, BATCH, JobKey(2), &job(vec![whole]), LONG_WORK);
+    world.run_for(Duration::from_secs(4));
+    assert_eq!(running(&world, 2), 1);
+    assert_eq!(running(&world, 1), 4);
+}
+
+#[test]
+fn filler_never_beside_serving() {
+    let mut world = settled_world(52, 3, 4);
+    world.submit(0, BATCH, JobKey(1), &job(vec![serving(3)]), LONG_WORK);
+    world.run_for(Duration::from_secs(1));
+    let shape = filler(6, 8_000);
+    world.submit(0, BATCH, JobKey(2), &job(vec![shape]), LONG_WORK);
+    world.run_for(Duration::from_secs(2));
+    assert_eq!(running(&world, 2), 4, "fillers on the one free worker");
+    for worker in world.workers.values() {
+        assert!(runs_of(worker, 1) == 0 || runs_of(worker, 2) == 0);
+    }
+}
+
+#[test]
+fn filler_gives_way_to_serving() {
+    let mut world = settled_world(53, 3, 2);
+    let shape = filler(8, 8_000);
+    world.submit(0, BATCH, JobKey(1), &job(vec![shape]), LONG_WORK);
+    world.run_for(Duration::from_secs(1));
+    world.submit(0, BATCH, JobKey(2), &job(vec![serving(1)]), LONG_WORK);
+    for _ in 0..60 {
+        world.run_for(Duration::from_millis(50));
+        for worker in world.workers.values() {
+            assert!(runs_of(worker, 1) == 0 || runs_of(worker, 2) == 0);
+        }
+    }
+    assert_eq!(running(&world, 2), 1);
+}
+
+/// Urgent work stopped all units of a step that may miss only one.
+#[test]
+fn lasting_step_keeps_all_but_those_it_may_miss() {
+    let mut world = settled_world(54, 3, 4);
+    let mut shape = lasting(4, 8);
+    shape.may_miss = Some(1);
+    world.submit(0, BATCH, JobKey(1), &job(vec![shape]), LONG_WORK);
+    world.run_for(Duration::from_secs(2));
+    assert_eq!(running(&world, 1), 4);
+    world.submit(0, URGENT, JobKey(2), &job(vec![step(3, 8)]), LONG_WORK);
+    for _ in 0..100 {
+        world.run_for(Duration::from_millis(50));
+        assert!(running(&world, 1) >= 3, "more are away than may be");
+    }
+    assert_eq!(running(&world, 2), 1);
+}
--- a/crates/domain/src/process/planner.rs
+++ b/crates/domain/src/process/planner.rs
@@ -18,6 +18,7 @@
 pub mod progress;
 pub mod reclaim;
 pub mod report;
+pub mod sharing;
 pub mod speed;
 pub mod start;
 pub mod state;
--- a/crates/domain/src/process/planner/keep.rs
+++ b/crates/domain/src/process/planner/keep.rs
@@ -50,7 +50,7 @@
         let from = slots.iter().map(|slot| slot.at).max().unwrap_or(now);
         for slot in slots {
             view.rows[slot.row].keeps.push(RoomKeep {
-                need: request.shape.need,
+                need: request.shape.held_need(),
                 from,
             });
         }
@@ -106,7 +106,7 @@
         for keep in &row.keeps {
             room = room.minus(&keep.need);
         }
-        let mut slots = request.shape.need.times_in(&room, most);
+        let mut slots = request.shape.held_need().times_in(&room, most);
         let mut times: Vec<SlotTime> = (0..slots)
             .map(|_| SlotTime {
                 row: index,
@@ -115,7 +115,7 @@
             .collect();
         for release in self.releases(now, &row.worker) {
             room = room.plus(&release.need);
-            let fitting = request.shape.need.times_in(&room, most);
+            let fitting = request.shape.held_need().times_in(&room, most);
             for _ in slots..fitting {
                 times.push(SlotTime {
                     row: index,
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -5,6 +5,7 @@
 use crate::process::planner::job::PlanOccurrence;
 use crate::process::planner::order::{WaitingStep, waiting_steps};
 use crate::process::planner::place::{PlaceRequest, Placement, RoomRow, RoomView, StepKey};
+use crate::process::planner::sharing::{SharedUse, UnitShare};
 use crate::process::planner::state::{PlanContext, PlannerState};
 
 /// Time before a step would miss its objective from which it may use that part too.
@@ -157,8 +158,9 @@
         let is_free = needed.iter().all(|(name, count)| {
             self.workers.get(*name).is_some_and(|worker| {
                 let room = worker.room_for(Some(&key));
-                let slots = request.shape.need.times_in(&room, u32::from(*count));
-                worker.is_open(context.now) && slots >= u32::from(*count)
+                let slots = request.shape.held_need().times_in(&room, u32::from(*count));
+                let is_admitted = SharedUse::of(worker).admits(UnitShare::of(request.shape));
+                worker.is_open(context.now) && is_admitted && slots >= u32::from(*count)
             })
         });
         if !is_free {
--- a/crates/domain/src/process/planner/place.rs
+++ b/crates/domain/src/process/planner/place.rs
@@ -2,6 +2,7 @@
 //! tightly, so that whole workers and racks stay free for groups that need them.
 
 use crate::prelude::*;
+use crate::process::planner::sharing::{SharedUse, UnitShare};
 use crate::process::planner::worker::PlanWorker;
 use crate::request::submission::{StepShape, UnitNeed};
 
@@ -26,6 +27,8 @@
     pub limited: BTreeMap<StepKey, u16>,
     /// Room that larger groups wait for.
     pub keeps: Vec<RoomKeep>,
+    /// Units on it that not every other unit may join.
+    pub shared: SharedUse,
 }
 
 /// Room of a worker that is kept for a group that does not fit yet.
@@ -99,6 +102,7 @@
             tier: worker.speed.tier(),
             limited: BTreeMap::new(),
             keeps: Vec::new(),
+            shared: SharedUse::of(worker),
         }
     }
 
@@ -114,14 +118,18 @@
 
     /// Members that fit now.
     pub fn slots(&self, request: &PlaceRequest<'_>) -> u32 {
-        let most = u32::from(request.count);
+        let share = UnitShare::of(request.shape);
+        let cpu_capacity = self.capacity.cpu_millis;
+        let most = self
+            .shared
+            .slots(share, cpu_capacity, u32::from(request.count));
         let mut free = self.free;
         for keep in &self.keeps {
             if !request.is_urgent && keep.from < request.ends_at {
                 free = free.minus(&keep.need);
             }
         }
-        let fitting = request.shape.need.times_in(&free, most);
+        let fitting = request.shape.held_need().times_in(&free, most);
         let Some(limit) = request.shape.worker_limit else {
             return fitting;
         };
@@ -129,8 +137,16 @@
         fitting.min(u32::from(limit.saturating_sub(used)))
     }
 
-    /// Part of the worker that is free.
-    fn free_share(&self) -> f64 {
+    /// Part of the worker that is free for a step. Fillers prefer workers with idle
+    /// processors, so for them it counts the other way round.
+    fn free_share(&self, shape: &StepShape) -> f64 {
+        if shape.is_filler {
+            let idle = self
+                .free
+                .cpu_millis
+                .saturating_sub(self.shared.filler_cpu_millis);
+            return -(idle as f64);
+        }
         self.free.share_of(&self.capacity)
     }
 }
@@ -229,8 +245,8 @@
             return None;
         }
         open.sort_by(|(left, _), (right, _)| {
-            let left = self.rows[*left].free_share();
-            left.total_cmp(&self.rows[*right].free_share())
+            let left = self.rows[*left].free_share(request.shape);
+            left.total_cmp(&self.rows[*right].free_share(request.shape))
         });
         let mut workers = Vec::with_capacity(usize::from(request.count));
         for (index, slots) in open {
@@ -278,7 +294,8 @@
                 continue;
             };
             let row = &mut self.rows[index];
-            row.free = row.free.minus(&request.shape.need);
+            row.free = row.free.minus(&request.shape.held_need());
+            row.shared.add(UnitShare::of(request.shape));
             if request.shape.worker_limit.is_some() {
                 *row.limited.entry(request.key).or_default() += 1;
             }
--- a/crates/domain/src/process/planner/reclaim.rs
+++ b/crates/domain/src/process/planner/reclaim.rs
@@ -5,6 +5,7 @@
 use crate::process::planner::job::{GroupPhase, PlanGroup};
 use crate::process::planner::order::WaitingStep;
 use crate::process::planner::place::{PlaceRequest, Placement, RoomView};
+use crate::process::planner::sharing::{SharedUse, UnitShare};
 use crate::process::planner::state::{PlanContext, PlannerState};
 use crate::process::planner::worker::PlanWorker;
 use crate::request::submission::{StepShape, UnitNeed};
@@ -41,6 +42,18 @@
     cost: f64,
 }
 
+/// A group that may be stopped.
+#[derive(Clone, Copy, Debug)]
+struct ClearingVictim {
+    group: GroupKey,
+    /// What its members on the worker occupy.
+    need: UnitNeed,
+    /// Work that is lost, in core seconds.
+    lost: f64,
+    /// Whether the request cannot share the worker with it.
+    must_go: bool,
+}
+
 impl PlannerState {
     /// Stops less urgent runs to make room for an urgent group.
     pub(super) fn reclaim_for(
@@ -51,7 +64,8 @@
         request: &PlaceRequest<'_>,
         view: &mut RoomView,
     ) {
-        if step.priority != 0 || step.is_hopeless {
+        let is_serving = UnitShare::of(request.shape) == UnitShare::Serving;
+        if (step.priority != 0 && !is_serving) || step.is_hopeless {
             return;
         }
         let near = PlaceRequest {
@@ -87,7 +101,7 @@
         for name in &placement.workers {
             if let Some(worker) = self.workers.get_mut(name) {
                 let kept = worker.reserved.entry(key).or_default();
-                *kept = kept.plus(&request.shape.need);
+                *kept = kept.plus(&request.shape.held_need());
             }
         }
         view.take(request, &placement);
@@ -187,50 +201,29 @@
         worker: &PlanWorker,
         free: &UnitNeed,
     ) -> Vec<ClearingPlan> {
-        let mut victims: Vec<(GroupKey, UnitNeed, f64)> = Vec::new();
-        for holding in worker.holdings.values() {
-            let Some(job) = self.jobs.get(&holding.group.job) else {
-                continue;
-            };
-            let Some(group) = job.group(&holding.group) else {
-                continue;
-            };
-            let Some(shape) = job.shape(holding.group.step) else {
-                continue;
-            };
-            if job.accepted.priority <= priority || group.phase != GroupPhase::Active {
-                continue;
-            }
-            if let Some(known) = victims.iter_mut().find(|(key, _, _)| *key == holding.group) {
-                known.1 = known.1.plus(&holding.need);
-                continue;
-            }
-            victims.push((holding.group, holding.need, lost_work(now, shape, group)));
-        }
-        victims.sort_by(|left, right| left.2.total_cmp(&right.2));
+        let Some(victims) = self.victims_on(now, priority, request, worker) else {
+            return Vec::new();
+        };
         let most = u32::from(request.count);
+        let member_need = request.shape.held_need();
         let mut room = *free;
-        let mut slots = request.shape.need.times_in(&room, most);
+        let mut slots = 0;
         let mut plans = Vec::new();
-        let name = &worker.report.name;
-        if slots > 0 {
-            plans.push(ClearingPlan {
-                worker: name.clone(),
-                victims: Vec::new(),
-                slots,
-                cost: 0.0,
-            });
-        }
         let mut pending = Vec::new();
         let mut cost = 0.0;
-        for (key, need, lost) in victims {
-            room = room.plus(&need);
-            pending.push(key);
-            cost += lost;
-            let fitting = request.shape.need.times_in(&room, most);
-            if fitting > slots {
+        let mut first = victims.iter().filter(|victim| victim.must_go).count();
+        // What must go anyway belongs to the first way, and so does the room that is free.
+        for victim in std::iter::once(None).chain(victims.iter().map(Some)) {
+            if let Some(victim) = victim {
+                room = room.plus(&victim.need);
+                pending.push(victim.group);
+                cost += victim.lost;
+                first = first.saturating_sub(usize::from(victim.must_go));
+            }
+            let fitting = member_need.times_in(&room, most);
+            if first == 0 && fitting > slots {
                 plans.push(ClearingPlan {
-                    worker: name.clone(),
+                    worker: worker.report.name.clone(),
                     victims: std::mem::take(&mut pending),
                     slots: fitting - slots,
                     cost,
@@ -241,6 +234,60 @@
         }
         plans
     }
+
+    /// Groups on a worker that may be stopped for a request, those that must go first
+    /// and then those whose loss costs least; nothing if one that must go may not.
+    fn victims_on(
+        &self,
+        now: MonotonicTime,
+        priority: u8,
+        request: &PlaceRequest<'_>,
+        worker: &PlanWorker,
+    ) -> Option<Vec<ClearingVictim>> {
+        let share = UnitShare::of(request.shape);
+        let is_serving = share == UnitShare::Serving;
+        if !is_serving && !SharedUse::of(worker).admits(share) {
+            return None;
+        }
+        let mut victims: Vec<ClearingVictim> = Vec::new();
+        for holding in worker.holdings.values() {
+            let must_go = is_serving && matches!(holding.share, UnitShare::Filler { .. });
+            let job = self.jobs.get(&holding.group.job);
+            let Some((job, group)) = job.and_then(|job| Some((job, job.group(&holding.group)?)))
+            else {
+                continue;
+            };
+            let Some(held) = job.shape(holding.group.step) else {
+                continue;
+            };
+            let gives_way = must_go || (priority == 0 && job.accepted.priority > priority);
+            let is_stoppable = group.phase == GroupPhase::Active && job.may_stop(&holding.group);
+            if must_go && !is_stoppable {
+                return None;
+            }
+            if !gives_way || !is_stoppable {
+                continue;
+            }
+            let known = victims
+                .iter_mut()
+                .find(|victim| victim.group == holding.group);
+            if let Some(known) = known {
+                known.need = known.need.plus(&holding.need);
+                continue;
+            }
+            victims.push(ClearingVictim {
+                group: holding.group,
+                need: holding.need,
+                lost: lost_work(now, held, group),
+                must_go,
+            });
+        }
+        victims.sort_by(|left, right| {
+            let by_duty = right.must_go.cmp(&left.must_go);
+            by_duty.then(left.lost.total_cmp(&right.lost))
+        });
+        Some(victims)
+    }
 }
 
 /// Takes the cheapest ways first until there is room for all members. The ways of one
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -24,9 +24,10 @@
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        let Some(need) = job.shape(key.step).map(|shape| shape.need) else {
+        let Some(shape) = job.shape(key.step) else {
             return;
         };
+        let holding = Holding::new(key, 0, shape, false);
         let Some(group) = job.group_mut(&key) else {
             return;
         };
@@ -40,12 +41,7 @@
                 continue;
             };
             worker.reserved.remove(&key);
-            let holding = Holding {
-                group: key,
-                member,
-                need,
-                is_sent: false,
-            };
+            let holding = Holding { member, ..holding };
             worker.hold(key.unit(member as u16), holding);
             group.members.push(PlanMember {
                 worker: name.clone(),
--- a/crates/domain/src/process/planner/takeover.rs
+++ b/crates/domain/src/process/planner/takeover.rs
@@ -123,9 +123,10 @@
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        let Some(need) = job.shape(key.step).map(|shape| shape.need) else {
+        let Some(shape) = job.shape(key.step) else {
             return;
         };
+        let holding = Holding::new(*key, 0, shape, true);
         let Some(group) = job.group_mut(key) else {
             return;
         };
@@ -154,18 +155,13 @@
                         progress: MemberProgress::default(),
                     });
                 }
-                self.hold_restored(now, key, need);
+                self.hold_restored(now, key, holding);
             }
         }
     }
 
     /// Occupies the room of a recorded run, where its worker still lives.
-    fn hold_restored(
-        &mut self,
-        now: MonotonicTime,
-        key: &GroupKey,
-        need: crate::request::submission::UnitNeed,
-    ) {
+    fn hold_restored(&mut self, now: MonotonicTime, key: &GroupKey, holding: Holding) {
         let members = self
             .group_mut(key)
             .map(|group| group.members.clone())
@@ -178,10 +174,8 @@
             match worker {
                 Some(worker) => {
                     let holding = Holding {
-                        group: *key,
                         member: index,
-                        need,
-                        is_sent: true,
+                        ..holding
                     };
                     worker.hold(key.unit(index as u16), holding);
                 }
@@ -219,20 +213,14 @@
                 continue;
             }
             let job = self.jobs.get(&key.job);
-            let need = job
+            let holding = job
                 .and_then(|job| job.shape(key.step))
-                .map(|shape| shape.need);
+                .map(|shape| Holding::new(key, index, shape, true));
             let worker = self
                 .workers
                 .get_mut(name)
                 .filter(|worker| worker.incarnation() == member.incarnation);
-            if let Some((worker, need)) = worker.zip(need) {
-                let holding = Holding {
-                    group: key,
-                    member: index,
-                    need,
-                    is_sent: true,
-                };
+            if let Some((worker, holding)) = worker.zip(holding) {
                 worker.hold(key.unit(index as u16), holding);
                 worker.link.lease_bound = worker.link.lease_bound.max(bound);
             } else {
--- a/crates/domain/src/process/planner/worker.rs
+++ b/crates/domain/src/process/planner/worker.rs
@@ -7,9 +7,10 @@
 use crate::process::action::CallTicket;
 use crate::process::planner::health::WorkerHealth;
 use crate::process::planner::limits::with_drift;
+use crate::process::planner::sharing::UnitShare;
 use crate::process::planner::speed::WorkerSpeed;
 use crate::process::worker_report::WorkerReport;
-use crate::request::submission::UnitNeed;
+use crate::request::submission::{StepShape, UnitNeed};
 
 /// What occupies a worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -20,6 +21,8 @@
     pub member: usize,
     /// What it takes.
     pub need: UnitNeed,
+    /// How it shares the worker.
+    pub share: UnitShare,
     /// Whether an order to start it may have been sent.
     pub is_sent: bool,
 }
@@ -101,6 +104,19 @@
     pub read_at: MonotonicTime,
 }
 
+impl Holding {
+    /// The holding of a member of a step's group.
+    pub const fn new(group: GroupKey, member: usize, shape: &StepShape, is_sent: bool) -> Self {
+        Self {
+            group,
+            member,
+            need: shape.held_need(),
+            share: UnitShare::of(shape),
+            is_sent,
+        }
+    }
+}
+
 impl PlanWorker {
     /// A worker that was not looked at yet.
     pub fn new(
--- a/crates/domain/src/request/submission.rs
+++ b/crates/domain/src/request/submission.rs
@@ -211,6 +211,20 @@
 }
 
 impl StepShape {
+    /// What a unit takes from its worker's room: no processor time if it only uses
+    /// what others leave.
+    pub const fn held_need(&self) -> UnitNeed {
+        let cpu_millis = if self.is_filler {
+            0
+        } else {
+            self.need.cpu_millis
+        };
+        UnitNeed {
+            cpu_millis,
+            ..self.need
+        }
+    }
+
     /// Units that start and end together: all of a gang, else one.
     pub const fn group_size(&self) -> u16 {
         if self.is_gang { self.count } else { 1 }
