Approvals of workers for queues whose policy needs them

Cause: a queue with advice could start nothing, since starts carried no ticket and the planner never asked for one.

The service's address is platform.advice in the settings.

Ruled out: asking for all workers of the pool at once, which costs a time for each worker named and lets a slow call hold back other queues' questions.

--- a/crates/domain-node/src/ports.rs
+++ b/crates/domain-node/src/ports.rs
@@ -5,8 +5,8 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use flamingowalk_domain::process::action::{NewestOrder, ReadOrder, WorkerCall};
-use flamingowalk_domain::process::event::{WorkerAnswer, WorkerFault};
+use flamingowalk_domain::process::action::{AdviceOrder, NewestOrder, ReadOrder, WorkerCall};
+use flamingowalk_domain::process::event::{AdviceFault, WorkerAnswer, WorkerApproval, WorkerFault};
 use flamingowalk_domain::process::stream::{
     AppendOrder, AppendedAt, NewestPage, StreamFault, StreamPage,
 };
@@ -22,6 +22,9 @@
     Box<dyn Fn(AppendOrder, Duration) -> PortFuture<Result<AppendedAt, StreamFault>>>;
 /// Sends an order to a worker.
 pub type WorkerPort = Box<dyn Fn(WorkerCall) -> PortFuture<Result<WorkerAnswer, WorkerFault>>>;
+/// Asks which workers may run a step.
+pub type AdvicePort =
+    Box<dyn Fn(AdviceOrder) -> PortFuture<Result<Vec<WorkerApproval>, AdviceFault>>>;
 
 /// The calls that a host makes.
 pub struct DomainPorts {
@@ -33,6 +36,8 @@
     pub append: AppendPort,
     /// Sends an order to a worker.
     pub worker: WorkerPort,
+    /// Asks which workers may run a step.
+    pub advise: AdvicePort,
 }
 
 impl Debug for DomainPorts {
--- a/crates/domain-node/src/run_loop.rs
+++ b/crates/domain-node/src/run_loop.rs
@@ -221,6 +221,10 @@
                 let ticket = call.ticket;
                 HostEvent::WorkerAnswered(ticket, (ports.worker)(call).await)
             }),
+            HostAction::Advise(order) => spawn_call(events, async move {
+                let ticket = order.ticket;
+                HostEvent::Advised(ticket, (ports.advise)(order).await)
+            }),
             HostAction::Reply(ticket, answer) => {
                 if let Some(reply) = self.replies.remove(&ticket) {
                     // The caller may be gone.
--- a/crates/domain-node/src/settings.rs
+++ b/crates/domain-node/src/settings.rs
@@ -28,6 +28,8 @@
     pub status_address: SocketAddr,
     /// Address of the log.
     pub log_address: SocketAddr,
+    /// Address of the service that approves workers, where queues need approvals.
+    pub advice_address: Option<SocketAddr>,
     /// Bounds of the deployment.
     pub limits: PlanLimits,
     /// Time between turning unready and closing the listener.
@@ -37,7 +39,7 @@
 }
 
 /// Every key, in the order of the operators' page.
-pub const KNOWN_KEYS: [KnownKey; 18] = [
+pub const KNOWN_KEYS: [KnownKey; 19] = [
     required("host", "name"),
     optional("host", "cpu-share", "1"),
     required("listen", "caller"),
@@ -45,6 +47,7 @@
     required("listen", "status"),
     required("platform", "log"),
     optional("platform", "orders", "request"),
+    optional("platform", "advice", "none"),
     optional("bounds", "lease-s", "10"),
     optional("bounds", "stop-grace-s", "1"),
     optional("bounds", "gang-timeout-s", "3"),
@@ -73,6 +76,7 @@
             ready_address: reader.address("listen", "ready"),
             status_address: reader.address("listen", "status"),
             log_address: reader.address("platform", "log"),
+            advice_address: optional_address(&mut reader, "platform", "advice"),
             limits: PlanLimits {
                 lease_limit: seconds(&mut reader, "bounds", "lease-s"),
                 stop_grace: seconds(&mut reader, "bounds", "stop-grace-s"),
@@ -107,6 +111,12 @@
     }
 }
 
+/// Value of a key as an address, or nothing for `none`.
+fn optional_address(reader: &mut SettingsReader, section: &str, key: &str) -> Option<SocketAddr> {
+    let is_absent = reader.text(section, key) == "none";
+    (!is_absent).then(|| reader.address(section, key))
+}
+
 /// Value of a key as a number of zero or more.
 fn number(reader: &mut SettingsReader, section: &str, key: &str) -> f64 {
     let text = reader.text(section, key);
--- /dev/null
+++ b/crates/domain-sim/src/sim_advice.rs
@@ -0,0 +1,103 @@
+//! The service that approves workers for the steps of some jobs, simulated: one call at
+//! a time, a time for each worker named, and tickets that end.
+
+use flamingowalk_domain::prelude::*;
+use flamingowalk_domain::process::action::{AdviceOrder, StartOrder};
+use flamingowalk_domain::process::event::WorkerApproval;
+
+/// The service.
+#[derive(Clone, Debug)]
+pub struct SimAdvice {
+    /// Jobs that need approvals, with the workers that are not approved.
+    pub denied: BTreeMap<JobKey, BTreeSet<WorkerName>>,
+    /// Whether it answers.
+    pub is_up: bool,
+    /// Time that every call takes.
+    pub decide_time: Duration,
+    /// Time that every worker named takes.
+    pub worker_time: Duration,
+    /// Time for which a ticket may be used.
+    pub validity: Duration,
+    /// Workers named in each call.
+    pub calls: Vec<usize>,
+    /// Starts that workers refused for want of a ticket.
+    pub refused_starts: u32,
+    free_at: MonotonicTime,
+}
+
+impl Default for SimAdvice {
+    fn default() -> Self {
+        Self {
+            denied: BTreeMap::new(),
+            is_up: true,
+            decide_time: Duration::from_millis(20),
+            worker_time: Duration::from_millis(2),
+            validity: Duration::from_secs(5),
+            calls: Vec::new(),
+            refused_starts: 0,
+            free_at: MonotonicTime::default(),
+        }
+    }
+}
+
+impl SimAdvice {
+    /// Takes a call: when it is answered, and with what.
+    pub fn take(
+        &mut self,
+        now: MonotonicTime,
+        order: &AdviceOrder,
+        life: impl Fn(&WorkerName) -> WorkerIncarnation,
+    ) -> (MonotonicTime, Vec<WorkerApproval>) {
+        let count = order.workers.len();
+        self.calls.push(count);
+        let call_time = self.decide_time + self.worker_time * count as u32;
+        self.free_at = self.free_at.max(now) + call_time;
+        let until = self.free_at + self.validity;
+        let denied = self.denied.get(&order.step.job);
+        let is_approved = |name: &&WorkerName| denied.is_none_or(|names| !names.contains(*name));
+        let approvals = order.workers.iter().filter(is_approved);
+        let approvals = approvals.map(|name| WorkerApproval {
+            worker: name.clone(),
+            ticket: ticket(&order.step, name, life(name), until).into(),
+        });
+        (self.free_at, approvals.collect())
+    }
+
+    /// Whether a worker refuses a start for want of a ticket.
+    pub fn refuses(
+        &mut self,
+        now: MonotonicTime,
+        start: &StartOrder,
+        worker: &WorkerName,
+        life: WorkerIncarnation,
+    ) -> bool {
+        let unit = &start.unit;
+        if !self.denied.contains_key(&unit.job) {
+            return false;
+        }
+        let step = StepKey {
+            job: unit.job,
+            occurrence: unit.occurrence,
+            step: unit.step,
+        };
+        let until = start.approval.as_ref().and_then(|text| {
+            let (_, until) = text.rsplit_once(' ')?;
+            until.parse().ok().map(MonotonicTime)
+        });
+        let is_valid = until.is_some_and(|until| {
+            let known = ticket(&step, worker, life, until);
+            now < until && start.approval.as_deref() == Some(known.as_str())
+        });
+        self.refused_starts += u32::from(!is_valid);
+        !is_valid
+    }
+}
+
+fn ticket(
+    step: &StepKey,
+    worker: &WorkerName,
+    life: WorkerIncarnation,
+    until: MonotonicTime,
+) -> String {
+    format!("{step} {worker} {} {}", life.0, until.0)
+}
--- a/crates/domain-sim/src/sim_world.rs
+++ b/crates/domain-sim/src/sim_world.rs
@@ -3,9 +3,11 @@
 
 use flamingowalk_domain::prelude::*;
 use flamingowalk_domain::process::action::{
-    CallTicket, HostAction, ReadOrder, StartOrder, WorkerCall, WorkerOrder,
+    AdviceOrder, CallTicket, HostAction, ReadOrder, StartOrder, WorkerCall, WorkerOrder,
+};
+use flamingowalk_domain::process::event::{
+    AdviceFault, EndCause, HostEvent, RefusalCause, WorkerAnswer, WorkerFault,
 };
-use flamingowalk_domain::process::event::{EndCause, HostEvent, WorkerAnswer, WorkerFault};
 use flamingowalk_domain::process::host::{DomainHost, HostIdentity};
 use flamingowalk_domain::process::planner::PlanLimits;
 use flamingowalk_domain::process::stream::{AppendOrder, StreamFault};
@@ -19,6 +21,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 
+use crate::sim_advice::SimAdvice;
 use crate::sim_store::SimStore;
 use crate::sim_worker::{SimRun, SimWorker, checkpoint_work};
 
@@ -128,6 +131,8 @@
     /// Workers by name.
     pub workers: BTreeMap<WorkerName, SimWorker>,
     last_reports: BTreeMap<WorkerName, MonotonicTime>,
+    /// The service that approves workers.
+    pub advice: SimAdvice,
     waiting_reads: Vec<(usize, u64, ReadOrder, MonotonicTime)>,
     waiting_looks: Vec<WaitingLook>,
     /// Bounds that the hosts are told.
@@ -169,6 +174,7 @@
             lost_answers: 0.0,
             workers: BTreeMap::new(),
             last_reports: BTreeMap::new(),
+            advice: SimAdvice::default(),
             waiting_reads: Vec::new(),
             waiting_looks: Vec::new(),
             limits: PlanLimits::default(),
@@ -407,10 +413,28 @@
                 self.push(call.timeout, WorldEvent::ToHost(index, life, lost));
                 self.push(HOP, WorldEvent::ToWorker(index, life, Box::new(call)));
             }
+            HostAction::Advise(order) => self.serve_advice(index, life, &order),
             HostAction::Reply(ticket, answer) => self.note_answer(ticket, answer),
         }
     }
 
+    fn serve_advice(&mut self, index: usize, life: u64, order: &AdviceOrder) {
+        let lost = HostEvent::Advised(order.ticket, Err(AdviceFault::NoAnswer));
+        self.push(order.timeout, WorldEvent::ToHost(index, life, lost));
+        if !self.advice.is_up {
+            return;
+        }
+        let workers = &self.workers;
+        let life_of = |name: &WorkerName| {
+            let worker = workers.get(name);
+            worker.map_or(WorkerIncarnation(0), |worker| worker.report.incarnation)
+        };
+        let (answered_at, approvals) = self.advice.take(self.now, order, life_of);
+        let event = HostEvent::Advised(order.ticket, Ok(approvals));
+        let delay = answered_at.since(self.now) + HOP;
+        self.push(delay, WorldEvent::ToHost(index, life, event));
+    }
+
     /// Sends a call to the log. The timeout reaches the host in any case; hosts take
     /// no second answer to a ticket.
     fn call_store(
@@ -530,6 +554,17 @@
                 clock: WorkerClock(0),
             };
         };
+        if let WorkerOrder::Start(start) = &call.order
+            && call.incarnation == worker.report.incarnation
+            && self
+                .advice
+                .refuses(now, start, &call.worker, worker.report.incarnation)
+        {
+            return WorkerAnswer::Refused {
+                cause: RefusalCause::NoApproval,
+                clock: Some(worker.clock(now)),
+            };
+        }
         let fails_all = worker.fails_all;
         let speed = worker.speed;
         let make_run = |start: &StartOrder| new_run(now, submissions, start, speed, fails_all);
--- a/crates/domain-sim/tests/support.rs
+++ b/crates/domain-sim/tests/support.rs
@@ -5,7 +5,7 @@
 use flamingowalk_domain::process::worker_report::WorkerReport;
 use flamingowalk_domain::request::submission::{JobSubmission, StepShape, UnitNeed};
 use flamingowalk_domain::version::manifest::{
-    CustomerEntry, DomainManifest, QueueSettings, ServiceSettings,
+    AdviceSettings, CustomerEntry, DomainManifest, QueueSettings, ServiceSettings,
 };
 use flamingowalk_domain_sim::SimWorld;
 
@@ -13,6 +13,8 @@
 pub const URGENT: &str = "/urgent/";
 /// Path of the queue that may wait.
 pub const BATCH: &str = "/batch/";
+/// Path of the queue whose starts need approvals.
+pub const ADVISED: &str = "/advised/";
 /// Workers of a rack.
 pub const RACK: usize = 4;
 
@@ -30,7 +32,7 @@
     }
 }
 
-/// A configuration with both queues.
+/// A configuration with all queues.
 pub fn manifest(version: u64) -> DomainManifest {
     let mut manifest = DomainManifest {
         version,
@@ -40,6 +42,13 @@
         .queues
         .insert("urgent".into(), queue(URGENT, 0, 1.5));
     manifest.queues.insert("batch".into(), queue(BATCH, 2, 3.0));
+    let mut advised = queue(ADVISED, 1, 3.0);
+    advised.advice = Some(AdviceSettings {
+        decide_time: Duration::from_millis(20),
+        worker_time: Duration::from_millis(2),
+        validity: Duration::from_secs(5),
+    });
+    manifest.queues.insert("advised".into(), advised);
     manifest
         .services
         .insert("service".into(), ServiceSettings::default());
--- a/crates/domain/src/keys.rs
+++ b/crates/domain/src/keys.rs
@@ -64,6 +64,34 @@
     }
 }
 
+/// A step of an occurrence.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StepKey {
+    /// Job.
+    pub job: JobKey,
+    /// Occurrence.
+    pub occurrence: u32,
+    /// Step.
+    pub step: u16,
+}
+
+impl StepKey {
+    /// The step of a group.
+    pub const fn of(group: &GroupKey) -> Self {
+        Self {
+            job: group.job,
+            occurrence: group.occurrence,
+            step: group.step,
+        }
+    }
+}
+
+impl Display for StepKey {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
 impl Display for GroupKey {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)?;
--- a/crates/domain/src/prelude.rs
+++ b/crates/domain/src/prelude.rs
@@ -4,5 +4,6 @@
 pub use flamingowalk_core::prelude::*;
 
 pub use crate::keys::{
-    GroupKey, JobKey, RunNumber, SeatEpoch, StreamOffset, UnitKey, WorkerClock, WorkerIncarnation,
+    GroupKey, JobKey, RunNumber, SeatEpoch, StepKey, StreamOffset, UnitKey, WorkerClock,
+    WorkerIncarnation,
 };
--- a/crates/domain/src/process/action.rs
+++ b/crates/domain/src/process/action.rs
@@ -29,6 +29,8 @@
     },
     /// Send an order to a worker.
     Worker(WorkerCall),
+    /// Ask which workers may run a step.
+    Advise(AdviceOrder),
     /// Answer a caller.
     Reply(RequestTicket, FrontAnswer),
 }
@@ -61,6 +63,19 @@
     pub timeout: Duration,
 }
 
+/// A question which workers may run a step.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AdviceOrder {
+    /// Ticket of the answer.
+    pub ticket: CallTicket,
+    /// Step.
+    pub step: StepKey,
+    /// Workers asked about.
+    pub workers: Vec<WorkerName>,
+    /// Time to wait for the answer.
+    pub timeout: Duration,
+}
+
 /// An order to one life of a worker.
 #[derive(Clone, Debug)]
 pub struct WorkerCall {
@@ -109,6 +124,8 @@
     pub lease_until: WorkerClock,
     /// Checkpoint from which to resume.
     pub saved: Option<Arc<str>>,
+    /// Approval of the worker, where the job's queue needs one; as the service wrote it.
+    pub approval: Option<Arc<str>>,
 }
 
 /// Question for what runs and what has ended.
--- a/crates/domain/src/process/event.rs
+++ b/crates/domain/src/process/event.rs
@@ -20,6 +20,8 @@
     Appended(CallTicket, Result<AppendedAt, StreamFault>),
     /// A worker answered, or did not.
     WorkerAnswered(CallTicket, Result<WorkerAnswer, WorkerFault>),
+    /// A question for advice was answered or given up.
+    Advised(CallTicket, Result<Vec<WorkerApproval>, AdviceFault>),
     /// The process was asked to shut down.
     DrainAsked,
     /// Time has passed.
@@ -157,6 +159,35 @@
     }
 }
 
+/// Approval of one worker for a step.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WorkerApproval {
+    /// Worker.
+    pub worker: WorkerName,
+    /// What a start there has to carry, as the service wrote it.
+    pub ticket: Arc<str>,
+}
+
+/// Why a question for advice brought nothing.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum AdviceFault {
+    /// The settings name no service.
+    #[error("a queue needs advice and the settings name no service; set platform.advice")]
+    NoService,
+    /// No answer came in time.
+    #[error("no answer from the advice service; check the network")]
+    NoAnswer,
+    /// Too many calls wait there.
+    #[error("the advice service is busy; it is asked again after a pause")]
+    Busy,
+    /// The answer cannot be read.
+    #[error("the advice service's answer cannot be read ({detail}); check the interface versions")]
+    Malformed {
+        /// What is wrong.
+        detail: String,
+    },
+}
+
 /// Why a worker gave no answer that can be used.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum WorkerFault {
--- a/crates/domain/src/process/host.rs
+++ b/crates/domain/src/process/host.rs
@@ -195,6 +195,11 @@
                     planner.take_answer(&mut context, ticket, result);
                 }
             }
+            HostEvent::Advised(ticket, result) => {
+                if let Some(planner) = &mut self.planner {
+                    planner.take_advice(now, ticket, result);
+                }
+            }
             HostEvent::DrainAsked => self.begin_drain(),
             HostEvent::Ticked => self.tick(now, wall, &mut actions),
         }
--- a/crates/domain/src/process/planner.rs
+++ b/crates/domain/src/process/planner.rs
@@ -2,6 +2,7 @@
 //! lives for one tenure of the seat. [`PlannerState`] takes typed events and returns
 //! typed actions; what it must not forget goes to the jobs stream before it acts.
 
+pub mod advice;
 pub mod end;
 pub mod estimate;
 pub mod headroom;
--- a/crates/domain/src/process/planner/order.rs
+++ b/crates/domain/src/process/planner/order.rs
@@ -5,7 +5,6 @@
 use crate::prelude::*;
 use crate::process::planner::estimate::RunTimes;
 use crate::process::planner::job::{GroupPhase, PlanJob, PlanOccurrence};
-use crate::process::planner::place::StepKey;
 
 /// A step of which groups wait to run.
 #[derive(Clone, Debug)]
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -4,7 +4,7 @@
 use crate::prelude::*;
 use crate::process::planner::job::PlanOccurrence;
 use crate::process::planner::order::{WaitingStep, waiting_steps};
-use crate::process::planner::place::{PlaceRequest, Placement, RoomRow, RoomView, StepKey};
+use crate::process::planner::place::{PlaceRequest, Placement, RoomRow, RoomView};
 use crate::process::planner::sharing::{SharedUse, UnitShare};
 use crate::process::planner::state::{PlanContext, PlannerState};
 
@@ -31,6 +31,7 @@
         for step in &waiting {
             self.plan_step(context, step, &mut view, &mut kept);
         }
+        self.ask_ahead(context, &view);
     }
 
     /// Room of the workers that may get something.
@@ -95,6 +96,8 @@
         let is_urgent = step.priority == 0;
         let waited = now.since(step.ready_at);
         let allows_remote = now >= step.due_by || (is_urgent && waited >= RACK_PATIENCE);
+        let terms = self.advice_terms(&accepted.queue);
+        let approved = terms.map(|_| self.advice.approved(&step.key, now, &self.workers));
         for index in &step.groups {
             let key = GroupKey {
                 job: step.key.job,
@@ -114,6 +117,7 @@
                 shape,
                 count: shape.group_size(),
                 avoided: &failed_on,
+                approved: approved.as_ref(),
                 allows_remote,
                 is_urgent,
                 ends_at: now + run_time,
@@ -122,6 +126,9 @@
                 continue;
             }
             let Some(placement) = view.place(&request) else {
+                if let Some(terms) = terms {
+                    self.ask_advice(context, terms, &request, view);
+                }
                 self.reclaim_for(context, key, step, &request, view);
                 if step.priority > 0
                     && *kept < KEEP_LIMIT
--- a/crates/domain/src/process/planner/place.rs
+++ b/crates/domain/src/process/planner/place.rs
@@ -40,17 +40,6 @@
     pub from: MonotonicTime,
 }
 
-/// A step of an occurrence.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct StepKey {
-    /// Job.
-    pub job: JobKey,
-    /// Occurrence.
-    pub occurrence: u32,
-    /// Step.
-    pub step: u16,
-}
-
 /// Workers for the members of a group, in their order.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Placement {
@@ -73,6 +62,8 @@
     pub count: u16,
     /// Workers to leave out.
     pub avoided: &'a [WorkerName],
+    /// Workers that may run the step, where its queue needs approvals.
+    pub approved: Option<&'a BTreeSet<WorkerName>>,
     /// Whether a place where the units slow down will do.
     pub allows_remote: bool,
     /// Whether it should end as soon as it can; others leave fast workers to it, and
@@ -107,9 +98,11 @@
     }
 
     /// Whether the worker may run the group at all.
-    fn suits(&self, request: &PlaceRequest<'_>) -> bool {
+    pub fn suits(&self, request: &PlaceRequest<'_>) -> bool {
         let shape = request.shape;
+        let is_approved = |names: &BTreeSet<WorkerName>| names.contains(&self.worker);
         self.service == *request.service
+            && request.approved.is_none_or(is_approved)
             && shape
                 .label
                 .as_ref()
--- a/crates/domain/src/process/planner/reclaim.rs
+++ b/crates/domain/src/process/planner/reclaim.rs
@@ -160,13 +160,7 @@
             let Some(worker) = self.workers.get(&row.worker).filter(|_| is_near) else {
                 continue;
             };
-            if row.service != *request.service
-                || request
-                    .shape
-                    .label
-                    .as_ref()
-                    .is_some_and(|label| !row.labels.contains(label))
-            {
+            if !row.suits(request) {
                 continue;
             }
             let rack = if needs_rack { row.rack.as_ref() } else { None };
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -96,6 +96,7 @@
             "run starts"
         );
         let lease = self.limits.lease_limit;
+        let step = StepKey::of(&key);
         for (index, member) in members.iter().enumerate() {
             let unit = key.unit(index as u16);
             let Some(worker) = self.workers.get_mut(&member.worker) else {
@@ -110,6 +111,9 @@
                 spec: Arc::clone(&spec),
                 lease_until: worker.link.extend_lease(context.now, lease),
                 saved: saved.clone(),
+                approval: self
+                    .advice
+                    .ticket(&step, &member.worker, member.incarnation),
             };
             self.send_order(
                 context,
@@ -206,6 +210,9 @@
                 _ => {}
             }
         }
+        if let Some(name) = name.filter(|_| cause == RefusalCause::NoApproval) {
+            self.advice.drop_ticket(&StepKey::of(&key), &name);
+        }
         self.drop_member(context.now, key, index, cause.word());
     }
 
@@ -390,6 +397,7 @@
             .is_some_and(|job| job.is_closing && !job.is_held());
         if is_clear {
             self.jobs.remove(&key);
+            self.advice.forget_job(key);
             for worker in self.workers.values_mut() {
                 worker.reserved.retain(|group, _| group.job != key);
             }
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -8,6 +8,7 @@
 use crate::prelude::*;
 use crate::process::action::{CallTicket, HostAction, WorkerCall, WorkerOrder};
 use crate::process::event::{WorkerAnswer, WorkerFault};
+use crate::process::planner::advice::AdviceBook;
 use crate::process::planner::estimate::RunTimes;
 use crate::process::planner::job::PlanJob;
 use crate::process::planner::limits::PlanLimits;
@@ -92,6 +93,8 @@
     pub(super) is_dirty: bool,
     /// Room that is being cleared for groups.
     pub(super) claims: BTreeMap<GroupKey, RoomClaim>,
+    /// Approvals of workers, where queues need them.
+    pub(super) advice: AdviceBook,
     /// Recorded members on workers that nobody lists, and until when they may run.
     pub(super) orphans: Vec<(GroupKey, usize, MonotonicTime)>,
     /// When no lease that an earlier planner gave holds any more.
@@ -141,6 +144,7 @@
             run_times: RunTimes::default(),
             is_dirty: true,
             claims: BTreeMap::new(),
+            advice: AdviceBook::default(),
             orphans: Vec::new(),
             orphan_bound: now,
             full_queues: Vec::new(),
--- a/crates/entry/src/bin/flamingowalk-domain.rs
+++ b/crates/entry/src/bin/flamingowalk-domain.rs
@@ -84,7 +84,8 @@
         cpu_share: settings.cpu_share,
         limits: settings.limits,
     };
-    let handle = start_domain(identity, platform_ports(settings.log_address));
+    let ports = platform_ports(settings.log_address, settings.advice_address);
+    let handle = start_domain(identity, ports);
     let cannot_bind = |error| format!("cannot bind an address ({error}); check [listen]");
     let callers = serve_callers(settings.caller_address, handle.clone(), phases.clone());
     let callers = callers.await.map_err(cannot_bind)?;
