A removed entry proves nothing in a young process; the planner before the last is waited for

Cause: the bound on a report's age began with the clock's zero where no read proved one. The steady clock of a process begins with the process: the host that planned had been started 3.4 s before, so the removal of the entry of a cut-off worker looked like that of a worker that had just left. Ruled out: the successor's lease bound (6.1 or 10.2 s after the takeover, which came at 34.7 s or later), and an expired bound of its own renewals (39.0 s).

The bound is now absent where nothing proves it, counts only for workers that said they are leaving, and is 2.5 s: a log that drops entries while it is down would otherwise pass for workers that leave.

A second hole, found while tracing: a successor of a planner that had ended allowed for no renewals, though the planner before that one, cut from the log, may renew for 4 s. Heartbeats now tell the length of the tenure.

The simulated hosts have clocks of their own now.

--- a/crates/domain-sim/src/sim_worker.rs
+++ b/crates/domain-sim/src/sim_worker.rs
@@ -47,6 +47,10 @@
     pub is_up: bool,
     /// Whether hosts reach it.
     pub is_reachable: bool,
+    /// The only host that reaches it, if not all do.
+    pub only_host: Option<usize>,
+    /// Whether it reaches the log.
+    pub reaches_store: bool,
     /// Whether its runs stand still.
     pub is_stalled: bool,
     /// Whether everything that it starts fails.
@@ -74,6 +78,8 @@
             born_at,
             is_up: true,
             is_reachable: true,
+            only_host: None,
+            reaches_store: true,
             is_stalled: false,
             fails_all: false,
             speed: 1.0,
@@ -87,6 +93,11 @@
         }
     }
 
+    /// Whether a host reaches it.
+    pub fn hears(&self, host: usize) -> bool {
+        self.is_reachable && self.only_host.is_none_or(|only| only == host)
+    }
+
     /// Its clock.
     pub fn clock(&self, now: MonotonicTime) -> WorkerClock {
         WorkerClock(now.since(self.born_at).as_millis() as u64)
--- a/crates/domain-sim/src/sim_world.rs
+++ b/crates/domain-sim/src/sim_world.rs
@@ -57,6 +57,8 @@
     pub frozen_until: MonotonicTime,
     /// How far its wall clock is off.
     pub wall_skew_ms: i64,
+    /// When its process was started; its steady clock counts from there.
+    started_at: MonotonicTime,
 }
 
 /// What became of a submitted job.
@@ -206,6 +208,7 @@
                 reaches_workers: true,
                 frozen_until: MonotonicTime(0),
                 wall_skew_ms: 0,
+                started_at: MonotonicTime(0),
             });
             world.start_host(index);
         }
@@ -235,7 +238,8 @@
             cpu_share: host.cpu_share,
             limits,
         };
-        host.host = Some(DomainHost::new(identity, now));
+        host.started_at = now;
+        host.host = Some(DomainHost::new(identity, MonotonicTime(0)));
     }
 
     /// Kills the process of a host.
@@ -376,7 +380,8 @@
         let Some(state) = &mut host.host else {
             return;
         };
-        let actions = state.handle(now, wall, event);
+        let local = MonotonicTime(now.0 - host.started_at.0);
+        let actions = state.handle(local, wall, event);
         if self.verifies
             && let Some(planner) = state.planner()
         {
@@ -509,7 +514,7 @@
         let Some(worker) = self.workers.get(&call.worker) else {
             return;
         };
-        if !worker.is_up || !worker.is_reachable {
+        if !worker.is_up || !worker.hears(index) {
             return;
         }
         if let (WorkerOrder::Start(_), Some(delay)) = (&call.order, worker.late_starts) {
@@ -647,7 +652,8 @@
         let Some(worker) = self.workers.get(&look.call.worker) else {
             return;
         };
-        let is_heard = worker.is_up && worker.is_reachable && self.hosts[look.host].reaches_workers;
+        let is_heard =
+            worker.is_up && worker.hears(look.host) && self.hosts[look.host].reaches_workers;
         if !is_heard || worker.report.incarnation != look.call.incarnation {
             return;
         }
@@ -918,7 +924,7 @@
         let Some(worker) = self.workers.get(name) else {
             return;
         };
-        if worker.is_up && self.is_store_up {
+        if worker.is_up && worker.reaches_store && self.is_store_up {
             let mut report = worker.report.clone();
             report.clock = worker.clock(now);
             self.store.put_worker(name, Some(Arc::new(report)));
--- a/crates/domain-sim/tests/domain.rs
+++ b/crates/domain-sim/tests/domain.rs
@@ -2,5 +2,6 @@
 
 mod advice;
 mod faults;
+mod leases;
 mod sharing;
 mod support;
--- a/crates/domain-sim/tests/faults.rs
+++ b/crates/domain-sim/tests/faults.rs
@@ -1,17 +1,16 @@
 //! Faults on the whole path of a domain, on a virtual clock: whatever happens, no
 //! worker sees what it must not see, and every accepted job is done in the end.
 
-use crate::support::{BATCH, URGENT, all_done, gang, job, manifest, settled_world, step, workers};
+use crate::support::{
+    BATCH, URGENT, all_done, check_settled, gang, job, manifest, planner_of, settled_world, step,
+    workers,
+};
 use flamingowalk_domain::prelude::*;
 use flamingowalk_domain::request::front_request::{FrontAnswer, FrontFault, JobPhase};
 use flamingowalk_domain::request::submission::OccurrenceSchedule;
 use flamingowalk_domain_sim::SimWorld;
 use rstest::rstest;
 
-/// Time within which everything has to be done after the last fault is over: the
-/// successor's wait for a worker that it cannot reach, and a run.
-const SETTLE_LIMIT: Duration = Duration::from_secs(40);
-
 /// Submits a mixed load for ten seconds while `fault` acts on the world each second.
 fn run_with_fault(seed: u64, mut fault: impl FnMut(&mut SimWorld, u64)) -> SimWorld {
     let mut world = settled_world(seed, 4, 12);
@@ -38,20 +37,6 @@
     world
 }
 
-#[track_caller]
-fn check_settled(mut world: SimWorld) -> SimWorld {
-    let is_done = world.run_until(SETTLE_LIMIT, all_done);
-    let open: Vec<_> = world
-        .jobs
-        .iter()
-        .filter(|(_, job)| job.is_accepted && job.done_at.is_none())
-        .map(|(key, _)| key.to_string())
-        .collect();
-    assert_eq!(world.faults, Vec::<String>::new());
-    assert!(is_done, "jobs not done: {open:?}");
-    world
-}
-
 fn on_workers(
     world: &mut SimWorld,
     names: &[WorkerName],
@@ -62,10 +47,6 @@
     }
 }
 
-fn planner_of(world: &SimWorld) -> usize {
-    world.planner().unwrap_or(0)
-}
-
 #[test]
 fn path_calm_all_done() {
     let world = check_settled(run_with_fault(1, |_, _| {}));
@@ -247,61 +228,6 @@
     assert!(worker.running.is_empty());
 }
 
-/// A worker that left for good while looks at it were repeated: each look moved the
-/// bound after which its runs count as lost, so they never ran again.
-#[test]
-fn lease_silent_worker_not_extended() {
-    let mut world = settled_world(21, 3, 2);
-    let work = Duration::from_secs(3);
-    world.submit(0, BATCH, JobKey(1), &job(vec![step(2, 8)]), work);
-    world.run_for(Duration::from_secs(1));
-    world.crash_worker(&"worker-000".into());
-    let limit = world.limits.lease_limit + Duration::from_secs(1);
-    let is_restarted = world.run_until(limit, |world| world.starts == 3);
-    assert!(is_restarted, "the unit was not started elsewhere");
-    check_settled(world);
-}
-
-/// Runs of a worker that had left were waited for until their leases lapsed, though
-/// the removal of its entry said that they were gone; a unit was late or lost by it.
-#[test]
-fn leave_removed_worker_runs_again_at_once() {
-    let mut world = settled_world(22, 3, 2);
-    world.run_for(Duration::from_secs(6));
-    let work = Duration::from_secs(4);
-    world.submit(0, BATCH, JobKey(1), &job(vec![step(2, 8)]), work);
-    world.run_for(Duration::from_secs(2));
-    world.remove_worker(&"worker-000".into());
-    let is_restarted = world.run_until(Duration::from_secs(6), |world| world.starts == 3);
-    assert!(is_restarted, "the unit was not started elsewhere");
-    check_settled(world);
-}
-
-/// A run on a leaving worker stayed until the worker was gone, though it had a
-/// checkpoint and others had room.
-#[test]
-fn leave_draining_worker_run_moves() {
-    let mut world = settled_world(23, 3, 2);
-    let mut long = step(1, 8);
-    long.has_checkpoints = true;
-    long.estimate_ms = 8_000;
-    let work = Duration::from_secs(8);
-    world.submit(0, BATCH, JobKey(1), &job(vec![long]), work);
-    world.run_for(Duration::from_secs(3));
-    let (name, _) = world
-        .workers
-        .iter()
-        .find(|(_, worker)| !worker.running.is_empty())
-        .expect("a worker runs the unit");
-    let name = name.clone();
-    world.drain_worker(&name);
-    let is_moved = world.run_until(Duration::from_secs(3), |world| world.starts == 2);
-    assert!(is_moved, "the unit was not moved");
-    let rest = Duration::from_secs(8);
-    assert!(world.run_until(rest, all_done), "the checkpoint was lost");
-    check_settled(world);
-}
-
 /// Two hosts took the seat one after the other when a planner yielded, since a
 /// heartbeat that came between question and answer made a new claim look old.
 #[rstest]
--- /dev/null
+++ b/crates/domain-sim/tests/leases.rs
@@ -0,0 +1,132 @@
+//! Runs whose worker leaves, or cannot be reached: moved or counted as lost at once
+//! where that is certain, and waited for until no lease of any planner can hold else.
+
+use crate::support::{
+    BATCH, all_done, busy_worker, check_settled, job, planner_of, settled_world, step,
+};
+use flamingowalk_domain::prelude::*;
+use flamingowalk_domain_sim::SimWorld;
+use rstest::rstest;
+
+/// A worker that left for good while looks at it were repeated: each look moved the
+/// bound after which its runs count as lost, so they never ran again.
+#[test]
+fn lease_silent_worker_not_extended() {
+    let mut world = settled_world(21, 3, 2);
+    let work = Duration::from_secs(3);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(2, 8)]), work);
+    world.run_for(Duration::from_secs(1));
+    world.crash_worker(&"worker-000".into());
+    let limit = world.limits.lease_limit + Duration::from_secs(1);
+    let is_restarted = world.run_until(limit, |world| world.starts == 3);
+    assert!(is_restarted, "the unit was not started elsewhere");
+    check_settled(world);
+}
+
+/// Runs of a worker that had left were waited for until their leases lapsed, though
+/// the removal of its entry said that they were gone; a unit was late or lost by it.
+#[test]
+fn leave_removed_worker_runs_again_at_once() {
+    let mut world = settled_world(22, 3, 6);
+    world.run_for(Duration::from_secs(6));
+    let work = Duration::from_secs(4);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(2));
+    let name = busy_worker(&world);
+    world.drain_worker(&name);
+    world.run_for(Duration::from_millis(1_500));
+    world.remove_worker(&name);
+    let is_restarted = world.run_until(Duration::from_secs(4), |world| world.starts == 2);
+    assert!(is_restarted, "the unit was not started elsewhere");
+    check_settled(world);
+}
+
+/// A log that drops entries while it is down removes those of workers that run on.
+#[test]
+fn leave_entry_lapsed_in_outage_waits_for_lease() {
+    let mut world = settled_world(26, 3, 2);
+    world.run_for(Duration::from_secs(6));
+    let work = Duration::from_secs(8);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(2));
+    let name = busy_worker(&world);
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.is_reachable = false;
+        worker.reaches_store = false;
+    }
+    world.store.put_worker(&name, None);
+    check_settled(world);
+}
+
+/// A planner in a process that began a short while ago took the removal of a silent
+/// worker's entry for the sign that the worker had left: the steady clock was young.
+#[test]
+fn leave_cut_worker_after_restart_waits_for_lease() {
+    let mut world = settled_world(24, 3, 2);
+    let work = Duration::from_secs(9);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(2));
+    let name = busy_worker(&world);
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.is_reachable = false;
+        worker.reaches_store = false;
+    }
+    for index in 0..3 {
+        world.kill_host(index);
+    }
+    world.run_for(Duration::from_secs(2));
+    for index in 0..3 {
+        world.start_host(index);
+    }
+    check_settled(world);
+}
+
+/// A planner that followed one which had ended took no account of the planner before
+/// that one, which was cut from the log and still renewed a lease.
+#[rstest]
+fn lease_of_planner_before_last_waited_for(#[values(25, 26, 27, 28, 29, 30)] seed: u64) {
+    let mut world = settled_world(seed, 4, 2);
+    let work = Duration::from_secs(17);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(2));
+    world.run_for(Duration::from_millis(seed % 5 * 400));
+    let first = planner_of(&world);
+    world.hosts[first].reaches_store = false;
+    let name = busy_worker(&world);
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.only_host = Some(first);
+    }
+    let has_next = |world: &SimWorld| {
+        let planner = world.planner();
+        let hosts = world.hosts.iter().filter_map(|host| host.host.as_ref());
+        planner.is_some() && hosts.filter(|host| host.planner().is_some()).count() == 2
+    };
+    assert!(world.run_until(Duration::from_secs(4), has_next));
+    let next = (0..4).find(|index| {
+        let host = world.hosts[*index].host.as_ref();
+        *index != first && host.is_some_and(|host| host.planner().is_some())
+    });
+    let next = next.expect("a second planner");
+    world.drain_host(next);
+    check_settled(world);
+}
+
+/// A run on a leaving worker stayed until the worker was gone, though it had a
+/// checkpoint and others had room.
+#[test]
+fn leave_draining_worker_run_moves() {
+    let mut world = settled_world(23, 3, 2);
+    let mut long = step(1, 8);
+    long.has_checkpoints = true;
+    long.estimate_ms = 8_000;
+    let work = Duration::from_secs(8);
+    world.submit(0, BATCH, JobKey(1), &job(vec![long]), work);
+    world.run_for(Duration::from_secs(3));
+    let name = busy_worker(&world);
+    world.drain_worker(&name);
+    let is_moved = world.run_until(Duration::from_secs(3), |world| world.starts == 2);
+    assert!(is_moved, "the unit was not moved");
+    let rest = Duration::from_secs(8);
+    assert!(world.run_until(rest, all_done), "the checkpoint was lost");
+    check_settled(world);
+}
--- a/crates/domain-sim/tests/support.rs
+++ b/crates/domain-sim/tests/support.rs
@@ -147,3 +147,34 @@
         .filter(|job| job.is_accepted && job.cancelled_at.is_none())
         .all(|job| job.done_at.is_some())
 }
+
+/// Time within which everything has to be done after the last fault is over: the
+/// successor's wait for a worker that it cannot reach, and a run.
+const SETTLE_LIMIT: Duration = Duration::from_secs(40);
+
+/// Waits until every job is done, and checks that no worker saw what it must not see.
+#[track_caller]
+pub fn check_settled(mut world: SimWorld) -> SimWorld {
+    let is_done = world.run_until(SETTLE_LIMIT, all_done);
+    let open: Vec<_> = world
+        .jobs
+        .iter()
+        .filter(|(_, job)| job.is_accepted && job.done_at.is_none())
+        .map(|(key, _)| key.to_string())
+        .collect();
+    assert_eq!(world.faults, Vec::<String>::new());
+    assert!(is_done, "jobs not done: {open:?}");
+    world
+}
+
+/// The first worker that runs something.
+pub fn busy_worker(world: &SimWorld) -> WorkerName {
+    let mut workers = world.workers.iter();
+    let found = workers.find(|(_, worker)| !worker.running.is_empty());
+    found.expect("a worker runs the unit").0.clone()
+}
+
+/// The host that plans, or the first.
+pub fn planner_of(world: &SimWorld) -> usize {
+    world.planner().unwrap_or(0)
+}
--- a/crates/domain/src/process/host.rs
+++ b/crates/domain/src/process/host.rs
@@ -10,7 +10,6 @@
 use crate::process::event::HostEvent;
 use crate::process::front_desk::{DeskView, FrontDesk};
 use crate::process::job_book::{BookChange, JobBook};
-use crate::process::planner::limits::AUTHORITY_TIME;
 use crate::process::planner::state::PlanContext;
 use crate::process::planner::{PlanLimits, PlannerState};
 use crate::process::record::JobRecord;
@@ -200,21 +199,21 @@
                     planner.take_advice(now, ticket, result);
                 }
             }
-            HostEvent::DrainAsked => self.begin_drain(),
+            HostEvent::DrainAsked => self.begin_drain(now),
             HostEvent::Ticked => self.tick(now, wall, &mut actions),
         }
         self.advance(now, wall, &mut actions);
         actions
     }
 
-    fn begin_drain(&mut self) {
+    fn begin_drain(&mut self, now: MonotonicTime) {
         if !self.is_draining {
             log::info!(planning = self.planner.is_some(); "shutting down");
         }
         self.is_draining = true;
         self.seat.retire();
         if let Some(planner) = &mut self.planner {
-            planner.begin_yield();
+            planner.begin_yield(now);
         }
     }
 
@@ -368,7 +367,7 @@
         wall: WallTime,
         name: &WorkerName,
         report: Option<Arc<WorkerReport>>,
-        written_after: MonotonicTime,
+        written_after: Option<MonotonicTime>,
         actions: &mut Vec<HostAction>,
     ) {
         match &report {
@@ -490,15 +489,9 @@
         );
         let mut context = plan_context(now, wall, &mut self.next_ticket, actions);
         for (name, report) in &self.reports {
-            let written_after = MonotonicTime::default();
-            planner.take_report(&mut context, name, Some(Arc::clone(report)), written_after);
+            planner.take_report(&mut context, name, Some(Arc::clone(report)), None);
         }
-        // A planner that is known to have ended renews no lease any more.
-        let authority = if self.seat.is_vacated() {
-            Duration::ZERO
-        } else {
-            AUTHORITY_TIME
-        };
+        let authority = self.seat.foreign_authority();
         planner.take_book(&mut context, &self.book, authority);
         planner.tick(&mut context);
         self.planner = Some(planner);
--- a/crates/domain/src/process/planner/leaving.rs
+++ b/crates/domain/src/process/planner/leaving.rs
@@ -23,7 +23,7 @@
                 continue;
             }
             let left = worker.report.remaining.unwrap_or(LEAVING_TIME);
-            let leaves_at = worker.reported_after + left;
+            let leaves_at = worker.reported_after.unwrap_or_default() + left;
             for holding in worker.holdings.values() {
                 let will_end = self.expected_end(now, &holding.group, holding.member) <= leaves_at;
                 if !will_end && self.should_move(&holding.group, holding.member) {
--- a/crates/domain/src/process/planner/report.rs
+++ b/crates/domain/src/process/planner/report.rs
@@ -6,20 +6,20 @@
 use crate::process::planner::worker::PlanWorker;
 use crate::process::worker_report::WorkerReport;
 
-/// Silence of a worker below which the removal of its entry says that it has left: an
-/// entry of a silent worker stays for three of its heartbeats of 1.5 s, measured on a
-/// clock that may run 2% slow against this one.
-const LEAST_SILENCE: Duration = Duration::from_secs(4);
+/// Silence of a leaving worker below which the removal of its entry says that it has
+/// left: it writes every 1.5 s, and reads bring that up to half a second late. Entries
+/// that go for silence, or while the log is down, go later than that.
+const LEFT_SILENCE: Duration = Duration::from_millis(2_500);
 
 impl PlannerState {
     /// Takes what a worker says of itself, or that its entry is gone. The record was
-    /// not written before `written_after`.
+    /// not written before `written_after`, if that is known.
     pub fn take_report(
         &mut self,
         context: &mut PlanContext<'_>,
         name: &WorkerName,
         report: Option<Arc<WorkerReport>>,
-        written_after: MonotonicTime,
+        written_after: Option<MonotonicTime>,
     ) {
         let Some(report) = report else {
             return self.take_removal(context, name);
@@ -56,10 +56,10 @@
             return;
         };
         worker.is_listed = false;
-        let silence = context.now.since(worker.reported_after);
-        let has_left = silence < LEAST_SILENCE;
+        let silence = worker.reported_after.map(|at| context.now.since(at));
+        let has_left = worker.is_leaving && silence.is_some_and(|silence| silence < LEFT_SILENCE);
         log::info!(
-            target: "worker", worker = name.as_str(), silence_ms = silence.as_millis() as u64,
+            target: "worker", worker = name.as_str(), silence_ms = silence.map_or(-1, |silence| silence.as_millis() as i64),
             left = has_left;
             "worker is not listed any more"
         );
@@ -72,7 +72,7 @@
         &mut self,
         name: &WorkerName,
         report: Arc<WorkerReport>,
-        written_after: MonotonicTime,
+        written_after: Option<MonotonicTime>,
     ) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
@@ -95,7 +95,7 @@
         context: &mut PlanContext<'_>,
         name: &WorkerName,
         report: Arc<WorkerReport>,
-        written_after: MonotonicTime,
+        written_after: Option<MonotonicTime>,
     ) {
         log::info!(target: "worker", worker = name.as_str(), life = report.incarnation.0; "worker started anew");
         self.lose_worker_units(context, name, "worker started anew");
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -101,6 +101,7 @@
     pub(super) orphan_bound: MonotonicTime,
     /// Queues that take no further jobs for now.
     pub(super) full_queues: Vec<FullQueue>,
+    began_at: MonotonicTime,
     heartbeat_at: MonotonicTime,
     /// When to plan even if no event asked for it: pauses of groups and workers end by
     /// time alone.
@@ -148,6 +149,7 @@
             orphans: Vec::new(),
             orphan_bound: now,
             full_queues: Vec::new(),
+            began_at: now,
             heartbeat_at: now,
             replan_at: now,
             is_deposed: false,
@@ -188,19 +190,20 @@
     }
 
     /// Stops planning for good, and says so in the log.
-    pub fn begin_yield(&mut self) {
+    pub fn begin_yield(&mut self, now: MonotonicTime) {
         if !self.is_yielding {
             self.is_yielding = true;
-            let heartbeat = self.heartbeat();
+            let heartbeat = self.heartbeat(now);
             self.writer
                 .push(&JobRecord::Heartbeat(heartbeat), Some(CommitEffect::Yield));
         }
     }
 
-    fn heartbeat(&self) -> PlannerHeartbeat {
+    fn heartbeat(&self, now: MonotonicTime) -> PlannerHeartbeat {
         PlannerHeartbeat {
             epoch: self.epoch,
             host: self.host.clone(),
+            tenure_ms: now.since(self.began_at).as_millis() as u64,
             has_yielded: self.is_yielding,
             full_queues: self.full_queues.clone(),
         }
@@ -297,7 +300,7 @@
     pub fn tick(&mut self, context: &mut PlanContext<'_>) {
         if context.now >= self.heartbeat_at && !self.is_yielding {
             self.heartbeat_at = context.now + HEARTBEAT_INTERVAL;
-            let heartbeat = self.heartbeat();
+            let heartbeat = self.heartbeat(context.now);
             self.writer.push(&JobRecord::Heartbeat(heartbeat), None);
         }
         if context.now >= self.replan_at {
--- a/crates/domain/src/process/planner/worker.rs
+++ b/crates/domain/src/process/planner/worker.rs
@@ -32,8 +32,8 @@
 pub struct PlanWorker {
     /// What it last said of itself.
     pub report: Arc<WorkerReport>,
-    /// Time before which it did not say that.
-    pub reported_after: MonotonicTime,
+    /// Time before which it did not say that, if known.
+    pub reported_after: Option<MonotonicTime>,
     /// Whether its entry is still in the workers stream.
     pub is_listed: bool,
     /// Whether any source said that it is leaving; stays for its life.
@@ -122,7 +122,7 @@
     pub fn new(
         report: Arc<WorkerReport>,
         now: MonotonicTime,
-        reported_after: MonotonicTime,
+        reported_after: Option<MonotonicTime>,
     ) -> Self {
         let clock = ClockReading {
             clock: report.clock,
--- a/crates/domain/src/process/record.rs
+++ b/crates/domain/src/process/record.rs
@@ -117,6 +117,9 @@
     pub epoch: SeatEpoch,
     /// Host that plans.
     pub host: HostName,
+    /// Milliseconds since the tenure began: for so long, no planner before can have
+    /// written to the log.
+    pub tenure_ms: u64,
     /// Whether the planner has stopped for good, so that another may begin at once.
     pub has_yielded: bool,
     /// Queues that take no further jobs for now.
--- a/crates/domain/src/process/seat.rs
+++ b/crates/domain/src/process/seat.rs
@@ -5,6 +5,7 @@
 
 use crate::prelude::*;
 use crate::process::action::{CallTicket, HostAction, NewestOrder};
+use crate::process::planner::limits::AUTHORITY_TIME;
 use crate::process::record::{PlannerHeartbeat, SeatClaim};
 use crate::process::stream::{
     AppendGuard, AppendOrder, AppendedAt, NewestPage, StreamBody, StreamFault, StreamName,
@@ -72,9 +73,11 @@
     stage: SeatStage,
     /// When the planner last gave a sign of life, by this host's clock.
     sign_at: Option<MonotonicTime>,
-    /// Whether no planner of an earlier epoch can be at work: it said that it has
-    /// stopped, or ran in an earlier process of this host.
+    /// Whether the planner of the newest sign of life is not at work: it said that it
+    /// has stopped, or ran in an earlier process of this host.
     is_vacated: bool,
+    /// Tenure of that planner at that sign.
+    sign_tenure: Duration,
     /// Highest epoch that this process held.
     held: SeatEpoch,
     /// No claim before.
@@ -108,6 +111,7 @@
             stage: SeatStage::Watching,
             sign_at: None,
             is_vacated: false,
+            sign_tenure: Duration::ZERO,
             held: SeatEpoch(0),
             pause_until: now,
             patience,
@@ -139,6 +143,7 @@
         let is_own_past = heartbeat.host == self.identity.host && heartbeat.epoch > self.held;
         self.is_vacated = heartbeat.has_yielded || is_own_past;
         self.sign_epoch = self.sign_epoch.max(heartbeat.epoch);
+        self.sign_tenure = Duration::from_millis(heartbeat.tenure_ms);
     }
 
     /// Claims no seat any more.
@@ -342,9 +347,15 @@
         Some(epoch)
     }
 
-    /// Whether no planner of an earlier epoch can be at work.
-    pub const fn is_vacated(&self) -> bool {
-        self.is_vacated
+    /// Time for which some planner before this host may renew leases from now on. The
+    /// newest does not once it has ended, but one before that may have been cut from the
+    /// log no earlier than the newest began.
+    pub fn foreign_authority(&self) -> Duration {
+        if self.is_vacated {
+            AUTHORITY_TIME.saturating_sub(self.sign_tenure)
+        } else {
+            AUTHORITY_TIME
+        }
     }
 
     fn pause(&mut self, now: MonotonicTime) {
--- a/crates/domain/src/process/stream_follower.rs
+++ b/crates/domain/src/process/stream_follower.rs
@@ -43,8 +43,8 @@
     /// records begin a state anew.
     pub begins_anew: bool,
     /// Time before which none of these records was written: an earlier read, sent
-    /// then, had reached the tail. The clock's zero where nothing proves one.
-    pub written_after: MonotonicTime,
+    /// then, had reached the tail. Nothing where no read proves one.
+    pub written_after: Option<MonotonicTime>,
 }
 
 /// Reader of one stream.
@@ -216,7 +216,7 @@
             .filter(|record| record.offset >= known)
             .collect();
         self.next = self.next.max(page.next);
-        let written_after = self.proved_at.unwrap_or_default();
+        let written_after = self.proved_at;
         let has_reached_tail = self.next >= page.end;
         if has_reached_tail {
             self.proved_at = self.proved_at.max(Some(read.sent_at));
@@ -266,7 +266,7 @@
         Some(FollowOutput {
             records: page.records,
             begins_anew,
-            written_after: MonotonicTime::default(),
+            written_after: None,
         })
     }
 
