Waiting reads that hear nothing are noticed; cut-off workers are asked more often

A planner whose own append is not read within 80 ms now reads without a wait, every 100 ms for 1.2 s. Pauses between looks at a silent worker end at 0.4 s.

Tests path_store_waits_hear_nothing and lease_end_behind_cut_learned_soon (three of five lengths) failed before; seat_kept_while_waits_hear_nothing passed before and guards against needless takeovers.

--- a/crates/domain-sim/src/sim_world.rs
+++ b/crates/domain-sim/src/sim_world.rs
@@ -128,6 +128,8 @@
     pub is_store_up: bool,
     /// Factor by which the log is slower than usual.
     pub store_factor: u32,
+    /// Reads that wait are not answered before, unless their wait is over.
+    pub deaf_until: MonotonicTime,
     /// Part of the log's answers to appends that are lost after they took effect.
     pub lost_answers: f64,
     /// Workers by name.
@@ -173,6 +175,7 @@
             store: SimStore::default(),
             is_store_up: true,
             store_factor: 1,
+            deaf_until: MonotonicTime(0),
             lost_answers: 0.0,
             workers: BTreeMap::new(),
             last_reports: BTreeMap::new(),
@@ -497,7 +500,7 @@
             if !self.is_store_up || !self.hosts[index].reaches_store {
                 continue;
             }
-            if is_ready || now >= until {
+            if (is_ready && now >= self.deaf_until) || now >= until {
                 let event = HostEvent::Read(order.ticket, result);
                 self.push(HOP, WorldEvent::ToHost(index, life, event));
             } else {
--- a/crates/domain-sim/tests/faults.rs
+++ b/crates/domain-sim/tests/faults.rs
@@ -147,6 +147,33 @@
     }));
 }
 
+/// Reads that wait at the log's end hear nothing for a second: jobs accepted by other
+/// hosts stayed unknown to the planner until then.
+#[test]
+fn path_store_waits_hear_nothing() {
+    let mut world = settled_world(19, 4, 4);
+    let other = (planner_of(&world) + 1) % 4;
+    world.deaf_until = world.now() + Duration::from_secs(1);
+    world.run_for(Duration::from_millis(300));
+    let work = Duration::from_secs(1);
+    world.submit(other, URGENT, JobKey(1), &job(vec![step(1, 8)]), work);
+    let is_started = world.run_until(Duration::from_millis(300), |world| world.starts == 1);
+    assert!(is_started, "the planner did not hear of the job");
+    check_settled(world);
+}
+
+#[rstest]
+fn seat_kept_while_waits_hear_nothing(#[values(71, 72, 73, 74, 75, 76)] seed: u64) {
+    let mut world = settled_world(seed, 6, 4);
+    let seat = flamingowalk_domain::process::stream::StreamName::Seat;
+    let before = world.store.end(seat);
+    for _ in 0..3 {
+        world.deaf_until = world.now() + Duration::from_secs(1);
+        world.run_for(Duration::from_millis(2_100 + seed));
+    }
+    assert_eq!(world.store.end(seat), before, "the seat was claimed");
+}
+
 #[test]
 fn path_starts_carried_out_late() {
     check_settled(run_with_fault(12, |world, second| {
--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -130,3 +130,31 @@
     assert!(world.run_until(rest, all_done), "the checkpoint was lost");
     check_settled(world);
 }
+
+/// A planner that had looked for a cut-off worker in vain for some seconds asked it so
+/// seldom that it learned of an end two seconds after the cut was over.
+#[rstest]
+fn lease_end_behind_cut_learned_soon(#[values(4_000, 4_400, 4_800, 5_200, 5_600)] cut_ms: u64) {
+    let mut world = settled_world(31, 3, 2);
+    let work = Duration::from_secs(2);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(1));
+    let name = busy_worker(&world);
+    set_reachable(&mut world, &name, false);
+    world.run_for(Duration::from_millis(cut_ms));
+    set_reachable(&mut world, &name, true);
+    let is_learned = |world: &SimWorld| {
+        let planner = world.hosts[planner_of(world)].host.as_ref();
+        let planner = planner.and_then(|host| host.planner());
+        planner.is_some_and(|planner| planner.jobs().is_empty())
+    };
+    let limit = Duration::from_millis(1_100);
+    assert!(world.run_until(limit, is_learned), "the end is not known");
+    check_settled(world);
+}
+
+fn set_reachable(world: &mut SimWorld, name: &WorkerName, is_reachable: bool) {
+    if let Some(worker) = world.workers.get_mut(name) {
+        worker.is_reachable = is_reachable;
+    }
+}
--- a/crates/domain/src/process/host.rs
+++ b/crates/domain/src/process/host.rs
@@ -406,7 +406,11 @@
         }
         if let Some(planner) = &mut self.planner {
             let mut context = plan_context(now, wall, &mut self.next_ticket, actions);
-            planner.take_append(&mut context, ticket, result);
+            if planner.take_append(&mut context, ticket, result)
+                && let Ok(at) = result
+            {
+                self.jobs.note_written(now, at.next);
+            }
         }
     }
 
--- a/crates/domain/src/process/planner/look.rs
+++ b/crates/domain/src/process/planner/look.rs
@@ -27,7 +27,7 @@
 /// First pause before a worker that does not answer is looked at again.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Longest such pause.
-const LONGEST_RETRY: Duration = Duration::from_millis(1_600);
+const LONGEST_RETRY: Duration = Duration::from_millis(400);
 
 impl PlannerState {
     /// Sends the looks that are due.
--- a/crates/domain/src/process/stream_follower.rs
+++ b/crates/domain/src/process/stream_follower.rs
@@ -13,6 +13,14 @@
 const ANSWER_TIME: Duration = Duration::from_millis(1_200);
 /// Pause after a failed read, so that a lost log is not asked in a loop.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Time after which a read that waits should have brought a record that was written;
+/// a log that answers at its usual pace brings it within a few milliseconds.
+const WAKE_TIME: Duration = Duration::from_millis(80);
+/// Least time between reads without a wait while reads that wait bring nothing.
+const DEAF_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which reads that wait are not relied on after one brought nothing; the
+/// platform's watches hear nothing for a second at times.
+const DEAF_TIME: Duration = Duration::from_millis(1_200);
 
 #[derive(Clone, Debug)]
 enum FollowStage {
@@ -70,6 +78,19 @@
     steady_since: Option<MonotonicTime>,
     /// Reads in a row that failed.
     failures: u32,
+    /// Record that this host knows to be written.
+    written: Option<WrittenMark>,
+    /// Reads that wait are not relied on before.
+    deaf_until: MonotonicTime,
+    /// When the newest read without a wait was sent.
+    fresh_at: MonotonicTime,
+}
+
+/// End of the stream after a record of this host, and when its append was answered.
+#[derive(Clone, Copy, Debug)]
+struct WrittenMark {
+    end: StreamOffset,
+    at: MonotonicTime,
 }
 
 impl StreamFollower {
@@ -91,9 +112,24 @@
             answered_at: None,
             steady_since: None,
             failures: 0,
+            written: None,
+            deaf_until: now,
+            fresh_at: now,
         }
     }
 
+    /// Notes that a record of this host was written, so that a waiting read that does
+    /// not bring it is noticed.
+    pub const fn note_written(&mut self, now: MonotonicTime, end: StreamOffset) {
+        self.written = Some(WrittenMark { end, at: now });
+    }
+
+    /// Whether a record that is known to be written was not read in time.
+    fn is_behind(&self, now: MonotonicTime) -> bool {
+        self.written
+            .is_some_and(|mark| mark.end > self.next && now >= mark.at + WAKE_TIME)
+    }
+
     /// When the newest answered read that reached the tail was sent: whatever was in
     /// the stream by then has been handed out.
     pub const fn proved_at(&self) -> Option<MonotonicTime> {
@@ -148,9 +184,12 @@
             let wait = self.proved_at.map_or(Duration::ZERO, |_| TAIL_WAIT);
             actions.push(self.order(ticket, wait));
         }
+        let is_deaf = self.is_behind(now) || now < self.deaf_until;
+        self.wants_fresh |= is_deaf && now >= self.fresh_at + DEAF_INTERVAL;
         let is_following = matches!(self.stage, FollowStage::Following);
         if self.wants_fresh && self.fresh.is_none() && is_following {
             self.wants_fresh = false;
+            self.fresh_at = now;
             let ticket = take_ticket(next_ticket);
             self.fresh = Some(PendingRead {
                 ticket,
@@ -209,6 +248,9 @@
             }
         };
         self.note_answer(now);
+        if read.is_fresh && self.is_behind(now) {
+            self.deaf_until = now + DEAF_TIME;
+        }
         let known = self.next;
         let records: Vec<_> = page
             .records
