--- a/crates/domain-node/src/lib.rs
+++ b/crates/domain-node/src/lib.rs
@@ -4,6 +4,8 @@
 //! log, the workers and the callers speak is not known here.
 
 pub mod log_output;
+pub mod log_pipe;
+pub mod log_rate;
 pub mod ports;
 pub mod run_loop;
 pub mod settings;
--- a/crates/domain-node/tests/settings.rs
+++ b/crates/domain-node/tests/settings.rs
@@ -37,6 +37,7 @@
 #[case::no_number("lease-s = 10000e-3", "lease-s = e-3", "[bounds] lease-s")]
 #[case::negative("checkpoint-s = 1", "checkpoint-s = -1", "[bounds] checkpoint-s")]
 #[case::unknown_key("checkpoint-s = 1", "checkpoints = 1", "[bounds] checkpoints")]
+#[case::advice_no_address("orders = request", "advice = here", "[platform] advice")]
 #[case::heartbeat_orders("orders = request", "orders = heartbeat", "[platform] orders")]
 fn settings_fault_names_key(#[case] from: &str, #[case] to: &str, #[case] expected: &str) {
     let text = SETTINGS.replace(from, to);
