Plausible run times bind only after long enough; paces from a first listing

An urgent gang of 13 was moved 0.2 s after its start, 1.1 s lost; its progress so far was ignored, as no pace of half a second could be told.

The bound counts once a run of its length would have been seen to end. A pace is told from the first listing where no other is known.

--- a/crates/domain/src/process/planner/end.rs
+++ b/crates/domain/src/process/planner/end.rs
@@ -158,7 +158,7 @@
         if group.is_whole_run && group.phase == GroupPhase::Active {
             let slowest = self.slowest_factor(key);
             let ran = now.since(started_at).mul_f64(slowest);
-            self.run_times.note_run(&queue, shape.estimate_ms, ran);
+            self.run_times.note_run(now, &queue, shape.estimate_ms, ran);
         }
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
--- a/crates/domain/src/process/planner/estimate.rs
+++ b/crates/domain/src/process/planner/estimate.rs
@@ -8,8 +8,7 @@
 const NEWEST_WEIGHT: f64 = 0.1;
 /// Runs of a queue from which its averages are used.
 const LEAST_RUNS: u32 = 3;
-/// Runs of a queue from which its longest run bounds what is plausible; of the runs
-/// that begin together the short ones end first.
+/// Runs of a queue from which its longest run bounds what is plausible.
 const LEAST_RUNS_FOR_BOUND: u32 = 20;
 /// Factor over the longest run of a queue above which a run time is implausible.
 const IMPLAUSIBLE_FACTOR: f64 = 2.0;
@@ -36,6 +35,8 @@
     ratio_error: f64,
     /// Longest run time in milliseconds.
     longest_ms: f64,
+    /// When the first run of those seen began.
+    seen_since: MonotonicTime,
 }
 
 impl Default for QueueAverage {
@@ -47,6 +48,7 @@
             mean_error: FIRST_ERROR,
             ratio_error: FIRST_ERROR,
             longest_ms: 0.0,
+            seen_since: MonotonicTime::default(),
         }
     }
 }
@@ -58,12 +60,21 @@
 }
 
 impl RunTimes {
-    /// Takes a whole run that was done.
-    pub fn note_run(&mut self, queue: &QueueName, estimate_ms: u64, ran: Duration) {
+    /// Takes a whole run that was done now.
+    pub fn note_run(
+        &mut self,
+        now: MonotonicTime,
+        queue: &QueueName,
+        estimate_ms: u64,
+        ran: Duration,
+    ) {
         let ran_ms = ran.as_millis().max(1) as f64;
         let log = ran_ms.ln();
         let ratio_log = log - (estimate_ms.max(1) as f64).ln();
         let average = self.queues.entry(queue.clone()).or_default();
+        if average.runs == 0 {
+            average.seen_since = now - ran;
+        }
         average.runs += 1;
         let weight = NEWEST_WEIGHT.max(1.0 / f64::from(average.runs));
         if average.runs > 1 {
@@ -94,12 +105,20 @@
     }
 
     /// Longest time that a run of a queue plausibly takes; nothing before enough runs
-    /// were seen.
-    pub fn plausible(&self, queue: &QueueName, estimate_ms: u64) -> Option<Duration> {
+    /// were seen, for long enough that one of that length would have been among them.
+    pub fn plausible(
+        &self,
+        now: MonotonicTime,
+        queue: &QueueName,
+        estimate_ms: u64,
+    ) -> Option<Duration> {
         let average = self.queues.get(queue)?;
         let corrected = estimate_ms as f64 * average.ratio_log.exp();
         let millis =
             (average.longest_ms * IMPLAUSIBLE_FACTOR).max(corrected * IMPLAUSIBLE_ESTIMATE);
-        (average.runs >= LEAST_RUNS_FOR_BOUND).then(|| Duration::from_millis(millis as u64))
+        let bound = Duration::from_millis(millis as u64);
+        let is_known =
+            average.runs >= LEAST_RUNS_FOR_BOUND && now.since(average.seen_since) >= bound;
+        is_known.then_some(bound)
     }
 }
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -94,8 +94,6 @@
         let run_time = self.run_times.expected(&accepted.queue, shape.estimate_ms);
         let is_pressing = now + run_time + PRESSING_MARGIN >= step.due_by;
         let is_urgent = step.priority == 0;
-        let waited = now.since(step.ready_at);
-        let allows_remote = now >= step.due_by || (is_urgent && waited >= RACK_PATIENCE);
         let terms = self.advice_terms(&accepted.queue);
         let approved = terms.map(|_| self.advice.approved(&step.key, now, &self.workers));
         for index in &step.groups {
@@ -105,12 +103,13 @@
                 step: step.key.step,
                 index: (!shape.is_gang).then_some(*index as u16),
             };
-            let failed_on = self
-                .jobs
-                .get(&key.job)
-                .and_then(|job| job.group(&key))
-                .map(|group| group.failed_on.clone())
-                .unwrap_or_default();
+            let Some(group) = self.jobs.get(&key.job).and_then(|job| job.group(&key)) else {
+                continue;
+            };
+            let failed_on = group.failed_on.clone();
+            // A group that has run before waits anew: slow units cost it more.
+            let waited = now.since(step.ready_at.max(group.not_before));
+            let allows_remote = now >= step.due_by || (is_urgent && waited >= RACK_PATIENCE);
             let request = PlaceRequest {
                 service: &accepted.service,
                 key: step.key,
--- a/crates/domain/src/process/planner/progress.rs
+++ b/crates/domain/src/process/planner/progress.rs
@@ -65,7 +65,7 @@
             if let Some(worker) = self.workers.get_mut(&name) {
                 worker.speed.note_recovered(now);
             }
-        } else if change.is_fall() || self.is_implausible(key, &change) {
+        } else if change.is_fall() || self.is_implausible(now, key, &change) {
             self.slow_worker(now, &name, "its pace");
         }
         self.learn_speed(now, key, index, change.pace);
@@ -81,7 +81,7 @@
     }
 
     /// Whether a run at this pace would take longer than any run of its queue.
-    fn is_implausible(&self, key: &GroupKey, change: &PaceChange) -> bool {
+    fn is_implausible(&self, now: MonotonicTime, key: &GroupKey, change: &PaceChange) -> bool {
         let Some(job) = self.jobs.get(&key.job) else {
             return false;
         };
@@ -89,7 +89,7 @@
             return false;
         };
         let queue = &job.accepted.queue;
-        let plausible = self.run_times.plausible(queue, shape.estimate_ms);
+        let plausible = self.run_times.plausible(now, queue, shape.estimate_ms);
         plausible.is_some_and(|plausible| change.pace * plausible.as_secs_f64() < 100.0)
     }
 
@@ -218,7 +218,7 @@
             return false;
         };
         let left = f64::from(100_u32.saturating_sub(member.progress.percent)) / 100.0;
-        let pace = member.progress.pace.unwrap_or(0.0);
+        let pace = member.progress.pace_since(group.started_at);
         let crawling = left * 100.0 / pace.max(0.1);
         let recovering = SLOW_SPELL.as_secs_f64() + expected.as_secs_f64() * left;
         let going_on = crawling.min(recovering);
--- a/crates/domain/src/process/planner/speed.rs
+++ b/crates/domain/src/process/planner/speed.rs
@@ -99,6 +99,20 @@
         self.mark = Some(ProgressMark { percent, clock });
         Some(PaceChange { pace, before })
     }
+
+    /// Percent a second: the newest pace, or what was done since the start while none
+    /// could be told.
+    pub fn pace_since(&self, started_at: MonotonicTime) -> f64 {
+        self.pace.unwrap_or_else(|| {
+            let span = self.listed_at.map(|at| at.since(started_at));
+            let seconds = span.unwrap_or_default().as_secs_f64();
+            if seconds > 0.0 {
+                f64::from(self.percent) / seconds
+            } else {
+                0.0
+            }
+        })
+    }
 }
 
 impl PaceChange {
