Gauges of a host: queue by priority and age, workers, read lag, takeovers, work given up

Set once a second; the count of open jobs was taken at every tick of 25 ms. The host's tenure, dump and gauges are in files of their own. explain no longer panics when its reader closes the pipe.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod try_report;
 pub mod try_run;
 
+use std::io::Write;
 use std::process::ExitCode;
 
 use bpaf::ParseFailure;
@@ -44,7 +45,8 @@
     };
     match result {
         Ok(text) => {
-            println!("{}", text.trim_end());
+            // A reader that has seen enough, such as `head`, is no fault.
+            let _ = writeln!(std::io::stdout(), "{}", text.trim_end());
             ExitCode::SUCCESS
         }
         Err(fault) => {
--- a/crates/domain/src/process/host.rs
+++ b/crates/domain/src/process/host.rs
@@ -1,9 +1,11 @@
 //! One host of a domain: follows the log, answers callers, and plans while it holds
 //! the seat. Takes one event after the other and owns all state.
 
-use std::fmt::{self, Display, Formatter};
+pub mod gauges;
+mod show;
+mod tenure;
 
-use metrics::{counter, gauge};
+use metrics::counter;
 
 use crate::prelude::*;
 use crate::process::action::{CallTicket, HostAction};
@@ -13,7 +15,7 @@
 use crate::process::planner::state::PlanContext;
 use crate::process::planner::{PlanLimits, PlannerState};
 use crate::process::record::JobRecord;
-use crate::process::seat::{PlannerSeat, SeatChange, SeatIdentity, SeatStage};
+use crate::process::seat::{PlannerSeat, SeatChange, SeatIdentity};
 use crate::process::stream::{AppendedAt, StreamBody, StreamFault, StreamName, StreamRecord};
 use crate::process::stream_follower::{FollowOutput, StreamFollower};
 use crate::process::worker_report::WorkerReport;
@@ -24,10 +26,6 @@
 pub const RECORDS_SKIPPED: &str = "flamingowalk_domain_records_skipped_total";
 /// Reads of the log that failed, by `stream` and `cause`.
 pub const READS_FAILED: &str = "flamingowalk_domain_reads_failed_total";
-/// One while this host plans.
-pub const SEAT_HELD: &str = "flamingowalk_domain_seat_held";
-/// Jobs that have not ended.
-pub const OPEN_JOBS: &str = "flamingowalk_domain_open_jobs";
 
 /// Least time between reads of a host that does not plan; callers may see a state 2 s
 /// late, and the planner's silence has to be noticed within a second or so.
@@ -42,6 +40,8 @@
 /// Failed reads in a row from which a host counts as cut from the log: one may be a
 /// connection that was reset.
 const LOG_FAILURES: u32 = 2;
+/// Time between two settings of the gauges; collectors ask every few seconds.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two looks for jobs that ended so long ago that nobody asks any more.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -76,6 +76,7 @@
     next_ticket: u64,
     is_draining: bool,
     expiry_at: MonotonicTime,
+    gauges_at: MonotonicTime,
     had_log: bool,
 }
 
@@ -101,6 +102,7 @@
             next_ticket: 0,
             is_draining: false,
             expiry_at: now,
+            gauges_at: now,
             had_log: false,
         }
     }
@@ -438,9 +440,10 @@
                 planner.drop_records(self.book.expired_keys(before));
             }
         }
-        gauge!(SEAT_HELD).set(f64::from(u8::from(self.planner.is_some())));
-        let open = self.book.jobs().values().filter(|job| job.is_open());
-        gauge!(OPEN_JOBS).set(open.count() as f64);
+        if now >= self.gauges_at {
+            self.gauges_at = now + GAUGE_INTERVAL;
+            self.set_gauges(now);
+        }
     }
 
     /// Does what follows from the state: reads, the way to the seat, planning.
@@ -465,62 +468,6 @@
             workers.poll(now, next, actions);
         }
     }
-
-    /// Begins to plan once the jobs are read to their tail and the workers are known.
-    fn begin_planning(
-        &mut self,
-        now: MonotonicTime,
-        wall: WallTime,
-        actions: &mut Vec<HostAction>,
-    ) {
-        let has_workers = self
-            .workers
-            .as_ref()
-            .is_some_and(|workers| workers.proved_at().is_some());
-        let Some(manifest) = self.manifest.as_ref().filter(|_| has_workers) else {
-            return;
-        };
-        let Some(epoch) = self.seat.take_caught_up(self.jobs.proved_at()) else {
-            return;
-        };
-        log::info!(epoch = epoch.0, workers = self.reports.len(); "planning begins");
-        let mut planner = PlannerState::new(
-            epoch,
-            self.identity.name.clone(),
-            self.identity.limits,
-            Arc::clone(manifest),
-            now,
-        );
-        let mut context = plan_context(now, wall, &mut self.next_ticket, actions);
-        for (name, report) in &self.reports {
-            planner.take_report(&mut context, name, Some(Arc::clone(report)), None);
-        }
-        let authority = self.seat.foreign_authority();
-        planner.take_book(&mut context, &self.book, authority);
-        planner.tick(&mut context);
-        self.planner = Some(planner);
-        self.jobs.set_pace(Duration::ZERO);
-    }
-
-    fn end_planning(&mut self, now: MonotonicTime) {
-        let is_over = self
-            .planner
-            .as_ref()
-            .is_some_and(|planner| planner.is_deposed() || planner.has_yielded());
-        if !is_over {
-            return;
-        }
-        log::info!("planning ends");
-        self.planner = None;
-        self.workers = None;
-        self.jobs.set_pace(FOLLOW_PACE);
-        self.seat.step_down(now);
-    }
-
-    /// Whether the seat is held, claimed or free, for the dump.
-    pub const fn seat_stage(&self) -> SeatStage {
-        self.seat.stage()
-    }
 }
 
 fn plan_context<'a>(
@@ -548,25 +495,3 @@
     counter!(RECORDS_SKIPPED, "stream" => stream.word()).increment(1);
     log::warn!(target: "log", stream = stream.word(), cause; "record skipped");
 }
-
-impl Display for DomainHost {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let version = self
-            .manifest
-            .as_ref()
-            .map_or(0, |manifest| manifest.version);
-        writeln!(
-            f,
-            "host {} config{version} draining {} jobs {} waiting {} seat {:?}",
-            self.identity.name,
-            self.is_draining,
-            self.book.jobs().len(),
-            self.desk.waiting_count(),
-            self.seat.stage(),
-        )?;
-        match &self.planner {
-            Some(planner) => write!(f, "{planner}"),
-            None => Ok(()),
-        }
-    }
-}
--- /dev/null
+++ b/crates/domain/src/process/host/gauges.rs
@@ -0,0 +1,103 @@
+//! Gauges of a host: what it holds, how far it reads behind, and what waits.
+
+use metrics::gauge;
+
+use crate::prelude::*;
+use crate::process::host::DomainHost;
+use crate::process::planner::PlannerState;
+use crate::version::manifest::DomainManifest;
+
+/// One while this host plans.
+pub const SEAT_HELD: &str = "flamingowalk_domain_seat_held";
+/// Tenures that began on this host.
+pub const TAKEOVERS: &str = "flamingowalk_domain_takeovers_total";
+/// Jobs that have not ended.
+pub const OPEN_JOBS: &str = "flamingowalk_domain_open_jobs";
+/// Version of the configuration in force.
+pub const CONFIG_VERSION: &str = "flamingowalk_domain_config_version";
+/// One while the log answers.
+pub const LOG_REACHABLE: &str = "flamingowalk_domain_log_reachable";
+/// Seconds since everything in the jobs stream was read.
+pub const READ_LAG: &str = "flamingowalk_domain_read_lag_seconds";
+/// Groups that wait for room, by `priority`; on the planner.
+pub const WAITING_GROUPS: &str = "flamingowalk_domain_waiting_groups";
+/// Seconds for which the oldest of these waits, by `priority`; on the planner.
+pub const OLDEST_WAIT: &str = "flamingowalk_domain_oldest_wait_seconds";
+/// Workers by `state`; on the planner.
+pub const WORKERS: &str = "flamingowalk_domain_workers";
+/// Accelerators by `state`; on the planner.
+pub const ACCELERATORS: &str = "flamingowalk_domain_accelerators";
+
+impl DomainHost {
+    /// Sets every gauge. Those of the planner stay as they were when a tenure ends.
+    pub(super) fn set_gauges(&self, now: MonotonicTime) {
+        gauge!(SEAT_HELD).set(f64::from(u8::from(self.planner.is_some())));
+        gauge!(LOG_REACHABLE).set(f64::from(u8::from(self.has_log(now))));
+        let open = self.book.jobs().values().filter(|job| job.is_open());
+        gauge!(OPEN_JOBS).set(open.count() as f64);
+        if let Some(manifest) = &self.manifest {
+            gauge!(CONFIG_VERSION).set(manifest.version as f64);
+        }
+        if let Some(proved_at) = self.jobs.proved_at() {
+            gauge!(READ_LAG).set(now.since(proved_at).as_secs_f64());
+        }
+        if let Some((planner, manifest)) = self.planner.as_ref().zip(self.manifest.as_ref()) {
+            set_queue_gauges(now, planner, manifest);
+            set_worker_gauges(now, planner);
+        }
+    }
+}
+
+fn set_queue_gauges(now: MonotonicTime, planner: &PlannerState, manifest: &DomainManifest) {
+    let mut waiting: BTreeMap<u8, WaitingTotal> = BTreeMap::new();
+    for queue in manifest.queues.values() {
+        waiting.entry(queue.priority).or_default();
+    }
+    for step in planner.waiting(now) {
+        let total = waiting.entry(step.priority).or_default();
+        total.groups += step.groups.len();
+        total.oldest = total.oldest.max(now.since(step.ready_at));
+    }
+    for (priority, total) in waiting {
+        let priority = priority.to_string();
+        gauge!(WAITING_GROUPS, "priority" => priority.clone()).set(total.groups as f64);
+        gauge!(OLDEST_WAIT, "priority" => priority).set(total.oldest.as_secs_f64());
+    }
+}
+
+/// What waits of one priority.
+#[derive(Clone, Copy, Debug, Default)]
+struct WaitingTotal {
+    groups: usize,
+    oldest: Duration,
+}
+
+fn set_worker_gauges(now: MonotonicTime, planner: &PlannerState) {
+    let (mut open, mut leaving, mut silent, mut shut) = (0_u32, 0_u32, 0_u32, 0_u32);
+    let (mut held, mut free) = (0_u32, 0_u32);
+    for worker in planner.workers().values() {
+        let count = if worker.is_leaving {
+            &mut leaving
+        } else if worker.link.failures > 0 || !worker.is_listed {
+            &mut silent
+        } else if worker.is_open(now) {
+            &mut open
+        } else {
+            &mut shut
+        };
+        *count += 1;
+        free += worker.free.accelerators;
+        held += worker.report.capacity.accelerators - worker.free.accelerators;
+    }
+    let counts = [
+        ("open", open),
+        ("leaving", leaving),
+        ("silent", silent),
+        ("set-aside", shut),
+    ];
+    for (state, count) in counts {
+        gauge!(WORKERS, "state" => state).set(f64::from(count));
+    }
+    gauge!(ACCELERATORS, "state" => "held").set(f64::from(held));
+    gauge!(ACCELERATORS, "state" => "free").set(f64::from(free));
+}
--- /dev/null
+++ b/crates/domain/src/process/host/tenure.rs
@@ -0,0 +1,63 @@
+//! Beginning and end of this host's tenure as planner.
+
+use metrics::counter;
+
+use crate::prelude::*;
+use crate::process::action::HostAction;
+use crate::process::host::gauges::TAKEOVERS;
+use crate::process::host::{DomainHost, FOLLOW_PACE, plan_context};
+use crate::process::planner::PlannerState;
+
+impl DomainHost {
+    /// Begins to plan once the jobs are read to their tail and the workers are known.
+    pub(super) fn begin_planning(
+        &mut self,
+        now: MonotonicTime,
+        wall: WallTime,
+        actions: &mut Vec<HostAction>,
+    ) {
+        let has_workers = self
+            .workers
+            .as_ref()
+            .is_some_and(|workers| workers.proved_at().is_some());
+        let Some(manifest) = self.manifest.as_ref().filter(|_| has_workers) else {
+            return;
+        };
+        let Some(epoch) = self.seat.take_caught_up(self.jobs.proved_at()) else {
+            return;
+        };
+        log::info!(epoch = epoch.0, workers = self.reports.len(); "planning begins");
+        counter!(TAKEOVERS).increment(1);
+        let mut planner = PlannerState::new(
+            epoch,
+            self.identity.name.clone(),
+            self.identity.limits,
+            Arc::clone(manifest),
+            now,
+        );
+        let mut context = plan_context(now, wall, &mut self.next_ticket, actions);
+        for (name, report) in &self.reports {
+            planner.take_report(&mut context, name, Some(Arc::clone(report)), None);
+        }
+        let authority = self.seat.foreign_authority();
+        planner.take_book(&mut context, &self.book, authority);
+        planner.tick(&mut context);
+        self.planner = Some(planner);
+        self.jobs.set_pace(Duration::ZERO);
+    }
+
+    pub(super) fn end_planning(&mut self, now: MonotonicTime) {
+        let is_over = self
+            .planner
+            .as_ref()
+            .is_some_and(|planner| planner.is_deposed() || planner.has_yielded());
+        if !is_over {
+            return;
+        }
+        log::info!("planning ends");
+        self.planner = None;
+        self.workers = None;
+        self.jobs.set_pace(FOLLOW_PACE);
+        self.seat.step_down(now);
+    }
+}
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -22,7 +22,7 @@
 impl PlannerState {
     /// Starts what fits.
     pub(super) fn plan(&mut self, context: &mut PlanContext<'_>) {
-        let waiting = waiting_steps(context.now, &self.jobs, &self.run_times);
+        let waiting = self.waiting(context.now);
         if waiting.is_empty() {
             return;
         }
@@ -34,6 +34,11 @@
         self.ask_ahead(context, &view);
     }
 
+    /// All steps with groups that may start now, first things first.
+    pub fn waiting(&self, now: MonotonicTime) -> Vec<WaitingStep> {
+        waiting_steps(now, &self.jobs, &self.run_times)
+    }
+
     /// Room of the workers that may get something.
     pub(super) fn room_view(&self, now: MonotonicTime) -> RoomView {
         let open = self
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -1,17 +1,24 @@
 //! Starting and stopping runs: from the recorded decision to the worker's answer, and
 //! from there to the certainty that nothing of a run is left.
 
+use metrics::counter;
+
 use crate::prelude::*;
 use crate::process::action::{StartOrder, WorkerOrder};
 use crate::process::event::{RefusalCause, WorkerAnswer, WorkerFault};
 use crate::process::planner::job::{GroupPhase, MemberStage, PlanMember};
 use crate::process::planner::place::Placement;
+use crate::process::planner::reclaim::lost_work;
 use crate::process::planner::speed::MemberProgress;
 use crate::process::planner::state::{CallKind, PlanContext, PlannerState, StopOrder};
 use crate::process::planner::worker::Holding;
 use crate::process::planner::writer::CommitEffect;
 use crate::process::record::{JobOutcome, JobRecord};
 
+/// Work of runs that were given up and not saved, in core seconds, an accelerator
+/// counting as eight cores.
+pub const WORK_GIVEN_UP: &str = "flamingowalk_domain_work_given_up_core_seconds_total";
+
 /// Pause before a group whose start was refused is planned again.
 const REFUSED_PAUSE: Duration = Duration::from_millis(100);
 /// Pause before a stop without an answer is repeated.
@@ -242,6 +249,7 @@
         let Some(group) = self.group_mut(&key) else {
             return;
         };
+        let is_given_up = group.phase == GroupPhase::Active;
         if !matches!(group.phase, GroupPhase::Done | GroupPhase::Waiting) {
             group.phase = GroupPhase::Clearing;
         }
@@ -266,9 +274,21 @@
                 MemberStage::Stopping | MemberStage::Stopped(_) | MemberStage::Gone => {}
             }
         }
+        if is_given_up {
+            self.count_given_up(now, &key);
+        }
         self.settle_group(now, &key);
     }
 
+    /// Counts the work that is lost with a run.
+    fn count_given_up(&self, now: MonotonicTime, key: &GroupKey) {
+        let job = self.jobs.get(&key.job);
+        let found = job.and_then(|job| Some((job.shape(key.step)?, job.group(key)?)));
+        if let Some((shape, group)) = found {
+            counter!(WORK_GIVEN_UP).increment(lost_work(now, shape, group) as u64);
+        }
+    }
+
     /// Sends the stops that are due.
     pub(super) fn send_stops(&mut self, context: &mut PlanContext<'_>) {
         let now = context.now;
