--- a/crates/domain-sim/src/sim_world.rs
+++ b/crates/domain-sim/src/sim_world.rs
@@ -10,7 +10,7 @@
 };
 use flamingowalk_domain::process::host::{DomainHost, HostIdentity};
 use flamingowalk_domain::process::planner::PlanLimits;
-use flamingowalk_domain::process::stream::{AppendOrder, StreamFault};
+use flamingowalk_domain::process::stream::{AppendOrder, StreamFault, StreamName};
 use flamingowalk_domain::process::worker_report::WorkerReport;
 use flamingowalk_domain::request::front_request::{
     FrontAnswer, FrontRequest, FrontVerb, RequestTicket,
@@ -88,6 +88,9 @@
     Report(WorkerName),
 }
 
+/// Ticket of calls that nobody waits for any more.
+const LATE_TICKET: CallTicket = CallTicket(u64::MAX);
+
 #[derive(Clone, Debug)]
 enum StoreCall {
     Append(CallTicket, AppendOrder),
@@ -132,6 +135,8 @@
     pub deaf_until: MonotonicTime,
     /// Part of the log's answers to appends that are lost after they took effect.
     pub lost_answers: f64,
+    /// Part of the appends that are done some seconds later and not answered.
+    pub late_appends: f64,
     /// Workers by name.
     pub workers: BTreeMap<WorkerName, SimWorker>,
     last_reports: BTreeMap<WorkerName, MonotonicTime>,
@@ -152,6 +157,8 @@
     pub faults: Vec<String>,
     /// Whether the planner's state is verified after each event.
     pub verifies: bool,
+    /// Reads of the newest claim.
+    pub seat_reads: u32,
     /// Runs started on workers.
     pub starts: u64,
     /// Core seconds of work that was lost, an accelerator counting as eight cores.
@@ -177,6 +184,7 @@
             store_factor: 1,
             deaf_until: MonotonicTime(0),
             lost_answers: 0.0,
+            late_appends: 0.0,
             workers: BTreeMap::new(),
             last_reports: BTreeMap::new(),
             advice: SimAdvice::default(),
@@ -190,6 +198,7 @@
             next_request: 0,
             faults: Vec::new(),
             verifies: true,
+            seat_reads: 0,
             starts: 0,
             wasted: 0.0,
         };
@@ -464,6 +473,13 @@
         }
         let event = match call {
             StoreCall::Append(ticket, order) => {
+                let is_late = ticket != LATE_TICKET && self.late_appends > 0.0;
+                if is_late && self.random.random_bool(self.late_appends) {
+                    let delay = Duration::from_millis(self.random.random_range(1_000..4_000));
+                    let call = StoreCall::Append(LATE_TICKET, order);
+                    self.push(delay, WorldEvent::ToStore(index, life, call));
+                    return;
+                }
                 let result = self.store.append(&order);
                 if result.is_ok() {
                     self.wake_reads();
@@ -482,6 +498,7 @@
                 result => HostEvent::Read(order.ticket, result),
             },
             StoreCall::ReadNewest(ticket, stream) => {
+                self.seat_reads += u32::from(stream == StreamName::Seat);
                 HostEvent::ReadNewest(ticket, Ok(self.store.newest(stream)))
             }
         };
@@ -522,7 +539,7 @@
         }
         if let (WorkerOrder::Start(_), Some(delay)) = (&call.order, worker.late_starts) {
             let mut late = call;
-            late.ticket = CallTicket(u64::MAX);
+            late.ticket = LATE_TICKET;
             if let Some(worker) = self.workers.get_mut(&late.worker) {
                 worker.late_starts = None;
             }
--- a/crates/domain-sim/tests/faults.rs
+++ b/crates/domain-sim/tests/faults.rs
@@ -162,6 +162,37 @@
     check_settled(world);
 }
 
+/// A planner two of whose appends in a row came late was silent for so long that
+/// another host took its seat, which came late as well.
+#[rstest]
+fn seat_kept_while_appends_come_late(#[values(81, 82, 83, 84, 85, 86)] seed: u64) {
+    let mut world = settled_world(seed, 6, 4);
+    let seat = flamingowalk_domain::process::stream::StreamName::Seat;
+    let before = world.store.end(seat);
+    world.late_appends = 0.35;
+    world.run_for(Duration::from_secs(6));
+    world.late_appends = 0.0;
+    let claims = world.store.end(seat).0 - before.0;
+    assert!(claims == 0, "{claims} claims");
+    check_settled(world);
+}
+
+/// While a slow log carried out the first claim, the other hosts asked for the newest
+/// one again and again.
+#[test]
+fn seat_claimed_in_slow_log_without_crowd() {
+    let mut world = settled_world(77, 24, 4);
+    world.store_factor = 60;
+    world.run_for(Duration::from_secs(2));
+    let before = world.seat_reads;
+    let index = planner_of(&world);
+    world.kill_host(index);
+    assert!(world.run_until(Duration::from_secs(6), |world| world.planner().is_some()));
+    world.run_for(Duration::from_secs(1));
+    let reads = world.seat_reads - before;
+    assert!(reads <= 2 * 24, "{reads} reads of 24 hosts");
+}
+
 #[rstest]
 fn seat_kept_while_waits_hear_nothing(#[values(71, 72, 73, 74, 75, 76)] seed: u64) {
     let mut world = settled_world(seed, 6, 4);
--- a/crates/domain/src/process/planner/writer.rs
+++ b/crates/domain/src/process/planner/writer.rs
@@ -9,11 +9,18 @@
 use crate::process::stream::{AppendGuard, AppendOrder, AppendedAt, StreamFault, StreamName};
 use crate::process::stream_follower::take_ticket;
 
-/// Time for an answer of one append; a log that answers 60 times slower than its
-/// usual 4 ms stays within it.
-const APPEND_TIME: Duration = Duration::from_millis(700);
+/// Factor of the usual time of an append after which its answer counts as lost.
+const ANSWER_FACTOR: u32 = 4;
+/// Least time for an answer: a few times the platform's usual 5 to 10 ms, and short
+/// enough that five copies fit into the time after which a silent planner is replaced.
+const LEAST_ANSWER_TIME: Duration = Duration::from_millis(200);
+/// Longest time for an answer; a log that answers 60 times slower than usual stays
+/// within it.
+const LONGEST_ANSWER_TIME: Duration = Duration::from_secs(1);
+/// Time that a first append is expected to take.
+const FIRST_APPEND_TIME: Duration = Duration::from_millis(50);
 /// Pause before an append is repeated.
-const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+const REPEAT_PAUSE: Duration = Duration::from_millis(50);
 /// Most bytes of one append; a quarter of what the platform takes in one call.
 const BATCH_BYTES: usize = 512 * 1024;
 
@@ -40,6 +47,12 @@
     batch: RecordBatch,
     ticket: Option<CallTicket>,
     repeat_at: MonotonicTime,
+    /// When its first copy was sent.
+    first_at: MonotonicTime,
+    /// When its newest copy was sent.
+    newest_at: MonotonicTime,
+    /// Copies sent.
+    copies: u32,
 }
 
 /// How an append of the planner ended.
@@ -62,6 +75,9 @@
     has_written: bool,
     sent: Option<SentBatch>,
     queued: RecordBatch,
+    /// Time that an append takes of late: from its newest copy if that was answered; an
+    /// equal part for each copy if it was read back, since any of them may have done it.
+    usual_time: Duration,
     /// When an append of this epoch last succeeded.
     pub confirmed_at: MonotonicTime,
 }
@@ -75,6 +91,7 @@
             has_written: false,
             sent: None,
             queued: RecordBatch::default(),
+            usual_time: FIRST_APPEND_TIME,
             confirmed_at: now,
         }
     }
@@ -124,9 +141,13 @@
                 batch,
                 ticket: None,
                 repeat_at: now,
+                first_at: now,
+                newest_at: now,
+                copies: 0,
             });
         }
         let (epoch, sequence) = (self.epoch, self.sequence);
+        let timeout = self.usual_time * ANSWER_FACTOR;
         let Some(sent) = &mut self.sent else {
             return;
         };
@@ -135,6 +156,8 @@
         }
         let ticket = take_ticket(next_ticket);
         sent.ticket = Some(ticket);
+        sent.newest_at = now;
+        sent.copies += 1;
         let mark = JobRecord::Mark(AppendMark(epoch, sequence)).encode();
         let records = sent.batch.records.values().cloned();
         actions.push(HostAction::Append {
@@ -144,7 +167,7 @@
                 records: records.chain([mark]).collect(),
                 guard: AppendGuard::Writer { epoch, sequence },
             },
-            timeout: APPEND_TIME,
+            timeout: timeout.clamp(LEAST_ANSWER_TIME, LONGEST_ANSWER_TIME),
         });
     }
 
@@ -182,7 +205,10 @@
         }
         sent.ticket = None;
         let step = match result {
-            Ok(_) => WriteStep::Written(self.note_written(now)),
+            Ok(_) => {
+                let taken = now.since(sent.newest_at);
+                WriteStep::Written(self.note_written(now, taken))
+            }
             Err(StreamFault::Sequence { expected }) if !self.has_written => {
                 // The announcement of the epoch counted differently.
                 self.sequence = *expected;
@@ -200,14 +226,19 @@
     /// Takes the number of an append that was read back: if it is the one under way,
     /// its effects may follow, whatever became of its answer.
     pub fn take_mark(&mut self, now: MonotonicTime, mark: AppendMark) -> Option<Vec<CommitEffect>> {
-        let is_under_way = self.sent.is_some() && mark == AppendMark(self.epoch, self.sequence);
-        is_under_way.then(|| self.note_written(now))
+        let sent = self.sent.as_ref()?;
+        if mark != AppendMark(self.epoch, self.sequence) {
+            return None;
+        }
+        let taken = now.since(sent.first_at) / sent.copies.max(1);
+        Some(self.note_written(now, taken))
     }
 
-    fn note_written(&mut self, now: MonotonicTime) -> Vec<CommitEffect> {
+    fn note_written(&mut self, now: MonotonicTime, taken: Duration) -> Vec<CommitEffect> {
         self.sequence += 1;
         self.has_written = true;
         self.confirmed_at = now;
+        self.usual_time = (self.usual_time + taken) / 2;
         let sent = self.sent.take();
         sent.map(|sent| sent.batch.effects).unwrap_or_default()
     }
--- a/crates/domain/src/process/seat.rs
+++ b/crates/domain/src/process/seat.rs
@@ -20,12 +20,19 @@
 /// Time by which the least eligible host waits longer, so that hosts with more
 /// processor time claim first.
 const ELIGIBILITY_SPREAD: Duration = Duration::from_millis(600);
-/// Processor share from which a host is fully eligible.
-const FULL_SHARE: f64 = 0.5;
+/// Processor share from which a host is fully eligible: a planner with 350 workers uses
+/// about a tenth of a core, and a takeover some more for a second.
+const FULL_SHARE: f64 = 0.25;
 /// Longest random part of the patience, so that equal hosts do not claim at once.
 const RANDOM_SPREAD: Duration = Duration::from_millis(150);
 /// Time for an answer of the seat stream.
 const ANSWER_TIME: Duration = Duration::from_secs(1);
+/// Answers of the log that a slow way to the seat may take longer: those of a claim, an
+/// announcement behind the appends of a full partition, and the reads to the tail.
+const LOG_STEPS: u32 = 6;
+/// Pause before an epoch is announced again; appends take up to a tenth of a second each
+/// in a slow log.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a claim that came to nothing.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -40,6 +47,8 @@
     Claiming(CallTicket, StreamOffset),
     /// Raising the writer's epoch of the jobs stream.
     Fencing(CallTicket, SeatEpoch),
+    /// The epoch is to be announced again at this time.
+    Announcing(SeatEpoch, MonotonicTime),
     /// Reading the jobs stream to its tail, from a read sent after this time.
     CatchingUp(SeatEpoch, MonotonicTime),
     /// Planning.
@@ -97,6 +106,8 @@
     newest_claim: Option<(SeatEpoch, MonotonicTime)>,
     /// When the newest claim was asked for.
     asked_at: MonotonicTime,
+    /// Time that the newest answered question to the log took.
+    log_time: Duration,
 }
 
 impl PlannerSeat {
@@ -121,6 +132,7 @@
             sign_epoch: SeatEpoch(0),
             newest_claim: None,
             asked_at: now,
+            log_time: Duration::ZERO,
         }
     }
 
@@ -167,6 +179,11 @@
         next_ticket: &mut u64,
         actions: &mut Vec<HostAction>,
     ) {
+        if let SeatStage::Announcing(epoch, at) = self.stage
+            && now >= at
+        {
+            self.fence(epoch, next_ticket, actions);
+        }
         let Some(steady_since) = steady_since else {
             return;
         };
@@ -208,13 +225,24 @@
         if self.stage != SeatStage::Asking(ticket) {
             return false;
         }
-        let Ok(page) = result else {
+        let page = match result {
+            Ok(page) => page,
+            Err(fault) => {
+                log::info!(cause = fault.word(); "no claim: the newest one cannot be read");
+                self.pause(now);
+                return true;
+            }
+        };
+        self.log_time = now.since(self.asked_at);
+        if self.sign_at.is_some_and(|sign_at| sign_at > self.asked_at) {
+            log::info!("no claim: the planner gave a sign of life");
             self.pause(now);
             return true;
-        };
-        let has_sign = self.sign_at.is_some_and(|sign_at| sign_at > self.asked_at);
-        if has_sign || self.is_claimed_anew(now, SeatEpoch(page.end.0)) {
+        }
+        if let Some(until) = self.claimed_anew(now, SeatEpoch(page.end.0)) {
+            log::info!(newest = page.end.0; "no claim: another host has claimed");
             self.pause(now);
+            self.pause_until = until;
             return true;
         }
         if self.is_unsettled_claim(page) {
@@ -247,11 +275,11 @@
         true
     }
 
-    /// Whether another host has claimed the seat and may be about to plan: its claim is
-    /// newer than every sign of life, and was first seen a short while ago.
-    fn is_claimed_anew(&mut self, now: MonotonicTime, newest: SeatEpoch) -> bool {
+    /// Until when another host that has claimed the seat may be about to plan: its claim
+    /// is newer than every sign of life, and was first seen a short while ago.
+    fn claimed_anew(&mut self, now: MonotonicTime, newest: SeatEpoch) -> Option<MonotonicTime> {
         if newest <= self.sign_epoch || self.unsettled_claim.is_some() {
-            return false;
+            return None;
         }
         let seen_at = match self.newest_claim {
             Some((epoch, seen_at)) if epoch == newest => seen_at,
@@ -260,7 +288,8 @@
                 now
             }
         };
-        now.since(seen_at) < CLAIM_PATIENCE
+        let until = seen_at + CLAIM_PATIENCE + self.patience + self.log_time * LOG_STEPS;
+        (now < until).then_some(until)
     }
 
     /// Whether the newest claim is this process's, with its answer lost.
@@ -291,10 +320,16 @@
                         self.fence(SeatEpoch(at.next.0), next_ticket, actions);
                     }
                     Err(fault) => {
+                        log::info!(cause = fault.word(); "claim came to nothing");
                         if fault.is_certain() {
                             self.unsettled_claim = None;
                         }
                         self.pause(now);
+                        if let StreamFault::Moved { end } = fault
+                            && let Some(until) = self.claimed_anew(now, SeatEpoch(end.0))
+                        {
+                            self.pause_until = until;
+                        }
                     }
                 }
                 Some(SeatChange::None)
@@ -306,12 +341,15 @@
                     Some(SeatChange::Fenced)
                 }
                 Err(StreamFault::Fenced) => {
+                    log::info!(epoch = epoch.0; "claim is void: a higher epoch was announced");
                     self.pause(now);
                     Some(SeatChange::None)
                 }
-                Err(_) => {
-                    // Announcing the same epoch again changes nothing.
-                    self.fence(epoch, next_ticket, actions);
+                Err(fault) => {
+                    log::info!(epoch = epoch.0, cause = fault.word(); "epoch not announced yet; repeating");
+                    // Announcing the same epoch again changes nothing. A log that refuses
+                    // for want of time gets some.
+                    self.stage = SeatStage::Announcing(epoch, now + ANNOUNCE_PAUSE);
                     Some(SeatChange::None)
                 }
             },
@@ -329,7 +367,7 @@
                 records: Vec::new(),
                 guard: AppendGuard::Writer { epoch, sequence: 0 },
             },
-            timeout: ANSWER_TIME,
+            timeout: ANSWER_TIME + self.log_time * LOG_STEPS,
         });
     }
 
