A woken planner sends no start whose record was answered long ago

Cause, found while the seat's model was written: a planner's authority counted from when the answer of its append was handled. One that was frozen between the record of a start and its answer took the answer for fresh when it woke, renewed leases, and sent the start, later than its successor allows for; a worker that only the old planner reached then ran a unit that the successor had started elsewhere.

Authority now counts from when the append was sent, and starts need it as lease renewals do.

--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -158,3 +158,34 @@
         worker.is_reachable = is_reachable;
     }
 }
+
+/// A planner that was frozen between the record of a start and its answer sent the
+/// start when it woke, long after its successor had taken over.
+#[test]
+fn lease_start_of_woken_planner_not_sent() {
+    for millis in 8..30 {
+        let mut world = settled_world(41, 3, 2);
+        let first = planner_of(&world);
+        for worker in world.workers.values_mut() {
+            worker.only_host = Some(first);
+        }
+        let work = Duration::from_secs(25);
+        world.submit(first, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+        world.run_for(Duration::from_millis(millis));
+        world.hosts[first].frozen_until = world.now() + Duration::from_secs(9);
+        world.run_for(Duration::from_secs(11));
+        let name = world.workers.iter().find_map(|(name, worker)| {
+            let is_idle = worker.running.is_empty();
+            is_idle.then(|| name.clone())
+        });
+        if let Some(worker) = name.and_then(|name| world.workers.get_mut(&name)) {
+            worker.only_host = None;
+        }
+        world.run_for(Duration::from_secs(12));
+        assert_eq!(
+            world.faults,
+            Vec::<String>::new(),
+            "frozen after {millis} ms"
+        );
+    }
+}
--- a/crates/domain/src/process/planner/look.rs
+++ b/crates/domain/src/process/planner/look.rs
@@ -33,7 +33,7 @@
     /// Sends the looks that are due.
     pub(super) fn send_looks(&mut self, context: &mut PlanContext<'_>) {
         let now = context.now;
-        let may_extend = now.since(self.writer.confirmed_at) < AUTHORITY_TIME;
+        let may_extend = self.has_authority(now);
         let names: Vec<_> = self
             .workers
             .iter()
@@ -44,6 +44,12 @@
         }
     }
 
+    /// Whether runs may be started and leases renewed: a successor that cannot reach a
+    /// worker counts on it that this ends some time after the log was last heard.
+    pub(super) fn has_authority(&self, now: MonotonicTime) -> bool {
+        now.since(self.writer.confirmed_at) < AUTHORITY_TIME
+    }
+
     fn send_look(
         &mut self,
         context: &mut PlanContext<'_>,
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -83,8 +83,15 @@
         }
         let members = group.members.clone();
         let saved = group.saved.clone();
-        if !self.may_start_on(&members) {
-            log::info!(target: "start", group = key.to_string().as_str(), run = run.0; "start given up: a worker has left");
+        let refusal = if !self.has_authority(context.now) {
+            Some("the log was not heard for too long")
+        } else if !self.may_start_on(&members) {
+            Some("a worker has left")
+        } else {
+            None
+        };
+        if let Some(why) = refusal {
+            log::info!(target: "start", group = key.to_string().as_str(), run = run.0, why; "start given up");
             self.clear_group(context.now, key);
             return;
         }
--- a/crates/domain/src/process/planner/writer.rs
+++ b/crates/domain/src/process/planner/writer.rs
@@ -78,7 +78,9 @@
     /// Time that an append takes of late: from its newest copy if that was answered; an
     /// equal part for each copy if it was read back, since any of them may have done it.
     usual_time: Duration,
-    /// When an append of this epoch last succeeded.
+    /// Time after which the log took an append of this epoch: when the newest one that
+    /// succeeded was sent. Its answer may have waited for long in a process that was held
+    /// up.
     pub confirmed_at: MonotonicTime,
 }
 
@@ -206,8 +208,8 @@
         sent.ticket = None;
         let step = match result {
             Ok(_) => {
-                let taken = now.since(sent.newest_at);
-                WriteStep::Written(self.note_written(now, taken))
+                let sent_at = sent.newest_at;
+                WriteStep::Written(self.note_written(sent_at, now.since(sent_at)))
             }
             Err(StreamFault::Sequence { expected }) if !self.has_written => {
                 // The announcement of the epoch counted differently.
@@ -230,14 +232,15 @@
         if mark != AppendMark(self.epoch, self.sequence) {
             return None;
         }
-        let taken = now.since(sent.first_at) / sent.copies.max(1);
-        Some(self.note_written(now, taken))
+        let sent_at = sent.first_at;
+        let taken = now.since(sent_at) / sent.copies.max(1);
+        Some(self.note_written(sent_at, taken))
     }
 
-    fn note_written(&mut self, now: MonotonicTime, taken: Duration) -> Vec<CommitEffect> {
+    fn note_written(&mut self, sent_at: MonotonicTime, taken: Duration) -> Vec<CommitEffect> {
         self.sequence += 1;
         self.has_written = true;
-        self.confirmed_at = now;
+        self.confirmed_at = self.confirmed_at.max(sent_at);
         self.usual_time = (self.usual_time + taken) / 2;
         let sent = self.sent.take();
         sent.map(|sent| sent.batch.effects).unwrap_or_default()
