Load of half as much again as the pool can do, on the simulated domain

Bounds are the users': urgent gangs begin within 3.4 s, also in a burst of twice as many; the largest tenth of the wide jobs and the fifth below it are served at least half as often as all; 0.7 of the work is done.

--- a/crates/domain-sim/tests/domain.rs
+++ b/crates/domain-sim/tests/domain.rs
@@ -3,5 +3,6 @@
 mod advice;
 mod faults;
 mod leases;
+mod load;
 mod sharing;
 mod support;
--- /dev/null
+++ b/crates/domain-sim/tests/load.rs
@@ -0,0 +1,138 @@
+//! Half as much again as the pool can do, with bursts of urgent gangs: what callers get,
+//! by kind and by size. Answers the loads that the users' grown sites describe; the
+//! bounds are the users' own.
+
+use crate::support::{BATCH, URGENT, settled_world};
+use flamingowalk_domain::prelude::*;
+use flamingowalk_domain::request::submission::UnitNeed;
+use flamingowalk_domain_sim::load::LoadJob;
+use flamingowalk_domain_sim::{LoadClass, LoadPlan, SimWorld};
+use rstest::rstest;
+
+/// Workers of the pool, with 8 accelerators each.
+const WORKERS: usize = 24;
+/// Time for which jobs come.
+const LOAD_TIME: Duration = Duration::from_secs(40);
+/// Time after the last job until which completions count.
+const REST_TIME: Duration = Duration::from_secs(30);
+/// Within which urgent work inside a guarantee has to run, by the users' bounds.
+const RECLAIM_BOUND: Duration = Duration::from_millis(3_400);
+/// Factor of the objective after which a job is worth nothing.
+const LATE_FACTOR: f64 = 3.0;
+/// Share of the pool that has to work while more waits than it can do: what the users
+/// ask of a pool that grows from 30 to 300 machines.
+const LEAST_USE: f64 = 0.7;
+/// Share of the whole kind's service that the largest jobs have to get, by the gate.
+const LEAST_SIZE_SHARE: f64 = 0.5;
+
+fn class(queue: &str, rate: f64, width: f64, seconds: f64, accelerators: &[u32]) -> LoadClass {
+    LoadClass {
+        queue: queue.into(),
+        rate,
+        width,
+        width_limit: (width * 6.0) as u16,
+        run_time: Duration::from_secs_f64(seconds),
+        spread: 0.3,
+        longest: Duration::from_secs_f64(seconds * 2.0),
+        estimate_spread: 0.5,
+        need: UnitNeed {
+            cpu_millis: 3_000,
+            memory_mb: 7_000,
+            accelerators: 0,
+        },
+        accelerators: accelerators.to_vec(),
+        is_gang: false,
+        same_rack: 0.0,
+        checkpoints: 0.45,
+        worth: (1.0, 0.3),
+    }
+}
+
+/// Urgent gangs for a fifth of the pool, twice as many from 10 to 16 s, and wide jobs
+/// for more than is left.
+fn overload(seed: u64, begin: MonotonicTime) -> LoadPlan {
+    let mut urgent = class("urgent", 1.6, 3.0, 2.5, &[1, 2, 4, 8]);
+    urgent.is_gang = true;
+    urgent.same_rack = 0.5;
+    urgent.width_limit = 6;
+    let batch = class("batch", 2.1, 16.0, 9.5, &[1]);
+    let burst = move |class: usize, at: MonotonicTime| {
+        let second = at.since(begin).as_secs();
+        if class == 0 && (10..16).contains(&second) {
+            2.0
+        } else {
+            1.0
+        }
+    };
+    LoadPlan::draw(seed, vec![urgent, batch], begin, begin + LOAD_TIME, burst)
+}
+
+fn play(world: &mut SimWorld, plan: &LoadPlan) {
+    for (number, load) in plan.jobs.iter().enumerate() {
+        world.run_for(load.at.since(world.now()));
+        let path = if load.class == 0 { URGENT } else { BATCH };
+        world.submit(number % 4, path, load.key, &load.submission, load.work);
+    }
+    world.run_for(REST_TIME);
+}
+
+/// Accelerator seconds of a job.
+fn size(load: &LoadJob) -> f64 {
+    let shape = &load.submission.steps[0];
+    let members = f64::from(shape.count) * f64::from(shape.need.accelerators);
+    members * load.work.as_secs_f64()
+}
+
+/// Share of jobs that were done while they were worth something.
+fn served(world: &SimWorld, jobs: &[&LoadJob], stretch: f64) -> f64 {
+    let is_served = |load: &&&LoadJob| {
+        let report = &world.jobs[&load.key];
+        let limit = (load.work.mul_f64(stretch) + Duration::from_millis(250)).mul_f64(LATE_FACTOR);
+        report
+            .done_at
+            .is_some_and(|at| at.since(report.sent_at) <= limit)
+    };
+    jobs.iter().filter(is_served).count() as f64 / jobs.len() as f64
+}
+
+#[rstest]
+fn load_overload_within_the_users_bounds(#[values(1, 2, 4, 5)] seed: u64) {
+    let mut world = settled_world(seed, 4, WORKERS);
+    world.verifies = false;
+    let plan = overload(seed, world.now());
+    let demand: f64 = plan.jobs.iter().map(size).sum();
+    let pool = (WORKERS * 8) as f64 * LOAD_TIME.as_secs_f64();
+    assert!(demand > 1.4 * pool, "{demand} of {pool}");
+    play(&mut world, &plan);
+    assert_eq!(world.faults, Vec::<String>::new());
+
+    for load in plan.jobs.iter().filter(|load| load.class == 0) {
+        let report = &world.jobs[&load.key];
+        let wait = report.began_at.map(|at| at.since(report.sent_at));
+        let is_in_time = wait.is_some_and(|wait| wait <= RECLAIM_BOUND);
+        assert!(is_in_time, "urgent {} began after {wait:?}", load.key);
+    }
+
+    let mut batch: Vec<&LoadJob> = plan.jobs.iter().filter(|load| load.class == 1).collect();
+    batch.sort_by(|left, right| size(right).total_cmp(&size(left)));
+    let whole = served(&world, &batch, 3.0);
+    let largest = served(&world, &batch[..batch.len() / 10], 3.0);
+    let next = served(&world, &batch[batch.len() / 10..batch.len() * 3 / 10], 3.0);
+    for share in [largest, next] {
+        let text = format!("whole {whole:.2} largest {largest:.2} next {next:.2}");
+        assert!(share >= whole * LEAST_SIZE_SHARE, "{text}");
+    }
+
+    let done = plan
+        .jobs
+        .iter()
+        .filter(|load| world.jobs[&load.key].done_at.is_some());
+    let done: f64 = done.map(size).sum();
+    let time = (LOAD_TIME + REST_TIME).as_secs_f64();
+    let most = (WORKERS * 8) as f64 * time;
+    assert!(
+        done >= demand.min(most) * LEAST_USE,
+        "{done} of {}",
+        demand.min(most)
+    );
+}
