--- /dev/null
+++ b/crates/domain-sim/src/sim_world/log.rs
@@ -0,0 +1,140 @@
+//! The log of a world, and the service that approves workers: calls, answers that are
+//! late or lost, and the entries of workers.
+
+use flamingowalk_domain::prelude::*;
+use flamingowalk_domain::process::action::AdviceOrder;
+use flamingowalk_domain::process::event::{AdviceFault, HostEvent};
+use flamingowalk_domain::process::stream::StreamName;
+use rand::Rng;
+
+use crate::sim_world::{
+    ENTRY_LIFE, HOP, LATE_TICKET, REPORT_INTERVAL, STORE_TIME, SimWorld, StoreCall, WorldEvent,
+};
+
+impl SimWorld {
+    pub(super) fn serve_advice(&mut self, index: usize, life: u64, order: &AdviceOrder) {
+        let lost = HostEvent::Advised(order.ticket, Err(AdviceFault::NoAnswer));
+        self.push(order.timeout, WorldEvent::ToHost(index, life, lost));
+        if !self.advice.is_up {
+            return;
+        }
+        let workers = &self.workers;
+        let life_of = |name: &WorkerName| {
+            let worker = workers.get(name);
+            worker.map_or(WorkerIncarnation(0), |worker| worker.report.incarnation)
+        };
+        let (answered_at, approvals) = self.advice.take(self.now, order, life_of);
+        let event = HostEvent::Advised(order.ticket, Ok(approvals));
+        let delay = answered_at.since(self.now) + HOP;
+        self.push(delay, WorldEvent::ToHost(index, life, event));
+    }
+
+    /// Sends a call to the log. The timeout reaches the host in any case; hosts take
+    /// no second answer to a ticket.
+    pub(super) fn call_store(
+        &mut self,
+        index: usize,
+        life: u64,
+        call: StoreCall,
+        lost: HostEvent,
+        timeout: Duration,
+    ) {
+        self.push(timeout, WorldEvent::ToHost(index, life, lost));
+        let delay = HOP + STORE_TIME * self.store_factor;
+        self.push(delay, WorldEvent::ToStore(index, life, call));
+    }
+
+    pub(super) fn serve_store(&mut self, index: usize, life: u64, call: StoreCall) {
+        if !self.is_store_up || !self.hosts[index].reaches_store {
+            return;
+        }
+        let event = match call {
+            StoreCall::Append(ticket, order) => {
+                let is_late = ticket != LATE_TICKET && self.late_appends > 0.0;
+                if is_late && self.random.random_bool(self.late_appends) {
+                    let delay = Duration::from_millis(self.random.random_range(1_000..4_000));
+                    let call = StoreCall::Append(LATE_TICKET, order);
+                    self.push(delay, WorldEvent::ToStore(index, life, call));
+                    return;
+                }
+                let result = self.store.append(&order);
+                if result.is_ok() {
+                    self.wake_reads();
+                }
+                if self.lost_answers > 0.0 && self.random.random_bool(self.lost_answers) {
+                    return;
+                }
+                HostEvent::Appended(ticket, result)
+            }
+            StoreCall::Read(order) => match self.store.read(order.stream, order.from) {
+                Ok(page) if page.records.is_empty() && !order.wait.is_zero() => {
+                    let until = self.now + order.wait;
+                    self.waiting_reads.push((index, life, order, until));
+                    return;
+                }
+                result => HostEvent::Read(order.ticket, result),
+            },
+            StoreCall::ReadNewest(ticket, stream) => {
+                self.seat_reads += u32::from(stream == StreamName::Seat);
+                HostEvent::ReadNewest(ticket, Ok(self.store.newest(stream)))
+            }
+        };
+        self.push(HOP, WorldEvent::ToHost(index, life, event));
+    }
+
+    /// Answers the reads that waited for a record, and those that waited long enough.
+    pub(super) fn wake_reads(&mut self) {
+        let now = self.now;
+        let waiting = std::mem::take(&mut self.waiting_reads);
+        for (index, life, order, until) in waiting {
+            let result = self.store.read(order.stream, order.from);
+            let is_ready = result
+                .as_ref()
+                .map_or(true, |page| !page.records.is_empty());
+            if !self.is_store_up || !self.hosts[index].reaches_store {
+                continue;
+            }
+            if (is_ready && now >= self.deaf_until) || now >= until {
+                let event = HostEvent::Read(order.ticket, result);
+                self.push(HOP, WorldEvent::ToHost(index, life, event));
+            } else {
+                self.waiting_reads.push((index, life, order, until));
+            }
+        }
+    }
+
+    pub(super) fn report(&mut self, name: &WorkerName) {
+        self.push(REPORT_INTERVAL, WorldEvent::Report(name.clone()));
+        self.write_report(name);
+    }
+
+    pub(super) fn write_report(&mut self, name: &WorkerName) {
+        let now = self.now;
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        if worker.is_up && worker.reaches_store && self.is_store_up {
+            let mut report = worker.report.clone();
+            report.clock = worker.clock(now);
+            self.store.put_worker(name, Some(Arc::new(report)));
+            self.last_reports.insert(name.clone(), now);
+        }
+    }
+
+    pub(super) fn expire_entries(&mut self) {
+        let now = self.now;
+        if !self.is_store_up {
+            return;
+        }
+        let gone: Vec<_> = self
+            .last_reports
+            .iter()
+            .filter(|(_, at)| now.since(**at) >= ENTRY_LIFE)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in gone {
+            self.last_reports.remove(&name);
+            self.store.put_worker(&name, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/domain-sim/src/sim_world/runs.rs
@@ -0,0 +1,228 @@
+//! Runs on workers: gangs that begin together, ends, lost work, and workers that come
+//! and go.
+
+use flamingowalk_domain::prelude::*;
+use flamingowalk_domain::process::event::EndCause;
+
+use crate::sim_worker::SimRun;
+use crate::sim_world::{GangRun, SimWorld};
+
+impl SimWorld {
+    /// Lets gangs begin of which every member is there, and ends those that waited.
+    pub(super) fn begin_gangs(&mut self) {
+        let now = self.now;
+        let timeout = self.limits.gang_timeout;
+        let mut members: BTreeMap<GangRun, Vec<(WorkerName, UnitKey)>> = BTreeMap::new();
+        let mut late = Vec::new();
+        for (name, worker) in &self.workers {
+            for (unit, run) in &worker.running {
+                if run.began_at.is_none() && worker.is_up {
+                    let key = GangRun {
+                        job: unit.job,
+                        occurrence: unit.occurrence,
+                        step: unit.step,
+                        run: run.run,
+                    };
+                    members.entry(key).or_default().push((name.clone(), *unit));
+                    if now.since(run.arrived_at) >= timeout {
+                        late.push((name.clone(), *unit));
+                    }
+                }
+            }
+        }
+        for (key, units) in members {
+            let submission = self.submissions.get(&key.job);
+            let count = submission.map_or(0, |(submission, _)| {
+                usize::from(submission.steps[usize::from(key.step)].count)
+            });
+            if units.len() < count {
+                continue;
+            }
+            for (name, unit) in units {
+                let run = self
+                    .workers
+                    .get_mut(&name)
+                    .and_then(|worker| worker.running.get_mut(&unit));
+                if let Some(run) = run {
+                    run.began_at = Some(now);
+                }
+            }
+            if let Some(report) = self.jobs.get_mut(&key.job) {
+                report.began_at.get_or_insert(now);
+            }
+        }
+        for (name, unit) in late {
+            if let Some(worker) = self.workers.get_mut(&name)
+                && worker
+                    .running
+                    .get(&unit)
+                    .is_some_and(|run| run.began_at.is_none())
+            {
+                worker.end(now, unit, EndCause::Alone);
+            }
+        }
+    }
+
+    /// Ends runs that are done, failed, stopped or lapsed, and the gangs with them.
+    pub(super) fn end_runs(&mut self) {
+        let now = self.now;
+        let mut ends: Vec<(WorkerName, UnitKey, EndCause)> = Vec::new();
+        for (name, worker) in self.workers.iter().filter(|(_, worker)| worker.is_up) {
+            let is_lapsed = worker.is_lapsed(now);
+            for (unit, run) in &worker.running {
+                let is_due = run.due_at().is_some_and(|at| now >= at) && !worker.is_stalled;
+                if is_lapsed {
+                    ends.push((name.clone(), *unit, EndCause::Lapsed));
+                } else if run.stops_at.is_some_and(|at| now >= at) {
+                    ends.push((name.clone(), *unit, EndCause::Stopped));
+                } else if is_due && run.will_fail {
+                    ends.push((name.clone(), *unit, EndCause::Failed));
+                } else if is_due && self.is_gang_due(unit) {
+                    ends.push((name.clone(), *unit, EndCause::Done));
+                }
+            }
+        }
+        for (name, unit, cause) in ends {
+            self.end_run(&name, unit, cause);
+        }
+    }
+
+    pub(super) fn gang_of(&self, unit: &UnitKey) -> bool {
+        let submission = self.submissions.get(&unit.job);
+        submission.is_some_and(|(submission, _)| submission.steps[usize::from(unit.step)].is_gang)
+    }
+
+    /// Whether every member of the unit's gang has done its work; true without a gang.
+    pub(super) fn is_gang_due(&self, unit: &UnitKey) -> bool {
+        if !self.gang_of(unit) {
+            return true;
+        }
+        let now = self.now;
+        self.workers
+            .values()
+            .filter(|worker| worker.is_up)
+            .all(|worker| {
+                worker.running.iter().all(|(other, run)| {
+                    let is_member = other.job == unit.job
+                        && other.occurrence == unit.occurrence
+                        && other.step == unit.step;
+                    let is_due = run.due_at().is_some_and(|at| now >= at) && !worker.is_stalled;
+                    !is_member || (is_due && !run.will_fail)
+                })
+            })
+    }
+
+    pub(super) fn end_run(&mut self, name: &WorkerName, unit: UnitKey, cause: EndCause) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let Some(run) = worker.running.get(&unit).cloned() else {
+            return;
+        };
+        worker.end(now, unit, cause);
+        if cause == EndCause::Done {
+            self.note_done(unit);
+            return;
+        }
+        self.note_waste(&run);
+        if self.gang_of(&unit) && cause != EndCause::Alone {
+            self.break_gang(&unit);
+        }
+    }
+
+    pub(super) fn note_waste(&mut self, run: &SimRun) {
+        let cores = run.need.cpu_millis as f64 / 1_000.0 + f64::from(run.need.accelerators) * 8.0;
+        let began = run.began_at.unwrap_or(run.arrived_at);
+        let ran = self.now.since(began).as_secs_f64();
+        let lost = if run.has_checkpoints {
+            ran.min(1.0)
+        } else {
+            ran
+        };
+        self.wasted += lost * cores;
+    }
+
+    pub(super) fn break_gang(&mut self, unit: &UnitKey) {
+        let now = self.now;
+        let mut broken = Vec::new();
+        for (name, worker) in &self.workers {
+            for other in worker.running.keys() {
+                let is_member = other.job == unit.job
+                    && other.occurrence == unit.occurrence
+                    && other.step == unit.step;
+                if is_member && worker.is_up {
+                    broken.push((name.clone(), *other));
+                }
+            }
+        }
+        for (name, other) in broken {
+            if let Some(worker) = self.workers.get_mut(&name) {
+                let run = worker.running.get(&other).cloned();
+                worker.end(now, other, EndCause::Broken);
+                if let Some(run) = run {
+                    self.note_waste(&run);
+                }
+            }
+        }
+    }
+
+    pub(super) fn note_done(&mut self, unit: UnitKey) {
+        let now = self.now;
+        let total = self
+            .submissions
+            .get(&unit.job)
+            .map_or(0, |(submission, _)| {
+                let units: usize = submission
+                    .steps
+                    .iter()
+                    .map(|step| usize::from(step.count))
+                    .sum();
+                units * submission.occurrences() as usize
+            });
+        if let Some(report) = self.jobs.get_mut(&unit.job) {
+            report.done_units.insert(unit);
+            if report.done_units.len() == total {
+                report.done_at.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Crashes a worker: everything on it is lost.
+    pub fn crash_worker(&mut self, name: &WorkerName) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        worker.is_up = false;
+        let units: Vec<_> = worker.running.keys().copied().collect();
+        worker.running.clear();
+        for unit in units {
+            if self.gang_of(&unit) {
+                self.break_gang(&unit);
+            }
+        }
+    }
+
+    /// Starts a crashed worker again, with a new life.
+    pub fn restart_worker(&mut self, name: &WorkerName) {
+        let now = self.now;
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.restart(now);
+        }
+    }
+
+    /// Makes a worker report that it is leaving.
+    pub fn drain_worker(&mut self, name: &WorkerName) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.report.is_draining = true;
+        }
+        self.write_report(name);
+    }
+
+    /// Takes a worker away: everything on it is lost, and its entry is removed at once.
+    pub fn remove_worker(&mut self, name: &WorkerName) {
+        self.crash_worker(name);
+        self.last_reports.remove(name);
+        self.store.put_worker(name, None);
+    }
+}
