Waves of upkeep

Cause: the operator's waves were skipped, so that a deployment with upkeep would miss every duty.

While a wave is open the planner lists the machines, empties the workers of as many as the wave allows, and orders a machine only once nothing runs on it; what runs on is moved as far as may-miss allows. Progress is recorded, and the epoch is the fencing token. Nothing of this happens without a wave.

Ruled out: ordering at once and letting runs end with the machine, which throws work away and breaks the bound on long-running steps; choosing only the first units of a step that may miss some, as for urgent work, which left two closed workers with units that could never move (wave_lasting_step_keeps_its_units).

--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -63,6 +63,8 @@
     LeaseId;
     /// Identifier of a log record, by which readers apply it once.
     RecordId;
+    /// Name of a machine, which keeps its rack and room while its workers change.
+    MachineName;
     /// Name of a queue of a planning domain, to which jobs are submitted.
     QueueName;
     /// Label of a worker that jobs may ask for.
--- a/crates/domain-node/src/ports.rs
+++ b/crates/domain-node/src/ports.rs
@@ -5,8 +5,11 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use flamingowalk_domain::process::action::{AdviceOrder, NewestOrder, ReadOrder, WorkerCall};
+use flamingowalk_domain::process::action::{
+    AdviceOrder, MachineListOrder, NewestOrder, ReadOrder, UpkeepOrder, WorkerCall,
+};
 use flamingowalk_domain::process::event::{AdviceFault, WorkerAnswer, WorkerApproval, WorkerFault};
+use flamingowalk_domain::process::machine::{MachineFault, MachinePage};
 use flamingowalk_domain::process::stream::{
     AppendOrder, AppendedAt, NewestPage, StreamFault, StreamPage,
 };
@@ -25,6 +28,11 @@
 /// Asks which workers may run a step.
 pub type AdvicePort =
     Box<dyn Fn(AdviceOrder) -> PortFuture<Result<Vec<WorkerApproval>, AdviceFault>>>;
+/// Lists machines.
+pub type MachinesPort =
+    Box<dyn Fn(MachineListOrder) -> PortFuture<Result<MachinePage, MachineFault>>>;
+/// Has a machine's upkeep done.
+pub type UpkeepPort = Box<dyn Fn(UpkeepOrder) -> PortFuture<Result<(), MachineFault>>>;
 
 /// The calls that a host makes.
 pub struct DomainPorts {
@@ -38,6 +46,10 @@
     pub worker: WorkerPort,
     /// Asks which workers may run a step.
     pub advise: AdvicePort,
+    /// Lists machines.
+    pub list_machines: MachinesPort,
+    /// Has a machine's upkeep done.
+    pub upkeep: UpkeepPort,
 }
 
 impl Debug for DomainPorts {
--- a/crates/domain-node/src/run_loop.rs
+++ b/crates/domain-node/src/run_loop.rs
@@ -225,6 +225,14 @@
                 let ticket = order.ticket;
                 HostEvent::Advised(ticket, (ports.advise)(order).await)
             }),
+            HostAction::ListMachines(order) => spawn_call(events, async move {
+                let ticket = order.ticket;
+                HostEvent::MachinesListed(ticket, (ports.list_machines)(order).await)
+            }),
+            HostAction::Upkeep(order) => spawn_call(events, async move {
+                let ticket = order.ticket;
+                HostEvent::UpkeepAnswered(ticket, (ports.upkeep)(order).await)
+            }),
             HostAction::Reply(ticket, answer) => {
                 if let Some(reply) = self.replies.remove(&ticket) {
                     // The caller may be gone.
--- a/crates/domain-node/src/settings.rs
+++ b/crates/domain-node/src/settings.rs
@@ -30,6 +30,8 @@
     pub log_address: SocketAddr,
     /// Address of the service that approves workers, where queues need approvals.
     pub advice_address: Option<SocketAddr>,
+    /// Address of the service that keeps the machines, where there is one.
+    pub machines_address: Option<SocketAddr>,
     /// Bounds of the deployment.
     pub limits: PlanLimits,
     /// Time between turning unready and closing the listener.
@@ -39,7 +41,7 @@
 }
 
 /// Every key, in the order of the operators' page.
-pub const KNOWN_KEYS: [KnownKey; 19] = [
+pub const KNOWN_KEYS: [KnownKey; 21] = [
     required("host", "name"),
     optional("host", "cpu-share", "1"),
     required("listen", "caller"),
@@ -48,6 +50,7 @@
     required("platform", "log"),
     optional("platform", "orders", "request"),
     optional("platform", "advice", "none"),
+    optional("platform", "machines", "none"),
     optional("bounds", "lease-s", "10"),
     optional("bounds", "stop-grace-s", "1"),
     optional("bounds", "gang-timeout-s", "3"),
@@ -57,6 +60,7 @@
     optional("bounds", "restore-s", "0.25"),
     optional("bounds", "status-s", "120"),
     optional("bounds", "early-s", "0"),
+    optional("bounds", "machine-lease-s", "3"),
     optional("drain", "wait-s", "2.5"),
     optional("drain", "limit-s", "6"),
 ];
@@ -77,6 +81,7 @@
             status_address: reader.address("listen", "status"),
             log_address: reader.address("platform", "log"),
             advice_address: optional_address(&mut reader, "platform", "advice"),
+            machines_address: optional_address(&mut reader, "platform", "machines"),
             limits: PlanLimits {
                 lease_limit: seconds(&mut reader, "bounds", "lease-s"),
                 stop_grace: seconds(&mut reader, "bounds", "stop-grace-s"),
@@ -87,6 +92,7 @@
                 restore_time: seconds(&mut reader, "bounds", "restore-s"),
                 status_retention: seconds(&mut reader, "bounds", "status-s"),
                 early_tolerance: seconds(&mut reader, "bounds", "early-s"),
+                machine_lease: seconds(&mut reader, "bounds", "machine-lease-s"),
             },
             drain_wait: seconds(&mut reader, "drain", "wait-s"),
             drain_limit: seconds(&mut reader, "drain", "limit-s"),
--- a/crates/domain-sim/src/sim_store.rs
+++ b/crates/domain-sim/src/sim_store.rs
@@ -10,6 +10,7 @@
 };
 use flamingowalk_domain::process::worker_report::WorkerReport;
 use flamingowalk_domain::version::manifest::DomainManifest;
+use flamingowalk_domain::version::wave::WaveOrder;
 
 /// Appends of a writer whose answers are repeated.
 const KEPT_ANSWERS: usize = 5;
@@ -55,6 +56,26 @@
             .push(("config".into(), body));
     }
 
+    /// Publishes a wave, or withdraws it.
+    pub fn put_wave(&mut self, number: WaveNumber, order: Option<WaveOrder>) {
+        let body = StreamBody::Wave(number, order.map(Arc::new));
+        self.stream(StreamName::Config)
+            .records
+            .push((number.to_string().into(), body));
+    }
+
+    /// What the operator was last told of a wave.
+    pub fn wave_status(&self, number: WaveNumber) -> Option<String> {
+        let stream = self.streams.get(&StreamName::Status)?;
+        let key = number.to_string();
+        let mut records = stream.records.iter().rev();
+        let (_, body) = records.find(|(known, _)| **known == *key)?;
+        let StreamBody::Own(_, Some(value)) = body else {
+            return None;
+        };
+        Some(String::from_utf8_lossy(value).into_owned())
+    }
+
     /// Writes, or removes, what a worker says of itself.
     pub fn put_worker(&mut self, name: &WorkerName, report: Option<Arc<WorkerReport>>) {
         let body = StreamBody::Worker(name.clone(), report);
--- a/crates/domain-sim/src/sim_world.rs
+++ b/crates/domain-sim/src/sim_world.rs
@@ -21,6 +21,7 @@
 use rand_chacha::rand_core::SeedableRng;
 
 use crate::sim_advice::SimAdvice;
+use crate::sim_machines::SimMachines;
 use crate::sim_store::SimStore;
 use crate::sim_worker::SimWorker;
 
@@ -141,6 +142,8 @@
     last_reports: BTreeMap<WorkerName, MonotonicTime>,
     /// The service that approves workers.
     pub advice: SimAdvice,
+    /// The service that keeps the machines.
+    pub machines: SimMachines,
     waiting_reads: Vec<(usize, u64, ReadOrder, MonotonicTime)>,
     waiting_looks: Vec<WaitingLook>,
     /// Bounds that the hosts are told.
@@ -187,6 +190,7 @@
             workers: BTreeMap::new(),
             last_reports: BTreeMap::new(),
             advice: SimAdvice::default(),
+            machines: SimMachines::default(),
             waiting_reads: Vec::new(),
             waiting_looks: Vec::new(),
             limits: PlanLimits::default(),
@@ -368,6 +372,12 @@
                 self.push(HOP, WorldEvent::ToWorker(index, life, Box::new(call)));
             }
             HostAction::Advise(order) => self.serve_advice(index, life, &order),
+            HostAction::ListMachines(order) => {
+                let page = self.machines.list(order.after.as_deref());
+                let event = HostEvent::MachinesListed(order.ticket, Ok(page));
+                self.push(HOP, WorldEvent::ToHost(index, life, event));
+            }
+            HostAction::Upkeep(order) => self.serve_upkeep(index, life, &order),
             HostAction::Reply(ticket, answer) => self.note_answer(ticket, answer),
         }
     }
@@ -381,6 +391,7 @@
                 self.deliver(index, life, HostEvent::Ticked);
             }
         }
+        self.bring_back();
         self.begin_gangs();
         self.end_runs();
         self.wake_looks();
--- a/crates/domain-sim/src/sim_world/runs.rs
+++ b/crates/domain-sim/src/sim_world/runs.rs
@@ -2,10 +2,12 @@
 //! and go.
 
 use flamingowalk_domain::prelude::*;
-use flamingowalk_domain::process::event::EndCause;
+use flamingowalk_domain::process::action::UpkeepOrder;
+use flamingowalk_domain::process::event::{EndCause, HostEvent};
+use flamingowalk_domain::process::machine::MachineFault;
 
-use crate::sim_worker::SimRun;
-use crate::sim_world::{GangRun, SimWorld};
+use crate::sim_worker::{SimRun, SimWorker};
+use crate::sim_world::{GangRun, HOP, SimWorld, WorldEvent};
 
 impl SimWorld {
     /// Lets gangs begin of which every member is there, and ends those that waited.
@@ -219,6 +221,47 @@
         self.write_report(name);
     }
 
+    /// Carries an order for upkeep out: everything on the machine ends.
+    pub(super) fn serve_upkeep(&mut self, index: usize, life: u64, order: &UpkeepOrder) {
+        let result = self.machines.upkeep(self.now, order);
+        if let Ok(Some(worker)) = &result {
+            let runs = self
+                .workers
+                .get(worker)
+                .map_or(0, |worker| worker.running.len());
+            if runs > 0 {
+                self.faults
+                    .push(format!("upkeep of {worker} ends {runs} runs"));
+            }
+            self.remove_worker(worker);
+        }
+        let is_lost = self.machines.lost_answers > 0;
+        self.machines.lost_answers = self.machines.lost_answers.saturating_sub(1);
+        let (delay, result) = if is_lost {
+            (order.timeout, Err(MachineFault::NoAnswer))
+        } else {
+            (HOP, result.map(|_| ()))
+        };
+        let event = HostEvent::UpkeepAnswered(order.ticket, result);
+        self.push(delay, WorldEvent::ToHost(index, life, event));
+    }
+
+    /// Brings new workers of machines whose upkeep is over.
+    pub(super) fn bring_back(&mut self) {
+        for name in self.machines.take_back(self.now) {
+            let Some(before) = self.workers.get(&name) else {
+                continue;
+            };
+            let mut report = before.report.clone();
+            report.name = format!("{name}+").into();
+            report.incarnation = WorkerIncarnation(1 + self.now.0 / 1_000);
+            let next = report.name.clone();
+            self.workers
+                .insert(next.clone(), SimWorker::new(report, self.now));
+            self.push(Duration::ZERO, WorldEvent::Report(next));
+        }
+    }
+
     /// Takes a worker away: everything on it is lost, and its entry is removed at once.
     pub fn remove_worker(&mut self, name: &WorkerName) {
         self.crash_worker(name);
--- a/crates/domain-sim/tests/domain.rs
+++ b/crates/domain-sim/tests/domain.rs
@@ -6,3 +6,4 @@
 mod load;
 mod sharing;
 mod support;
+mod upkeep;
--- /dev/null
+++ b/crates/domain-sim/tests/upkeep.rs
@@ -0,0 +1,122 @@
+//! Waves of upkeep: every machine once, no more at once than the wave allows, nothing
+//! that runs is cut, and a successor goes on.
+
+use crate::support::{BATCH, all_done, job, planner_of, settled_world, step};
+use flamingowalk_domain::prelude::*;
+use flamingowalk_domain::version::wave::WaveOrder;
+use flamingowalk_domain_sim::SimWorld;
+
+const WAVE: WaveNumber = WaveNumber(7);
+/// Time within which the small waves of these tests end.
+const LIMIT: Duration = Duration::from_mins(1);
+
+/// A world whose workers have machines, and a wave over all of them.
+fn world_with_wave(seed: u64, count: usize, cap: usize) -> SimWorld {
+    let mut world = settled_world(seed, 3, count);
+    let workers: Vec<_> = world.workers.keys().cloned().collect();
+    world.machines.own(workers.into_iter());
+    let order = WaveOrder {
+        number: WAVE,
+        machines: world.machines.machines.keys().cloned().collect(),
+        duration: Duration::from_secs(30),
+        cap,
+    };
+    world.store.put_wave(WAVE, Some(order));
+    world
+}
+
+fn is_completed(world: &SimWorld) -> bool {
+    world.store.wave_status(WAVE).as_deref() == Some("completed")
+}
+
+#[track_caller]
+fn check_completed(world: &mut SimWorld, count: usize, cap: usize) {
+    assert!(
+        world.run_until(LIMIT, is_completed),
+        "the wave is not completed"
+    );
+    assert_eq!(world.faults, Vec::<String>::new());
+    assert_eq!(world.machines.upkeeps, count);
+    assert!(
+        world.machines.most_away <= cap,
+        "{}",
+        world.machines.most_away
+    );
+}
+
+#[test]
+fn wave_idle_machines_one_after_the_other() {
+    let mut world = world_with_wave(91, 6, 2);
+    world.run_for(Duration::from_secs(4));
+    assert_eq!(world.store.wave_status(WAVE).as_deref(), Some("running"));
+    check_completed(&mut world, 6, 2);
+}
+
+#[test]
+fn wave_runs_end_or_move_before_upkeep() {
+    let mut world = world_with_wave(92, 6, 2);
+    let mut long = step(5, 8);
+    long.has_checkpoints = true;
+    let work = Duration::from_secs(20);
+    world.submit(0, BATCH, JobKey(1), &job(vec![long]), work);
+    check_completed(&mut world, 6, 2);
+    assert!(world.run_until(LIMIT, all_done));
+}
+
+#[test]
+fn wave_lasting_step_keeps_its_units() {
+    let mut world = world_with_wave(97, 4, 2);
+    let mut lasting = step(3, 8);
+    lasting.is_long_running = true;
+    lasting.may_miss = Some(1);
+    let work = Duration::from_mins(5);
+    world.submit(0, BATCH, JobKey(1), &job(vec![lasting]), work);
+    world.run_for(Duration::from_secs(1));
+    for _ in 0..600 {
+        world.run_for(Duration::from_millis(100));
+        let running = world.workers.values().map(|worker| worker.running.len());
+        assert!(running.sum::<usize>() >= 2, "more are away than may be");
+    }
+    check_completed(&mut world, 4, 2);
+}
+
+#[test]
+fn wave_successor_goes_on() {
+    let mut world = world_with_wave(93, 8, 2);
+    world.run_for(Duration::from_secs(7));
+    assert!(world.machines.upkeeps > 0);
+    let index = planner_of(&world);
+    world.kill_host(index);
+    check_completed(&mut world, 8, 2);
+    world.start_host(index);
+    world.run_for(Duration::from_secs(10));
+    assert!(is_completed(&world), "told again that it runs");
+    assert_eq!(world.machines.upkeeps, 8);
+}
+
+#[test]
+fn wave_lost_answer_ordered_again() {
+    let mut world = world_with_wave(94, 3, 1);
+    world.machines.lost_answers = 1;
+    check_completed(&mut world, 3, 1);
+}
+
+#[test]
+fn wave_withdrawn_workers_open_again() {
+    let mut world = world_with_wave(95, 2, 1);
+    world.run_for(Duration::from_secs(4));
+    world.store.put_wave(WAVE, None);
+    world.run_for(Duration::from_secs(4));
+    let work = Duration::from_secs(1);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(2, 8)]), work);
+    world.run_for(Duration::from_millis(800));
+    assert_eq!(world.starts, 2);
+}
+
+#[test]
+fn wave_machine_that_is_gone_not_waited_for() {
+    let mut world = world_with_wave(96, 3, 1);
+    let gone = world.machines.machines.keys().next().cloned();
+    world.machines.machines.remove(&gone.expect("a machine"));
+    check_completed(&mut world, 2, 1);
+}
--- a/crates/domain/src/keys.rs
+++ b/crates/domain/src/keys.rs
@@ -39,6 +39,16 @@
     }
 }
 
+/// Number of a wave of upkeep.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct WaveNumber(pub u64);
+
+impl Display for WaveNumber {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "wave/{}", self.0)
+    }
+}
+
 /// What starts and ends together: a whole gang, or one unit of a step without one.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct GroupKey {
--- a/crates/domain/src/prelude.rs
+++ b/crates/domain/src/prelude.rs
@@ -1,9 +1,9 @@
 //! Common types that nearly every module needs.
 
-pub use flamingowalk_core::names::{ImageName, LabelName, QueueName};
+pub use flamingowalk_core::names::{ImageName, LabelName, MachineName, QueueName};
 pub use flamingowalk_core::prelude::*;
 
 pub use crate::keys::{
-    GroupKey, JobKey, RunNumber, SeatEpoch, StepKey, StreamOffset, UnitKey, WorkerClock,
-    WorkerIncarnation,
+    GroupKey, JobKey, RunNumber, SeatEpoch, StepKey, StreamOffset, UnitKey, WaveNumber,
+    WorkerClock, WorkerIncarnation,
 };
--- a/crates/domain/src/process.rs
+++ b/crates/domain/src/process.rs
@@ -5,6 +5,7 @@
 pub mod front_desk;
 pub mod host;
 pub mod job_book;
+pub mod machine;
 pub mod planner;
 pub mod record;
 pub mod seat;
--- a/crates/domain/src/process/action.rs
+++ b/crates/domain/src/process/action.rs
@@ -31,6 +31,10 @@
     Worker(WorkerCall),
     /// Ask which workers may run a step.
     Advise(AdviceOrder),
+    /// List the machines.
+    ListMachines(MachineListOrder),
+    /// Have a machine's upkeep done.
+    Upkeep(UpkeepOrder),
     /// Answer a caller.
     Reply(RequestTicket, FrontAnswer),
 }
@@ -76,6 +80,34 @@
     pub timeout: Duration,
 }
 
+/// A question for a page of the list of machines.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MachineListOrder {
+    /// Ticket of the answer.
+    pub ticket: CallTicket,
+    /// Where the page begins; nothing for the first one.
+    pub after: Option<Arc<str>>,
+    /// Time to wait for the answer.
+    pub timeout: Duration,
+}
+
+/// An order for the upkeep of a machine. Everything on it ends at once.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UpkeepOrder {
+    /// Ticket of the answer.
+    pub ticket: CallTicket,
+    /// Machine.
+    pub machine: MachineName,
+    /// Wave that asks for it.
+    pub wave: WaveNumber,
+    /// Host that orders.
+    pub holder: HostName,
+    /// Tenure of the planner; the platform takes no order of a lower one.
+    pub epoch: SeatEpoch,
+    /// Time to wait for the answer.
+    pub timeout: Duration,
+}
+
 /// An order to one life of a worker.
 #[derive(Clone, Debug)]
 pub struct WorkerCall {
--- a/crates/domain/src/process/event.rs
+++ b/crates/domain/src/process/event.rs
@@ -4,6 +4,7 @@
 
 use crate::prelude::*;
 use crate::process::action::CallTicket;
+use crate::process::machine::{MachineFault, MachinePage};
 use crate::process::stream::{AppendedAt, NewestPage, StreamFault, StreamPage};
 use crate::request::front_request::FrontRequest;
 
@@ -22,6 +23,10 @@
     WorkerAnswered(CallTicket, Result<WorkerAnswer, WorkerFault>),
     /// A question for advice was answered or given up.
     Advised(CallTicket, Result<Vec<WorkerApproval>, AdviceFault>),
+    /// A page of the list of machines came, or did not.
+    MachinesListed(CallTicket, Result<MachinePage, MachineFault>),
+    /// An order for upkeep was answered or given up.
+    UpkeepAnswered(CallTicket, Result<(), MachineFault>),
     /// The process was asked to shut down.
     DrainAsked,
     /// Time has passed.
--- a/crates/domain/src/process/host.rs
+++ b/crates/domain/src/process/host.rs
@@ -21,6 +21,7 @@
 use crate::process::worker_report::WorkerReport;
 use crate::request::front_request::FrontRequest;
 use crate::version::manifest::DomainManifest;
+use crate::version::wave::WaveOrder;
 
 /// Records that could not be used, by `stream`.
 pub const RECORDS_SKIPPED: &str = "flamingowalk_domain_records_skipped_total";
@@ -63,6 +64,7 @@
 pub struct DomainHost {
     identity: HostIdentity,
     manifest: Option<Arc<DomainManifest>>,
+    waves: BTreeMap<WaveNumber, Arc<WaveOrder>>,
     config: StreamFollower,
     jobs: StreamFollower,
     /// Follows the workers while this host plans, or is about to.
@@ -92,6 +94,7 @@
             seat: PlannerSeat::new(seat, now),
             identity,
             manifest: None,
+            waves: BTreeMap::new(),
             config: StreamFollower::new(StreamName::Config, CONFIG_PACE, now),
             jobs: StreamFollower::new(StreamName::Jobs, FOLLOW_PACE, now),
             workers: None,
@@ -201,6 +204,17 @@
                     planner.take_advice(now, ticket, result);
                 }
             }
+            HostEvent::MachinesListed(ticket, result) => {
+                if let Some(planner) = &mut self.planner {
+                    let mut context = plan_context(now, wall, &mut self.next_ticket, &mut actions);
+                    planner.take_machines(&mut context, ticket, result);
+                }
+            }
+            HostEvent::UpkeepAnswered(ticket, result) => {
+                if let Some(planner) = &mut self.planner {
+                    planner.take_upkeep(now, ticket, &result);
+                }
+            }
             HostEvent::DrainAsked => self.begin_drain(now),
             HostEvent::Ticked => self.tick(now, wall, &mut actions),
         }
@@ -242,12 +256,23 @@
         for record in output.records {
             match record.body {
                 StreamBody::Manifest(manifest) => self.adopt_manifest(manifest),
+                StreamBody::Wave(number, order) => self.take_wave(number, order),
                 StreamBody::Skipped(cause) => skip_record(StreamName::Config, &cause),
                 StreamBody::Worker(..) | StreamBody::Own(..) => {}
             }
         }
     }
 
+    fn take_wave(&mut self, number: WaveNumber, order: Option<Arc<WaveOrder>>) {
+        match &order {
+            Some(order) => self.waves.insert(number, Arc::clone(order)),
+            None => self.waves.remove(&number),
+        };
+        if let Some(planner) = &mut self.planner {
+            planner.upkeep.set_wave(number, order);
+        }
+    }
+
     /// Adopts a configuration, but never an older one than the one in force.
     fn adopt_manifest(&mut self, manifest: Arc<DomainManifest>) {
         let known = self.manifest.as_ref().map_or(0, |known| known.version);
@@ -355,7 +380,7 @@
                     self.take_report(now, wall, &name, report, written_after, actions);
                 }
                 StreamBody::Skipped(cause) => skip_record(StreamName::Workers, &cause),
-                StreamBody::Manifest(_) | StreamBody::Own(..) => {}
+                StreamBody::Manifest(_) | StreamBody::Wave(..) | StreamBody::Own(..) => {}
             }
         }
         for name in missing {
--- a/crates/domain/src/process/host/tenure.rs
+++ b/crates/domain/src/process/host/tenure.rs
@@ -41,6 +41,10 @@
         }
         let authority = self.seat.foreign_authority();
         planner.take_book(&mut context, &self.book, authority);
+        planner.upkeep.restore(self.book.waves());
+        for (number, order) in &self.waves {
+            planner.upkeep.set_wave(*number, Some(Arc::clone(order)));
+        }
         planner.tick(&mut context);
         self.planner = Some(planner);
         self.jobs.set_pace(Duration::ZERO);
--- a/crates/domain/src/process/job_book.rs
+++ b/crates/domain/src/process/job_book.rs
@@ -4,6 +4,7 @@
 use crate::prelude::*;
 use crate::process::record::{
     AcceptedJob, AppendMark, GroupRecord, JobOutcome, JobRecord, PlannerHeartbeat, RecordKey,
+    WaveRecord,
 };
 use crate::request::front_request::JobPhase;
 
@@ -46,6 +47,7 @@
 pub struct JobBook {
     jobs: BTreeMap<JobKey, BookedJob>,
     heartbeat: Option<PlannerHeartbeat>,
+    waves: BTreeMap<WaveNumber, WaveRecord>,
 }
 
 impl BookedJob {
@@ -78,6 +80,11 @@
         self.jobs.get(&key)
     }
 
+    /// Progress of the waves of upkeep.
+    pub const fn waves(&self) -> &BTreeMap<WaveNumber, WaveRecord> {
+        &self.waves
+    }
+
     /// The planner's newest sign of life.
     pub const fn heartbeat(&self) -> Option<&PlannerHeartbeat> {
         self.heartbeat.as_ref()
@@ -110,6 +117,10 @@
                 self.heartbeat = Some(heartbeat);
                 BookChange::Heartbeat
             }
+            JobRecord::Wave(wave, record) => {
+                self.waves.insert(wave, record);
+                BookChange::None
+            }
             JobRecord::Mark(mark) => BookChange::Marked(mark),
             JobRecord::Dropped(key) => {
                 self.drop_key(key);
@@ -151,6 +162,9 @@
             | RecordKey::Outcome(_)
             | RecordKey::Heartbeat
             | RecordKey::Mark => {}
+            RecordKey::Wave(wave) => {
+                self.waves.remove(&wave);
+            }
         }
     }
 
--- a/crates/domain/src/process/planner.rs
+++ b/crates/domain/src/process/planner.rs
@@ -24,6 +24,7 @@
 pub mod start;
 pub mod state;
 pub mod takeover;
+pub mod upkeep;
 pub mod verifier;
 pub mod worker;
 pub mod writer;
--- a/crates/domain/src/process/planner/limits.rs
+++ b/crates/domain/src/process/planner/limits.rs
@@ -24,6 +24,8 @@
     pub status_retention: Duration,
     /// Time by which an occurrence may start before it is due.
     pub early_tolerance: Duration,
+    /// Least time between orders of two planners for one machine.
+    pub machine_lease: Duration,
 }
 
 impl Default for PlanLimits {
@@ -38,6 +40,7 @@
             restore_time: Duration::from_millis(250),
             status_retention: Duration::from_mins(2),
             early_tolerance: Duration::ZERO,
+            machine_lease: Duration::from_secs(3),
         }
     }
 }
--- a/crates/domain/src/process/planner/sharing.rs
+++ b/crates/domain/src/process/planner/sharing.rs
@@ -4,7 +4,7 @@
 //! says how many of its units may be away by planned work, and no more are stopped.
 
 use crate::prelude::*;
-use crate::process::planner::job::{GroupPhase, MemberStage, PlanGroup, PlanJob};
+use crate::process::planner::job::{GroupPhase, MemberStage, PlanGroup, PlanJob, PlanStep};
 use crate::process::planner::worker::PlanWorker;
 use crate::request::submission::StepShape;
 
@@ -100,28 +100,40 @@
 }
 
 impl PlanJob {
+    /// Whether stopping the group leaves enough of its step at work, if no other is
+    /// stopped with it.
+    pub(super) fn may_stop_alone(&self, key: &GroupKey) -> bool {
+        self.spare_units(key).is_none_or(|spare| spare > 0)
+    }
+
     /// Whether stopping the group leaves enough of its step at work. Only the first
     /// groups at work may be stopped, as many as may still be away, so that any number
     /// of them can be chosen at once.
     pub(super) fn may_stop(&self, key: &GroupKey) -> bool {
-        let Some(limit) = self.shape(key.step).and_then(|shape| shape.may_miss) else {
+        let Some(spare) = self.spare_units(key) else {
             return true;
         };
-        let occurrence = self.occurrences.get(&key.occurrence);
-        let step = occurrence.and_then(|known| known.steps.get(usize::from(key.step)));
-        let Some((step, index)) = step.zip(key.index) else {
+        let Some((step, index)) = self.limited_step(key).zip(key.index) else {
             return false;
         };
-        let is_away = |group: &&PlanGroup| !is_at_work(group);
-        let away = step.groups.iter().filter(is_away).count();
-        let spare = usize::from(limit).saturating_sub(away);
-        let index = usize::from(index);
-        let at_work_before = step
-            .groups
-            .iter()
-            .take(index)
-            .filter(|group| is_at_work(group));
-        at_work_before.count() < spare
+        let before = step.groups.iter().take(usize::from(index));
+        before.filter(|group| is_at_work(group)).count() < spare
+    }
+
+    /// Further units of a step that may be away; nothing if the step sets no limit.
+    fn spare_units(&self, key: &GroupKey) -> Option<usize> {
+        let limit = self.shape(key.step).and_then(|shape| shape.may_miss)?;
+        let groups = self.limited_step(key).map(|step| step.groups.iter());
+        let away = groups
+            .into_iter()
+            .flatten()
+            .filter(|group| !is_at_work(group));
+        Some(usize::from(limit).saturating_sub(away.count()))
+    }
+
+    fn limited_step(&self, key: &GroupKey) -> Option<&PlanStep> {
+        let occurrence = self.occurrences.get(&key.occurrence)?;
+        occurrence.steps.get(usize::from(key.step))
     }
 }
 
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -13,6 +13,7 @@
 use crate::process::planner::job::PlanJob;
 use crate::process::planner::limits::PlanLimits;
 use crate::process::planner::reclaim::RoomClaim;
+use crate::process::planner::upkeep::UpkeepBook;
 use crate::process::planner::worker::PlanWorker;
 use crate::process::planner::writer::{CommitEffect, PlanWriter, WriteStep};
 use crate::process::record::{AppendMark, FullQueue, JobRecord, PlannerHeartbeat, RecordKey};
@@ -95,13 +96,15 @@
     pub(super) claims: BTreeMap<GroupKey, RoomClaim>,
     /// Approvals of workers, where queues need them.
     pub(super) advice: AdviceBook,
+    /// Upkeep of machines.
+    pub(in crate::process) upkeep: UpkeepBook,
     /// Recorded members on workers that nobody lists, and until when they may run.
     pub(super) orphans: Vec<(GroupKey, usize, MonotonicTime)>,
     /// When no lease that an earlier planner gave holds any more.
     pub(super) orphan_bound: MonotonicTime,
     /// Queues that take no further jobs for now.
     pub(super) full_queues: Vec<FullQueue>,
-    began_at: MonotonicTime,
+    pub(super) began_at: MonotonicTime,
     heartbeat_at: MonotonicTime,
     /// When to plan even if no event asked for it: pauses of groups and workers end by
     /// time alone.
@@ -146,6 +149,7 @@
             is_dirty: true,
             claims: BTreeMap::new(),
             advice: AdviceBook::default(),
+            upkeep: UpkeepBook::default(),
             orphans: Vec::new(),
             orphan_bound: now,
             full_queues: Vec::new(),
@@ -248,7 +252,7 @@
         result: &Result<AppendedAt, StreamFault>,
     ) -> bool {
         match self.writer.take_append(context.now, ticket, result) {
-            None => return false,
+            None => return self.take_note(context.now, ticket, result.is_ok()),
             Some(WriteStep::Written(effects)) => self.carry_out(context, effects),
             Some(WriteStep::Repeating) => {
                 let fault = result.as_ref().err().map_or("none", StreamFault::word);
@@ -313,6 +317,7 @@
         self.expire_claims(context.now);
         self.check_progress(context);
         self.move_from_leaving(context);
+        self.tend_waves(context);
         self.forget_workers(context);
     }
 
--- a/crates/domain/src/process/planner/worker.rs
+++ b/crates/domain/src/process/planner/worker.rs
@@ -36,6 +36,8 @@
     pub reported_after: Option<MonotonicTime>,
     /// Whether its entry is still in the workers stream.
     pub is_listed: bool,
+    /// Whether nothing may be started on it, since its machine is to have its upkeep.
+    pub is_closed: bool,
     /// Whether any source said that it is leaving; stays for its life.
     pub is_leaving: bool,
     /// What occupies it, by unit. A unit has at most one holding in the domain.
@@ -131,6 +133,7 @@
         Self {
             reported_after,
             is_listed: true,
+            is_closed: false,
             is_leaving: report.is_draining,
             holdings: BTreeMap::new(),
             strays: BTreeMap::new(),
@@ -194,6 +197,7 @@
     pub fn is_open(&self, now: MonotonicTime) -> bool {
         self.is_listed
             && !self.is_leaving
+            && !self.is_closed
             && self.strays.is_empty()
             && self.link.is_surveyed
             && self.link.failures == 0
--- a/crates/domain/src/process/record.rs
+++ b/crates/domain/src/process/record.rs
@@ -41,6 +41,8 @@
     Heartbeat,
     /// Number of the planner's newest append.
     Mark,
+    /// Progress of a wave of upkeep.
+    Wave(WaveNumber),
 }
 
 /// A job with everything that decides how it is run, as of its acceptance.
@@ -135,6 +137,15 @@
     pub retry_after_ms: u64,
 }
 
+/// Progress of a wave of upkeep.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WaveRecord {
+    /// Whether every machine of it that stays has had its upkeep.
+    pub is_completed: bool,
+    /// Machines whose upkeep has begun.
+    pub done: BTreeSet<MachineName>,
+}
+
 /// Number of an append of the planner, so that a planner whose answer was lost learns
 /// from reading that it was carried out.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -170,6 +181,8 @@
     Heartbeat(PlannerHeartbeat),
     /// The planner's append of this number is in the log.
     Mark(AppendMark),
+    /// A wave of upkeep went on.
+    Wave(WaveNumber, WaveRecord),
     /// Nothing is to be known of this key any more.
     Dropped(RecordKey),
 }
@@ -200,6 +213,7 @@
             Self::Group(group) => group_text(group).into(),
             Self::Heartbeat => HEARTBEAT_KEY.into(),
             Self::Mark => MARK_KEY.into(),
+            Self::Wave(wave) => format!("w/{}", wave.0).into(),
         }
     }
 
@@ -216,6 +230,7 @@
             "c" => rest.parse().ok().map(Self::Cancellation),
             "o" => rest.parse().ok().map(Self::Outcome),
             "g" => parse_group(rest).map(Self::Group),
+            "w" => rest.parse().ok().map(WaveNumber).map(Self::Wave),
             _ => None,
         }
     }
@@ -267,6 +282,7 @@
             }
             Self::Heartbeat(heartbeat) => (RecordKey::Heartbeat, Some(encode_value(heartbeat))),
             Self::Mark(mark) => (RecordKey::Mark, Some(encode_value(mark))),
+            Self::Wave(wave, record) => (RecordKey::Wave(*wave), Some(encode_value(record))),
             Self::Dropped(key) => (*key, None),
         };
         KeyedRecord {
@@ -294,6 +310,7 @@
             }
             RecordKey::Heartbeat => Self::Heartbeat(decode_value(key, value)?),
             RecordKey::Mark => Self::Mark(decode_value(key, value)?),
+            RecordKey::Wave(wave) => Self::Wave(wave, decode_value(key, value)?),
         })
     }
 }
--- a/crates/domain/src/process/stream.rs
+++ b/crates/domain/src/process/stream.rs
@@ -1,4 +1,4 @@
-//! The platform's log as the domain sees it: four streams of keyed records, of which
+//! The platform's log as the domain sees it: five streams of keyed records, of which
 //! the newest record of each key is kept for good.
 
 use bytes::Bytes;
@@ -8,6 +8,7 @@
 use crate::process::record::KeyedRecord;
 use crate::process::worker_report::WorkerReport;
 use crate::version::manifest::DomainManifest;
+use crate::version::wave::WaveOrder;
 
 /// A stream.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -20,6 +21,8 @@
     Jobs,
     /// Claims of the planner's seat.
     Seat,
+    /// What the operator is told; written only.
+    Status,
 }
 
 impl StreamName {
@@ -30,6 +33,7 @@
             Self::Workers => "workers",
             Self::Jobs => "jobs",
             Self::Seat => "seat",
+            Self::Status => "status",
         }
     }
 }
@@ -50,6 +54,8 @@
     Manifest(Arc<DomainManifest>),
     /// What a worker says of itself; nothing when its entry was removed.
     Worker(WorkerName, Option<Arc<WorkerReport>>),
+    /// A wave of upkeep; nothing when it was withdrawn.
+    Wave(WaveNumber, Option<Arc<WaveOrder>>),
     /// A record of the domain's own, still encoded.
     Own(Arc<str>, Option<Bytes>),
     /// A record that cannot be used, and why.
--- a/crates/domain/src/version.rs
+++ b/crates/domain/src/version.rs
@@ -1,3 +1,4 @@
 //! What lives for one version of the configuration.
 
 pub mod manifest;
+pub mod wave;
--- a/crates/entry/src/bin/flamingowalk-domain.rs
+++ b/crates/entry/src/bin/flamingowalk-domain.rs
@@ -13,7 +13,7 @@
 use flamingowalk_domain_node::{DomainHandle, DomainSettings, start_domain};
 use flamingowalk_node::connection::http_server::ServePhase;
 use flamingowalk_node::process::counters::install_recorder;
-use flamingowalk_platform::{platform_ports, serve_callers, serve_readiness};
+use flamingowalk_platform::{PlatformAddresses, platform_ports, serve_callers, serve_readiness};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, LocalSet};
@@ -84,7 +84,11 @@
         cpu_share: settings.cpu_share,
         limits: settings.limits,
     };
-    let ports = platform_ports(settings.log_address, settings.advice_address);
+    let ports = platform_ports(PlatformAddresses {
+        log: settings.log_address,
+        advice: settings.advice_address,
+        machines: settings.machines_address,
+    });
     let handle = start_domain(identity, ports);
     let cannot_bind = |error| format!("cannot bind an address ({error}); check [listen]");
     let callers = serve_callers(settings.caller_address, handle.clone(), phases.clone());
