--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -49,11 +49,7 @@
     let work = Duration::from_secs(8);
     world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
     world.run_for(Duration::from_secs(2));
-    let name = busy_worker(&world);
-    if let Some(worker) = world.workers.get_mut(&name) {
-        worker.is_reachable = false;
-        worker.reaches_store = false;
-    }
+    let name = cut_off_busy_worker(&mut world);
     world.store.put_worker(&name, None);
     check_settled(world);
 }
@@ -66,11 +62,7 @@
     let work = Duration::from_secs(9);
     world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
     world.run_for(Duration::from_secs(2));
-    let name = busy_worker(&world);
-    if let Some(worker) = world.workers.get_mut(&name) {
-        worker.is_reachable = false;
-        worker.reaches_store = false;
-    }
+    cut_off_busy_worker(&mut world);
     for index in 0..3 {
         world.kill_host(index);
     }
@@ -189,3 +181,13 @@
         );
     }
 }
+
+/// Cuts the first worker that runs something off from hosts and log.
+fn cut_off_busy_worker(world: &mut SimWorld) -> WorkerName {
+    let name = busy_worker(world);
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.is_reachable = false;
+        worker.reaches_store = false;
+    }
+    name
+}
--- a/crates/domain/src/process/host.rs
+++ b/crates/domain/src/process/host.rs
@@ -1,6 +1,7 @@
 //! One host of a domain: follows the log, answers callers, and plans while it holds
 //! the seat. Takes one event after the other and owns all state.
 
+mod config;
 pub mod gauges;
 mod show;
 mod tenure;
@@ -252,40 +253,6 @@
             .take_request(&view, request, &mut self.next_ticket, actions);
     }
 
-    fn take_config(&mut self, output: FollowOutput) {
-        for record in output.records {
-            match record.body {
-                StreamBody::Manifest(manifest) => self.adopt_manifest(manifest),
-                StreamBody::Wave(number, order) => self.take_wave(number, order),
-                StreamBody::Skipped(cause) => skip_record(StreamName::Config, &cause),
-                StreamBody::Worker(..) | StreamBody::Own(..) => {}
-            }
-        }
-    }
-
-    fn take_wave(&mut self, number: WaveNumber, order: Option<Arc<WaveOrder>>) {
-        match &order {
-            Some(order) => self.waves.insert(number, Arc::clone(order)),
-            None => self.waves.remove(&number),
-        };
-        if let Some(planner) = &mut self.planner {
-            planner.upkeep.set_wave(number, order);
-        }
-    }
-
-    /// Adopts a configuration, but never an older one than the one in force.
-    fn adopt_manifest(&mut self, manifest: Arc<DomainManifest>) {
-        let known = self.manifest.as_ref().map_or(0, |known| known.version);
-        if self.manifest.is_some() && manifest.version <= known {
-            return;
-        }
-        log::info!(target: "config", version = manifest.version, before = known; "configuration in force");
-        if let Some(planner) = &mut self.planner {
-            planner.set_manifest(Arc::clone(&manifest));
-        }
-        self.manifest = Some(manifest);
-    }
-
     fn take_jobs(
         &mut self,
         now: MonotonicTime,
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -133,13 +133,7 @@
                 if let Some(terms) = terms {
                     self.ask_advice(context, terms, &request, view);
                 }
-                self.reclaim_for(context, key, step, &request, view);
-                if step.priority > 0
-                    && *kept < KEEP_LIMIT
-                    && self.keep_room_for(now, &request, view)
-                {
-                    *kept += 1;
-                }
+                self.seek_room(context, key, step, &request, view, kept);
                 break;
             };
             let headroom = self.headroom(view);
@@ -152,6 +146,24 @@
         }
     }
 
+    /// What a group that found no place may do about it: an urgent one takes room back,
+    /// a large one has what comes free kept for it.
+    fn seek_room(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        key: GroupKey,
+        step: &WaitingStep,
+        request: &PlaceRequest<'_>,
+        view: &mut RoomView,
+        kept: &mut usize,
+    ) {
+        self.reclaim_for(context, key, step, request, view);
+        let may_keep = step.priority > 0 && *kept < KEEP_LIMIT;
+        if may_keep && self.keep_room_for(context.now, request, view) {
+            *kept += 1;
+        }
+    }
+
     /// Starts a group on the room that others were stopped for, once it is free.
     fn start_claimed(
         &mut self,
