--- a/crates/domain-sim/src/sim_world.rs
+++ b/crates/domain-sim/src/sim_world.rs
@@ -132,7 +132,7 @@
     /// Factor by which the log is slower than usual.
     pub store_factor: u32,
     /// Reads that wait are not answered before, unless their wait is over.
-    pub deaf_until: MonotonicTime,
+    pub reads_held_until: MonotonicTime,
     /// Part of the log's answers to appends that are lost after they took effect.
     pub lost_answers: f64,
     /// Part of the appends that are done some seconds later and not answered.
@@ -184,7 +184,7 @@
             store: SimStore::default(),
             is_store_up: true,
             store_factor: 1,
-            deaf_until: MonotonicTime(0),
+            reads_held_until: MonotonicTime(0),
             lost_answers: 0.0,
             late_appends: 0.0,
             workers: BTreeMap::new(),
--- a/crates/domain-sim/src/sim_world/log.rs
+++ b/crates/domain-sim/src/sim_world/log.rs
@@ -94,7 +94,7 @@
             if !self.is_store_up || !self.hosts[index].reaches_store {
                 continue;
             }
-            if (is_ready && now >= self.deaf_until) || now >= until {
+            if (is_ready && now >= self.reads_held_until) || now >= until {
                 let event = HostEvent::Read(order.ticket, result);
                 self.push(HOP, WorldEvent::ToHost(index, life, event));
             } else {
--- a/crates/domain-sim/tests/faults.rs
+++ b/crates/domain-sim/tests/faults.rs
@@ -147,13 +147,13 @@
     }));
 }
 
-/// Reads that wait at the log's end hear nothing for a second: jobs accepted by other
+/// Reads that wait at the log's end get no answer for a second: jobs accepted by other
 /// hosts stayed unknown to the planner until then.
 #[test]
-fn path_store_waits_hear_nothing() {
+fn path_store_waiting_reads_held() {
     let mut world = settled_world(19, 4, 4);
     let other = (planner_of(&world) + 1) % 4;
-    world.deaf_until = world.now() + Duration::from_secs(1);
+    world.reads_held_until = world.now() + Duration::from_secs(1);
     world.run_for(Duration::from_millis(300));
     let work = Duration::from_secs(1);
     world.submit(other, URGENT, JobKey(1), &job(vec![step(1, 8)]), work);
@@ -180,7 +180,7 @@
 /// While a slow log carried out the first claim, the other hosts asked for the newest
 /// one again and again.
 #[test]
-fn seat_claimed_in_slow_log_without_crowd() {
+fn seat_claimed_in_slow_log_with_few_reads() {
     let mut world = settled_world(77, 24, 4);
     world.store_factor = 60;
     world.run_for(Duration::from_secs(2));
@@ -194,12 +194,12 @@
 }
 
 #[rstest]
-fn seat_kept_while_waits_hear_nothing(#[values(71, 72, 73, 74, 75, 76)] seed: u64) {
+fn seat_kept_while_waiting_reads_held(#[values(71, 72, 73, 74, 75, 76)] seed: u64) {
     let mut world = settled_world(seed, 6, 4);
     let seat = flamingowalk_domain::process::stream::StreamName::Seat;
     let before = world.store.end(seat);
     for _ in 0..3 {
-        world.deaf_until = world.now() + Duration::from_secs(1);
+        world.reads_held_until = world.now() + Duration::from_secs(1);
         world.run_for(Duration::from_millis(2_100 + seed));
     }
     assert_eq!(world.store.end(seat), before, "the seat was claimed");
--- a/crates/domain/src/process/stream_follower.rs
+++ b/crates/domain/src/process/stream_follower.rs
@@ -17,10 +17,10 @@
 /// a log that answers at its usual pace brings it within a few milliseconds.
 const WAKE_TIME: Duration = Duration::from_millis(80);
 /// Least time between reads without a wait while reads that wait bring nothing.
-const DEAF_INTERVAL: Duration = Duration::from_millis(100);
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which reads that wait are not relied on after one brought nothing; the
-/// platform's watches hear nothing for a second at times.
-const DEAF_TIME: Duration = Duration::from_millis(1_200);
+/// platform leaves waiting reads unanswered for a second at times.
+const POLL_TIME: Duration = Duration::from_millis(1_200);
 
 #[derive(Clone, Debug)]
 enum FollowStage {
@@ -81,7 +81,7 @@
     /// Record that this host knows to be written.
     written: Option<WrittenMark>,
     /// Reads that wait are not relied on before.
-    deaf_until: MonotonicTime,
+    polls_until: MonotonicTime,
     /// When the newest read without a wait was sent.
     fresh_at: MonotonicTime,
 }
@@ -113,7 +113,7 @@
             steady_since: None,
             failures: 0,
             written: None,
-            deaf_until: now,
+            polls_until: now,
             fresh_at: now,
         }
     }
@@ -184,8 +184,8 @@
             let wait = self.proved_at.map_or(Duration::ZERO, |_| TAIL_WAIT);
             actions.push(self.order(ticket, wait));
         }
-        let is_deaf = self.is_behind(now) || now < self.deaf_until;
-        self.wants_fresh |= is_deaf && now >= self.fresh_at + DEAF_INTERVAL;
+        let must_poll = self.is_behind(now) || now < self.polls_until;
+        self.wants_fresh |= must_poll && now >= self.fresh_at + POLL_INTERVAL;
         let is_following = matches!(self.stage, FollowStage::Following);
         if self.wants_fresh && self.fresh.is_none() && is_following {
             self.wants_fresh = false;
@@ -249,7 +249,7 @@
         };
         self.note_answer(now);
         if read.is_fresh && self.is_behind(now) {
-            self.deaf_until = now + DEAF_TIME;
+            self.polls_until = now + POLL_TIME;
         }
         let known = self.next;
         let records: Vec<_> = page
