A machine that is down for another reason holds up no wave

Cause: every machine that was not up counted as down for its upkeep, so that one that stays down took a place of the wave for ever. Test wave_machine_that_is_down_holds_up_no_other failed before.

--- a/crates/domain-sim/src/sim_machines.rs
+++ b/crates/domain-sim/src/sim_machines.rs
@@ -19,6 +19,8 @@
     pub worker: WorkerName,
     /// When its upkeep is over; nothing while it is up.
     pub away_until: Option<MonotonicTime>,
+    /// Whether it is down for good.
+    pub is_down: bool,
     /// Waves in which it had its upkeep.
     pub waves: BTreeSet<WaveNumber>,
     /// Highest epoch that ordered.
@@ -38,6 +40,12 @@
     pub lost_answers: usize,
 }
 
+impl SimMachine {
+    const fn is_up(&self) -> bool {
+        self.away_until.is_none() && !self.is_down
+    }
+}
+
 impl SimMachines {
     /// Gives every worker a machine of its own.
     pub fn own(&mut self, workers: impl Iterator<Item = WorkerName>) {
@@ -46,6 +54,7 @@
             let machine = SimMachine {
                 worker,
                 away_until: None,
+                is_down: false,
                 waves: BTreeSet::new(),
                 token: SeatEpoch(0),
             };
@@ -59,12 +68,14 @@
         let rows = self.machines.iter().skip(from).take(PAGE);
         let listed = rows.map(|(name, machine)| ListedMachine {
             name: name.clone(),
-            state: if machine.away_until.is_none() {
-                MachineState::Up
-            } else {
+            state: if machine.is_down {
                 MachineState::Away
+            } else if machine.away_until.is_some() {
+                MachineState::Upkeep
+            } else {
+                MachineState::Up
             },
-            worker: machine.away_until.is_none().then(|| machine.worker.clone()),
+            worker: machine.is_up().then(|| machine.worker.clone()),
         });
         let next = from + PAGE;
         MachinePage {
@@ -91,7 +102,7 @@
         if machine.waves.contains(&order.wave) {
             return Ok(None);
         }
-        if machine.away_until.is_some() {
+        if !machine.is_up() {
             return Err(MachineFault::Busy);
         }
         machine.waves.insert(order.wave);
--- a/crates/domain-sim/tests/upkeep.rs
+++ b/crates/domain-sim/tests/upkeep.rs
@@ -120,3 +120,19 @@
     world.machines.machines.remove(&gone.expect("a machine"));
     check_completed(&mut world, 2, 1);
 }
+
+/// A machine of the wave that was down for another reason took the place of one that
+/// has its upkeep, for ever.
+#[test]
+fn wave_machine_that_is_down_holds_up_no_other() {
+    let mut world = world_with_wave(98, 4, 1);
+    if let Some(machine) = world.machines.machines.values_mut().next() {
+        machine.is_down = true;
+    }
+    world.run_for(LIMIT);
+    assert_eq!(world.machines.upkeeps, 3);
+    assert!(
+        !is_completed(&world),
+        "a machine that stays has had no upkeep"
+    );
+}
--- a/crates/domain/src/process/machine.rs
+++ b/crates/domain/src/process/machine.rs
@@ -9,7 +9,9 @@
 pub enum MachineState {
     /// Its worker runs.
     Up,
-    /// It changes its pool, has its upkeep, or is down.
+    /// It has its upkeep.
+    Upkeep,
+    /// It changes its pool, or is down.
     Away,
 }
 
--- a/crates/domain/src/process/planner/upkeep.rs
+++ b/crates/domain/src/process/planner/upkeep.rs
@@ -127,12 +127,12 @@
     /// Machines of a wave that are or may be down for it.
     fn down_count(&self, order: &WaveOrder) -> usize {
         let is_down = |name: &&MachineName| {
-            let is_listed_away = self
+            let is_listed_so = self
                 .machines
                 .get(*name)
-                .is_some_and(|machine| machine.state == MachineState::Away);
+                .is_some_and(|machine| machine.state == MachineState::Upkeep);
             let is_ordered = self.orders.iter().any(|order| order.machine == **name);
-            is_listed_away || is_ordered || self.away.contains_key(*name)
+            is_listed_so || is_ordered || self.away.contains_key(*name)
         };
         order.machines.iter().filter(is_down).count()
     }
@@ -148,7 +148,7 @@
         self.away.retain(|name, since| {
             let is_back = machines
                 .get(name)
-                .is_none_or(|machine| machine.state == MachineState::Up);
+                .is_none_or(|machine| machine.state != MachineState::Upkeep);
             // Only a list that was asked for later tells of the order.
             list.asked_at <= *since || !is_back
         });
