Observability: releases counted by evidence, duplicate runs and excess listings reported

Each release now carries its evidence: all are counted, and those whose end was only inferred are logged. A listing that shows a run beside a later run of its unit, or more runs than the capacity allows, is reported with a warning and a counter. No decision changes.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -9,7 +9,7 @@
 
 /// Texts of log lines that report a decision about a job, as opposed to its ordinary
 /// progress.
-const DECISIVE: [&str; 10] = [
+const DECISIVE: [&str; 13] = [
     "\"request refused\"",
     "\"start given up",
     "\"start refused\"",
@@ -17,6 +17,9 @@
     "\"run is moved\"",
     "\"stopping less urgent",
     "\"runs are lost\"",
+    "\"run released without its end\"",
+    "\"a run goes on beside a later run of its unit\"",
+    "\"worker lists runs beyond its capacity\"",
     "\"job failed",
     "\"job cancelled\"",
     "\"run is not there any more\"",
--- a/crates/domain/src/process/planner/end.rs
+++ b/crates/domain/src/process/planner/end.rs
@@ -6,6 +6,7 @@
 
 use crate::prelude::*;
 use crate::process::event::{EndCause, EndedUnit};
+use crate::process::planner::evidence::ReleaseEvidence;
 use crate::process::planner::job::GroupPhase;
 use crate::process::planner::state::{PlanContext, PlannerState};
 use crate::process::planner::writer::CommitEffect;
@@ -69,14 +70,14 @@
                     worker.health.record_success();
                 }
                 self.finish_group(now, &key);
-                self.release_member(now, &key, index);
+                self.release_member(now, &key, index, ReleaseEvidence::Ended);
             }
             EndCause::Failed => self.handle_failure(context, name, key, index),
             EndCause::Stopped
             | EndCause::Lapsed
             | EndCause::GangBroken
             | EndCause::GangIncomplete => {
-                self.release_member(now, &key, index);
+                self.release_member(now, &key, index, ReleaseEvidence::Ended);
                 self.stop_group(now, key);
             }
         }
@@ -136,7 +137,7 @@
         let is_exhausted = group.failures >= limit && !is_long_running;
         let record = group.record();
         self.writer.push(&JobRecord::Group(key, record), None);
-        self.release_member(now, &key, index);
+        self.release_member(now, &key, index, ReleaseEvidence::Ended);
         self.stop_group(now, key);
         if is_exhausted {
             self.fail_job(now, key.job);
@@ -224,6 +225,7 @@
         &mut self,
         context: &mut PlanContext<'_>,
         name: &WorkerName,
+        evidence: ReleaseEvidence,
         why: &str,
     ) {
         let Some(worker) = self.workers.get_mut(name) else {
@@ -236,10 +238,10 @@
             .map(|holding| (holding.group, holding.member))
             .collect();
         if !held.is_empty() {
-            log::info!(target: "end", worker = name.as_str(), runs = held.len(), why; "runs are lost");
+            log::info!(target: "end", worker = name.as_str(), runs = held.len(), why, lease_left_ms = worker.link.lease_bound.since(context.now).as_millis() as u64; "runs are lost");
         }
         for (key, index) in held {
-            self.release_member(context.now, &key, index);
+            self.release_member(context.now, &key, index, evidence);
             self.stop_group(context.now, key);
         }
         self.stopping.retain(|_, stop| stop.worker != *name);
@@ -255,7 +257,12 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in expired {
-            self.release_lost_units(context, &name, "the lease has expired");
+            self.release_lost_units(
+                context,
+                &name,
+                ReleaseEvidence::LeaseExpired,
+                "the lease has expired",
+            );
         }
     }
 }
--- a/crates/domain/src/process/planner/listing.rs
+++ b/crates/domain/src/process/planner/listing.rs
@@ -2,12 +2,21 @@
 //! conclusive only for members whose start or stop was answered before the listing was
 //! requested, since answers on different connections may arrive out of order.
 
+use metrics::counter;
+
 use crate::prelude::*;
 use crate::process::event::{RunningUnit, WorkerListing};
+use crate::process::planner::evidence::ReleaseEvidence;
 use crate::process::planner::job::MemberStage;
 use crate::process::planner::poll::RETRY_DELAY;
 use crate::process::planner::state::{PendingCall, PlanContext, PlannerState, StopOrder};
 use crate::process::planner::worker::Holding;
+use crate::request::submission::UnitDemand;
+
+/// Counter of listed runs of which the unit has a later run on another worker.
+pub const DUPLICATE_RUNS: &str = "flamingowalk_domain_duplicate_runs_total";
+/// Counter of listings with more runs than the worker's capacity allows.
+pub const EXCESS_LISTINGS: &str = "flamingowalk_domain_excess_listings_total";
 
 /// Greatest number of ends in a listing; one with as many may be truncated.
 const MAX_LISTED_ENDS: usize = 500;
@@ -49,7 +58,12 @@
             .incarnation
             .is_some_and(|incarnation| incarnation != call.incarnation);
         if is_other_incarnation {
-            self.release_lost_units(context, name, "the worker's incarnation has changed");
+            self.release_lost_units(
+                context,
+                name,
+                ReleaseEvidence::IncarnationChanged,
+                "the worker's incarnation has changed",
+            );
             if let Some(worker) = self.workers.get_mut(name) {
                 worker.is_listed = false;
             }
@@ -110,12 +124,14 @@
             match self.reconcile_holding(context.now, unit, holding, listed) {
                 HoldingState::Held => {}
                 HoldingState::Stopped => {
-                    self.release_member(context.now, &holding.group, holding.member);
+                    let evidence = ReleaseEvidence::Stopped;
+                    self.release_member(context.now, &holding.group, holding.member, evidence);
                 }
                 HoldingState::Vanished => {
                     log::info!(target: "end", unit = unit.to_string().as_str(), worker = name.as_str(); "run is not there any more");
                     self.set_stage(&holding.group, holding.member, |_| MemberStage::Stopping);
-                    self.release_member(context.now, &holding.group, holding.member);
+                    let evidence = ReleaseEvidence::Vanished;
+                    self.release_member(context.now, &holding.group, holding.member, evidence);
                     lost_groups.push(holding.group);
                 }
             }
@@ -123,6 +139,7 @@
         for key in lost_groups {
             self.stop_group(context.now, key);
         }
+        self.report_excess(name, &listed.running);
         self.stop_unrecorded_runs(context, name, &listed.running);
     }
 
@@ -191,6 +208,7 @@
             self.is_dirty = true;
         }
         for (unit, run) in unrecorded {
+            self.report_duplicate_run(name, &unit, run);
             log::info!(target: "stop", unit = unit.to_string().as_str(), run = run.0, worker = name.as_str(); "stopping a run that the planner has no record of");
             let order = StopOrder {
                 run,
@@ -202,4 +220,42 @@
             self.stopping.entry(unit).or_insert(order);
         }
     }
+
+    /// Reports a listed run of a unit of which another run may be active on another worker.
+    fn report_duplicate_run(&self, name: &WorkerName, unit: &UnitKey, run: RunNumber) {
+        let holders = self.workers.iter().filter(|(other, worker)| {
+            let holding = worker.holdings.get(unit);
+            *other != name && holding.is_some_and(|holding| holding.is_sent)
+        });
+        for (holder, _) in holders {
+            counter!(DUPLICATE_RUNS).increment(1);
+            log::warn!(
+                target: "end", unit = unit.to_string().as_str(), run = run.0,
+                worker = name.as_str(), other = holder.as_str();
+                "a run goes on beside a later run of its unit"
+            );
+        }
+    }
+
+    /// Reports a worker that lists more runs than its capacity allows.
+    fn report_excess(&self, name: &WorkerName, running: &BTreeMap<UnitKey, &RunningUnit>) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let mut used = UnitDemand::default();
+        for unit in running.keys() {
+            let job = self.jobs.get(&unit.job);
+            if let Some(shape) = job.and_then(|job| job.shape(unit.step)) {
+                used = used.plus(&shape.reserved_demand());
+            }
+        }
+        if !used.fits(&worker.report.capacity) {
+            counter!(EXCESS_LISTINGS).increment(1);
+            let units: Vec<_> = running.keys().map(UnitKey::to_string).collect();
+            log::warn!(
+                target: "worker", worker = name.as_str(), units = units.join(" ").as_str();
+                "worker lists runs beyond its capacity"
+            );
+        }
+    }
 }
--- a/crates/domain/src/process/planner/poll.rs
+++ b/crates/domain/src/process/planner/poll.rs
@@ -6,6 +6,7 @@
 use crate::prelude::*;
 use crate::process::action::{PollOrder, WorkerOrder};
 use crate::process::event::{RefusalCause, WorkerAnswer, WorkerError};
+use crate::process::planner::evidence::ReleaseEvidence;
 use crate::process::planner::limits::LEADER_LEASE_DURATION;
 use crate::process::planner::state::{
     CallKind, ORDER_TIMEOUT, PendingCall, PlanContext, PlannerState,
@@ -178,6 +179,7 @@
             self.release_lost_units(
                 context,
                 &call.worker,
+                ReleaseEvidence::IncarnationChanged,
                 "the worker's incarnation has changed",
             );
             if let Some(worker) = self.workers.get_mut(&call.worker) {
--- a/crates/domain/src/process/planner/report.rs
+++ b/crates/domain/src/process/planner/report.rs
@@ -3,6 +3,7 @@
 //! disconnected and may go on running them.
 
 use crate::prelude::*;
+use crate::process::planner::evidence::ReleaseEvidence;
 use crate::process::planner::state::{PlanContext, PlannerState};
 use crate::process::planner::worker::PlanWorker;
 use crate::process::worker_report::WorkerReport;
@@ -67,7 +68,12 @@
             "worker is no longer listed"
         );
         if has_left {
-            self.release_lost_units(context, name, "the worker has left");
+            self.release_lost_units(
+                context,
+                name,
+                ReleaseEvidence::Departed,
+                "the worker has left",
+            );
         }
     }
 
@@ -101,7 +107,12 @@
         written_after: Option<MonotonicTime>,
     ) {
         log::info!(target: "worker", worker = name.as_str(), life = report.incarnation.0; "worker restarted");
-        self.release_lost_units(context, name, "worker started anew");
+        self.release_lost_units(
+            context,
+            name,
+            ReleaseEvidence::IncarnationChanged,
+            "worker started anew",
+        );
         let worker = PlanWorker::new(report, context.now, written_after);
         self.workers.insert(name.clone(), worker);
         self.is_dirty = true;
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -6,6 +6,7 @@
 use crate::prelude::*;
 use crate::process::action::{StartOrder, WorkerOrder};
 use crate::process::event::{RefusalCause, WorkerAnswer, WorkerError};
+use crate::process::planner::evidence::{RUNS_RELEASED, ReleaseEvidence};
 use crate::process::planner::job::{GroupPhase, MemberStage, PlanMember};
 use crate::process::planner::place::Placement;
 use crate::process::planner::reclaim::stop_cost;
@@ -108,9 +109,13 @@
                 member.stage = MemberStage::Starting;
             }
         }
+        let names: Vec<_> = members
+            .iter()
+            .map(|member| member.worker.as_str())
+            .collect();
         log::info!(
             target: "start", group = key.to_string().as_str(), run = run.0, members = members.len(),
-            worker = members.first().map_or("none", |member| member.worker.as_str()),
+            worker = names.join(",").as_str(),
             resumes = saved.is_some();
             "run starts"
         );
@@ -181,7 +186,8 @@
                 self.stop_group(context.now, key);
             }
             Err(WorkerError::Unreachable) => {
-                self.remove_member(context.now, key, index, "worker unreachable");
+                let evidence = ReleaseEvidence::Unreachable;
+                self.remove_member(context.now, key, index, evidence, "worker unreachable");
             }
         }
     }
@@ -234,13 +240,21 @@
         if let Some(name) = name.filter(|_| cause == RefusalCause::NoApproval) {
             self.advice.remove_approval(&StepKey::of(&key), &name);
         }
-        self.remove_member(context.now, key, index, cause.label());
+        let evidence = ReleaseEvidence::Refused;
+        self.remove_member(context.now, key, index, evidence, cause.label());
     }
 
     /// Releases a member that certainly does not run, and stops the others.
-    fn remove_member(&mut self, now: MonotonicTime, key: GroupKey, index: usize, why: &str) {
+    fn remove_member(
+        &mut self,
+        now: MonotonicTime,
+        key: GroupKey,
+        index: usize,
+        evidence: ReleaseEvidence,
+        why: &str,
+    ) {
         self.avoid_member_worker(&key, index);
-        self.release_member(now, &key, index);
+        self.release_member(now, &key, index, evidence);
         self.stop_group(now, key);
         log::debug!(target: "start", group = key.to_string().as_str(), member = index, why; "member removed");
     }
@@ -272,7 +286,9 @@
         for (index, member) in members {
             match member.stage {
                 // The start order was never sent.
-                MemberStage::Recording => self.release_member(now, &key, index),
+                MemberStage::Recording => {
+                    self.release_member(now, &key, index, ReleaseEvidence::Unsent);
+                }
                 MemberStage::Starting | MemberStage::Running(_) => {
                     self.set_stage(&key, index, |_| MemberStage::Stopping);
                     let unit = key.unit(index as u16);
@@ -361,7 +377,13 @@
     }
 
     /// Frees the capacity of a member that certainly does not run.
-    pub(super) fn release_member(&mut self, now: MonotonicTime, key: &GroupKey, index: usize) {
+    pub(super) fn release_member(
+        &mut self,
+        now: MonotonicTime,
+        key: &GroupKey,
+        index: usize,
+        evidence: ReleaseEvidence,
+    ) {
         let Some(group) = self.group_mut(key) else {
             return;
         };
@@ -373,7 +395,16 @@
         }
         member.stage = MemberStage::Released;
         let name = member.worker.clone();
+        let run = group.run;
         let unit = key.unit(index as u16);
+        counter!(RUNS_RELEASED, "evidence" => evidence.label()).increment(1);
+        if evidence.is_inferred() {
+            log::info!(
+                target: "end", unit = unit.to_string().as_str(), run = run.0,
+                worker = name.as_str(), evidence = evidence.label();
+                "run released without its end"
+            );
+        }
         self.stopping.remove(&unit);
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.release(&unit);
--- a/crates/domain/src/process/planner/takeover.rs
+++ b/crates/domain/src/process/planner/takeover.rs
@@ -4,6 +4,7 @@
 
 use crate::prelude::*;
 use crate::process::job_table::{JobTable, RecordedJob};
+use crate::process::planner::evidence::ReleaseEvidence;
 use crate::process::planner::job::{GroupPhase, MemberStage, PlanJob, PlanMember, PlanOccurrence};
 use crate::process::planner::limits::max_inherited_lease;
 use crate::process::planner::speed::MemberProgress;
@@ -33,6 +34,12 @@
             worker.link.lease_bound = lease_end;
         }
         let keys: Vec<_> = self.jobs.keys().copied().collect();
+        log::info!(
+            target: "job", jobs = keys.len(), leader_lease_ms = leader_lease.as_millis() as u64,
+            inherited_leases_ms = lease_end.since(context.now).as_millis() as u64,
+            unlisted = self.unlisted_members.len();
+            "jobs restored"
+        );
         for key in keys {
             self.finish_restored_job(context.now, key);
         }
@@ -197,7 +204,7 @@
         let name = self.member_worker(key, index);
         let is_known = name.is_some_and(|name| self.workers.contains_key(&name));
         if is_known {
-            self.release_member(now, key, index);
+            self.release_member(now, key, index, ReleaseEvidence::IncarnationChanged);
             self.stop_group(now, *key);
             return;
         }
@@ -232,7 +239,7 @@
                 worker.hold(key.unit(index as u16), holding);
                 worker.link.lease_bound = worker.link.lease_bound.max(lease_end);
             } else {
-                self.release_member(now, &key, index);
+                self.release_member(now, &key, index, ReleaseEvidence::IncarnationChanged);
                 self.stop_group(now, key);
             }
         }
@@ -246,7 +253,7 @@
                 self.unlisted_members.push((key, index, lease_end));
                 continue;
             }
-            self.release_member(now, &key, index);
+            self.release_member(now, &key, index, ReleaseEvidence::LeaseExpired);
             self.stop_group(now, key);
         }
     }
