Claims: reservations survive a worker that is listed again (LIMIT)

Cause: a claim on capacity is stored twice, in the planner's claims and as a reservation in the state of each claimed worker. An idle worker whose entry is dropped is forgotten at once; when it is listed again, within the two seconds for which a claim holds, its state is created without the reservation. The pass then counts the capacity as free, starts the claimed group there, and places another group on the same capacity, since a claimed start is not deducted from the pass's view.

Why this works: the reservations of a worker follow from the claims whenever its state is created, and a claimed start refreshes the rows of its workers from their holdings, so the pass no longer depends on both copies agreeing.

--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -128,7 +128,7 @@
                 is_urgent,
                 ends_at: now + run_time,
             };
-            if self.start_claimed(context, key, &request) {
+            if self.start_claimed(context, key, &request, view) {
                 continue;
             }
             let Some(placement) = view.find_placement(&request) else {
@@ -173,6 +173,7 @@
         context: &mut PlanContext<'_>,
         key: GroupKey,
         request: &PlaceRequest<'_>,
+        view: &mut CapacityView,
     ) -> bool {
         let Some(claim) = self.claims.get(&key) else {
             return false;
@@ -198,9 +199,22 @@
         let placement: Placement = claim.placement.clone();
         self.release_claim(&key);
         self.record_start(context.now, key, &placement);
+        self.refresh_rows(view, &placement);
         true
     }
 
+    /// Updates the rows of a placement's workers to what their holdings and claims leave.
+    fn refresh_rows(&self, view: &mut CapacityView, placement: &Placement) {
+        for row in &mut view.rows {
+            let worker = self.workers.get(&row.worker);
+            if let Some(worker) = worker.filter(|_| placement.workers.contains(&row.worker)) {
+                row.free = worker.free_capacity_for(None);
+                row.shared = SharedUse::of(worker);
+                row.limited = self.limited_units(&row.worker);
+            }
+        }
+    }
+
     /// Opens the occurrences that are due.
     pub(super) fn open_occurrences(&mut self, context: &mut PlanContext<'_>) {
         let (now, wall) = (context.now, context.wall);
--- a/crates/domain/src/process/planner/reclaim.rs
+++ b/crates/domain/src/process/planner/reclaim.rs
@@ -112,6 +112,24 @@
         self.claims.insert(key, CapacityClaim { placement, until });
     }
 
+    /// Reserves the capacity that is claimed on a worker, whose state was created anew.
+    pub(super) fn restore_claims(&mut self, name: &WorkerName) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        for (key, claim) in &self.claims {
+            let shape = self.jobs.get(&key.job).and_then(|job| job.shape(key.step));
+            let Some(shape) = shape else {
+                continue;
+            };
+            let placed = claim.placement.workers.iter();
+            for _ in placed.filter(|claimed| *claimed == name) {
+                let reserved = worker.reserved.entry(*key).or_default();
+                *reserved = reserved.plus(&shape.reserved_demand());
+            }
+        }
+    }
+
     /// Releases the capacity that is claimed for a group.
     pub(super) fn release_claim(&mut self, key: &GroupKey) {
         if let Some(claim) = self.claims.remove(key) {
--- a/crates/domain/src/process/planner/report.rs
+++ b/crates/domain/src/process/planner/report.rs
@@ -41,6 +41,7 @@
                 );
                 let worker = PlanWorker::new(report, context.now, written_after);
                 self.workers.insert(name.clone(), worker);
+                self.restore_claims(name);
                 self.adopt_unlisted_members(context.now, name);
                 self.is_dirty = true;
             }
@@ -115,6 +116,7 @@
         );
         let worker = PlanWorker::new(report, context.now, written_after);
         self.workers.insert(name.clone(), worker);
+        self.restore_claims(name);
         self.is_dirty = true;
     }
 }
