Log pipe: bound the lines of one write, so that a blocked output drops lines

What operators saw: while the writer thread keeps up with the loggers, it collects lines until the queue is empty before it writes; under a steady stream it never writes, nothing is dropped, and the collected text grows without a bound.

A batch now holds at most 512 lines beyond the first, so a blocked output fills the queue.

--- a/crates/domain-node/src/log_pipe.rs
+++ b/crates/domain-node/src/log_pipe.rs
@@ -9,6 +9,9 @@
 /// Maximum number of lines that wait for the output. This many lines cover a few seconds on
 /// the busiest host and take about a megabyte.
 pub const MAX_WAITING_LINES: usize = 4_096;
+/// Maximum number of waiting lines that one write to the output takes from the queue. The
+/// bound on memory is that of the queue and one such batch.
+const MAX_BATCH_LINES: usize = 512;
 
 /// The writing end of the queue.
 #[derive(Clone, Debug)]
@@ -47,7 +50,7 @@
 fn write_lines<W: Write>(mut output: W, waiting: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
     while let Ok(line) = waiting.recv() {
         let mut text = line;
-        while let Ok(more) = waiting.try_recv() {
+        for more in waiting.try_iter().take(MAX_BATCH_LINES) {
             text.extend_from_slice(&more);
         }
         let count = dropped.swap(0, Ordering::Relaxed);
