Leader election: failing test, a planner without a heartbeat is disregarded

A unit runs twice at once when three planners follow each other: the first stops, the second announces its epoch and loses the log before its first heartbeat, and the third cannot reach a worker that the second renews. The test covers a first planner that has resigned, and one that ran in an earlier process of the third planner's host.

--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -107,6 +107,38 @@
     check_all_done(world);
 }
 
+/// Guards against a planner that disregards a predecessor of which the log has no heartbeat:
+/// one that lost its connection to the log right after it had announced its epoch. The
+/// planner before that one has stopped, and its last heartbeat says so.
+#[rstest]
+#[case::resigned(3)]
+#[case::restarted(2)]
+fn lease_of_planner_without_heartbeat_awaited(
+    #[case] hosts: usize,
+    #[values(51, 52, 53, 54)] seed: u64,
+) {
+    let mut world = ready_world(seed, hosts, 2);
+    let work = Duration::from_secs(17);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(2));
+    let first = planner_of(&world);
+    let name = busy_worker(&world);
+    if hosts == 2 {
+        world.kill_host(first);
+    } else {
+        world.drain_host(first);
+    }
+    let silent = await_planner_besides(&mut world, first);
+    world.hosts[silent].reaches_log = false;
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.only_host = Some(silent);
+    }
+    if hosts == 2 {
+        world.start_host(first);
+    }
+    check_all_done(world);
+}
+
 /// Guards against a run that stays on a draining worker until the worker is removed,
 /// although it has a checkpoint and another worker has free capacity.
 #[test]
@@ -200,3 +232,22 @@
     }
     name
 }
+
+/// Advances the clock to just after the event with which another host starts to plan, and
+/// returns the index of that host.
+#[track_caller]
+fn await_planner_besides(world: &mut SimWorld, first: usize) -> usize {
+    let end = world.now() + Duration::from_secs(6);
+    loop {
+        let mut hosts = world.hosts.iter().enumerate();
+        let planning = hosts.find(|(index, host)| {
+            let host = host.host.as_ref();
+            *index != first && host.is_some_and(|host| host.planner().is_some())
+        });
+        if let Some((index, _)) = planning {
+            return index;
+        }
+        assert!(world.now() < end, "no other host plans");
+        world.run_for(Duration::from_micros(100));
+    }
+}
