Leader election: allow for a planner that wrote no heartbeat

What callers saw: a unit ran twice at once.

Cause: `LeaderElection::previous_leader_lease` derives how long an earlier planner may renew leases from the newest heartbeat alone. If that heartbeat is of a planner that has stopped (it resigned, or ran in an earlier process of this host), its successor adds 4 s less that planner's time as leader, so nothing after 4 s. A planner that claimed leadership after that heartbeat and lost the log before its own first one is disregarded, but renews leases for up to 4 s.

Why the fix works: a claim is appended on the condition of the stream's end, so the offset of the own claim is the epoch of the claim before it. If that is higher than the epoch of the newest heartbeat, it is unknown whether the newest planner has stopped, and the whole 4 s are added. Claims further back need nothing more: no planner before the own announcement is confirmed by the log after it.

Ruled out: a claim that never led to a planner makes the successor wait longer than necessary, never shorter. Offsets of the log have no gaps, and the end is kept when records are deleted. A claim of which the answer was lost and that is found by its number has the same offset in the page of newest records.

--- a/crates/domain/src/process/election.rs
+++ b/crates/domain/src/process/election.rs
@@ -109,6 +109,9 @@
     unresolved_claim: Option<u64>,
     /// Highest epoch of any planner of which a heartbeat was read.
     heartbeat_epoch: LeaderEpoch,
+    /// Epoch of the newest claim before this host's own, zero if there is none. Its planner
+    /// may run even if it wrote no heartbeat.
+    previous_claim: LeaderEpoch,
     /// Newest epoch of another host's claim that no heartbeat has confirmed yet, and when
     /// it was first seen.
     newest_claim: Option<(LeaderEpoch, MonotonicTime)>,
@@ -138,6 +141,7 @@
             claim_count: 0,
             unresolved_claim: None,
             heartbeat_epoch: LeaderEpoch(0),
+            previous_claim: LeaderEpoch(0),
             newest_claim: None,
             query_sent_at: now,
             log_latency: Duration::ZERO,
@@ -255,8 +259,9 @@
             self.next_claim_at = until;
             return true;
         }
-        if self.is_own_unresolved_claim(page) {
+        if let Some(previous) = self.own_unresolved_claim(page) {
             self.unresolved_claim = None;
+            self.previous_claim = previous;
             self.fence(LeaderEpoch(page.end.0), last_ticket, actions);
             return true;
         }
@@ -308,15 +313,17 @@
         (now < until).then_some(until)
     }
 
-    /// Whether the newest claim is the one of this process whose outcome was unknown.
-    fn is_own_unresolved_claim(&self, page: &NewestPage) -> bool {
-        let newest = page.records.iter().max_by_key(|record| record.offset);
-        let Some(StreamBody::Encoded(_, Some(value))) = newest.map(|record| &record.body) else {
-            return false;
+    /// If the newest claim is the one of this process whose outcome was unknown, returns the
+    /// epoch of the claim before it.
+    fn own_unresolved_claim(&self, page: &NewestPage) -> Option<LeaderEpoch> {
+        let newest = page.records.iter().max_by_key(|record| record.offset)?;
+        let StreamBody::Encoded(_, Some(value)) = &newest.body else {
+            return None;
         };
-        LeadershipClaim::decode(value).is_ok_and(|claim| {
+        let is_own = LeadershipClaim::decode(value).is_ok_and(|claim| {
             Some(claim.nonce) == self.unresolved_claim && claim.host == self.identity.host
-        })
+        });
+        is_own.then_some(LeaderEpoch(newest.offset.0))
     }
 
     /// Handles the result of an append. Returns `None` if the election did not send the
@@ -334,6 +341,7 @@
                 match result {
                     Ok(at) => {
                         self.unresolved_claim = None;
+                        self.previous_claim = LeaderEpoch(at.first.0);
                         self.fence(LeaderEpoch(at.next.0), last_ticket, actions);
                     }
                     Err(error) => {
@@ -408,9 +416,11 @@
 
     /// Returns how much longer some earlier planner may renew leases. The newest one does
     /// not if it has stopped, but one before it could extend its leader lease until the term
-    /// of the newest began.
+    /// of the newest began. Whether the newest one has stopped is known only if its heartbeat
+    /// was read.
     pub fn previous_leader_lease(&self) -> Duration {
-        if self.has_leader_stopped {
+        let is_newest_known = self.heartbeat_epoch >= self.previous_claim;
+        if is_newest_known && self.has_leader_stopped {
             LEADER_LEASE_DURATION.saturating_sub(self.leader_time)
         } else {
             LEADER_LEASE_DURATION
