Planner: failing test, leases renewed after an unconfirmed resignation

A unit runs twice at once when the resignation of a planner is in the log and the planner does not receive the log's answers: it renews leases for up to 4 s, and its successor counts it as stopped.

The simulated world can now withhold the log's answers, also those of waiting reads, from one host while its calls take effect.

--- a/crates/domain-sim/src/sim_world.rs
+++ b/crates/domain-sim/src/sim_world.rs
@@ -53,6 +53,8 @@
     pub incarnation: u64,
     /// Whether its calls reach the log.
     pub reaches_log: bool,
+    /// Whether the log's answers reach it. Without them its calls still take effect.
+    pub receives_log_answers: bool,
     /// Whether its calls reach workers.
     pub reaches_workers: bool,
     /// Time until which the process is frozen. Its events are delivered after that.
@@ -224,6 +226,7 @@
                 cpu_share: 0.5,
                 incarnation: 0,
                 reaches_log: true,
+                receives_log_answers: true,
                 reaches_workers: true,
                 frozen_until: MonotonicTime(0),
                 wall_skew_ms: 0,
--- a/crates/domain-sim/src/sim_world/log.rs
+++ b/crates/domain-sim/src/sim_world/log.rs
@@ -83,7 +83,13 @@
                 HostEvent::ReadNewest(ticket, Ok(self.log.newest(stream)))
             }
         };
-        self.push(HOP_DELAY, WorldEvent::ToHost(index, incarnation, event));
+        self.answer_from_log(index, incarnation, event);
+    }
+
+    fn answer_from_log(&mut self, index: usize, incarnation: u64, event: HostEvent) {
+        if self.hosts[index].receives_log_answers {
+            self.push(HOP_DELAY, WorldEvent::ToHost(index, incarnation, event));
+        }
     }
 
     /// Answers the waiting reads that have a record or whose wait is over.
@@ -100,7 +106,7 @@
             }
             if (is_ready && now >= self.reads_held_until) || now >= until {
                 let event = HostEvent::Read(order.ticket, result);
-                self.push(HOP_DELAY, WorldEvent::ToHost(index, incarnation, event));
+                self.answer_from_log(index, incarnation, event);
             } else {
                 self.waiting_reads.push((index, incarnation, order, until));
             }
--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -139,6 +139,24 @@
     check_all_done(world);
 }
 
+/// Guards against a planner that resigns and renews leases until it learns that its
+/// resignation is in the log, while its successor counts it as stopped.
+#[rstest]
+fn resignation_unconfirmed_extends_no_lease(#[values(61, 62, 63, 64)] seed: u64) {
+    let mut world = ready_world(seed, 3, 2);
+    let work = Duration::from_secs(17);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(2));
+    let first = planner_of(&world);
+    let name = busy_worker(&world);
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.only_host = Some(first);
+    }
+    world.hosts[first].receives_log_answers = false;
+    world.drain_host(first);
+    check_all_done(world);
+}
+
 /// Guards against a run that stays on a draining worker until the worker is removed,
 /// although it has a checkpoint and another worker has free capacity.
 #[test]
