Planner: a planner that resigns renews no leases and starts nothing

What callers saw: a unit ran twice at once.

Cause: a planner that is asked to stop appends its resignation and goes on to renew leases until it learns that the append took effect. If the log's answers do not reach it, it does so for up to 4 s after its last confirmed append. Its successor takes over at once and counts it as stopped: it adds 4 s less the resigned planner's time as leader, so nothing after 4 s.

Why the fix works: the leader lease ends when the planner begins to resign, which is before the resignation is appended. Polls go on without a lease, and a start whose record was still on its way is given up; its group is recorded as waiting together with the resignation. The leases on the workers last, from the newest renewal, which is at most a long poll old, and the successor renews them.

Ruled out: a start that is sent after the resignation may be in the log. Its record would have to share the resignation's append, which happens only to the last part of a batch of more than 512 KB; no test shows it. The same condition covers it.

--- a/crates/domain/src/process/planner/poll.rs
+++ b/crates/domain/src/process/planner/poll.rs
@@ -46,10 +46,11 @@
     }
 
     /// Whether the planner may start runs and renew leases: the log confirmed its epoch
-    /// recently. A successor that cannot reach a worker relies on this limit to know when
-    /// the worker's leases have expired.
+    /// recently, and it has not begun to resign. A successor that cannot reach a worker
+    /// relies on this limit to know when the worker's leases have expired. The resignation
+    /// may be in the log long before the planner learns so.
     pub(super) fn has_leader_lease(&self, now: MonotonicTime) -> bool {
-        now.since(self.writer.confirmed_at) < LEADER_LEASE_DURATION
+        !self.is_resigning && now.since(self.writer.confirmed_at) < LEADER_LEASE_DURATION
     }
 
     fn send_poll(
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -90,7 +90,7 @@
         let members = group.members.clone();
         let saved = group.saved.clone();
         let refusal = if !self.has_leader_lease(context.now) {
-            Some("the leader lease has expired")
+            Some("the planner has no leader lease")
         } else if !self.may_start_on(&members) {
             Some("a worker is no longer available")
         } else {
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -112,7 +112,7 @@
     replan_at: MonotonicTime,
     /// Whether a worker or the log reported a higher epoch.
     is_superseded: bool,
-    is_resigning: bool,
+    pub(super) is_resigning: bool,
     has_resigned: bool,
 }
 
