Planner: the leader lease counts from the announcement of the epoch

What callers saw: a unit ran twice at once.

Cause: `PlanWriter::new` took the start of planning for the newest confirmation by the log. The log's last confirmation at that time is the announcement of the epoch, and between both the host reads the log to its tail. A host that is frozen meanwhile starts to plan when it resumes, long after a successor has announced a higher epoch, and renews leases on every worker that the successor could not reach, in the same step in which it sends the append that the log will refuse.

Evidence, before the fix (all 6 cases fail):

Why the fix works: the lease counts from when the announcement was sent. A successor that announces a higher epoch does so after the log has accepted this one, so the 4 s that it adds reach further than this lease. A planner whose lease is over when it starts polls without extending leases until its first append is confirmed. Of several copies of an announcement the first one counts that may have taken effect, so the lease does not depend on whether the log checks the epoch of a repeated append; no run shows that it does not.

Ruled out: a host that reads a heartbeat of a higher epoch before it starts to plan. It renews leases until 4 s after its announcement at most, which its successor allows for, and its first append is refused. Its behaviour is unchanged.

--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -6,6 +6,8 @@
     BATCH, all_done, busy_worker, check_all_done, job, planner_of, ready_world, step,
 };
 use flamingowalk_domain::prelude::*;
+use flamingowalk_domain::process::election::ElectionStage;
+use flamingowalk_domain::process::host::DomainHost;
 use flamingowalk_domain_sim::SimWorld;
 use rstest::rstest;
 
@@ -157,6 +159,30 @@
     check_all_done(world);
 }
 
+/// Guards against a host that was frozen between the announcement of its epoch and the start
+/// of its planning, and counts its leader lease from the latter: it renews a lease although a
+/// successor has planned since.
+#[rstest]
+fn leader_lease_counted_from_announcement(
+    #[values(6_900, 7_300, 7_700)] frozen_ms: u64,
+    #[values(71, 72)] seed: u64,
+) {
+    let mut world = ready_world(seed, 3, 2);
+    let work = Duration::from_secs(21);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_millis(2_100));
+    let first = planner_of(&world);
+    let name = busy_worker(&world);
+    world.kill_host(first);
+    let frozen = await_announcement(&mut world);
+    world.hosts[frozen].frozen_until = world.now() + Duration::from_millis(frozen_ms);
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.only_host = Some(frozen);
+    }
+    world.start_host(first);
+    check_all_done(world);
+}
+
 /// Guards against a run that stays on a draining worker until the worker is removed,
 /// although it has a checkpoint and another worker has free capacity.
 #[test]
@@ -269,3 +295,21 @@
         world.run_for(Duration::from_micros(100));
     }
 }
+
+/// Advances the clock until a host has announced its epoch but does not plan yet, and
+/// returns the index of that host.
+#[track_caller]
+fn await_announcement(world: &mut SimWorld) -> usize {
+    let end = world.now() + Duration::from_secs(6);
+    loop {
+        let announced = world.hosts.iter().position(|host| {
+            let stage = host.host.as_ref().map(DomainHost::election_stage);
+            matches!(stage, Some(ElectionStage::CatchingUp(..)))
+        });
+        if let Some(index) = announced {
+            return index;
+        }
+        assert!(world.now() < end, "no host announces an epoch");
+        world.run_for(Duration::from_micros(100));
+    }
+}
--- a/crates/domain/src/process/election.rs
+++ b/crates/domain/src/process/election.rs
@@ -112,6 +112,11 @@
     /// Epoch of the newest claim before this host's own, zero if there is none. Its planner
     /// may run even if it wrote no heartbeat.
     previous_claim: LeaderEpoch,
+    /// When the announcement of this host's newest epoch was sent: of its copies, the first
+    /// one that the log may have accepted.
+    announced_at: Option<MonotonicTime>,
+    /// When the newest copy of the announcement was sent.
+    copy_sent_at: MonotonicTime,
     /// Newest epoch of another host's claim that no heartbeat has confirmed yet, and when
     /// it was first seen.
     newest_claim: Option<(LeaderEpoch, MonotonicTime)>,
@@ -142,6 +147,8 @@
             unresolved_claim: None,
             heartbeat_epoch: LeaderEpoch(0),
             previous_claim: LeaderEpoch(0),
+            announced_at: None,
+            copy_sent_at: now,
             newest_claim: None,
             query_sent_at: now,
             log_latency: Duration::ZERO,
@@ -196,7 +203,7 @@
         if let ElectionStage::Announcing(epoch, at) = self.stage
             && now >= at
         {
-            self.fence(epoch, last_ticket, actions);
+            self.fence(now, epoch, last_ticket, actions);
         }
         let Some(steady_since) = steady_since else {
             return;
@@ -260,9 +267,8 @@
             return true;
         }
         if let Some(previous) = self.own_unresolved_claim(page) {
-            self.unresolved_claim = None;
-            self.previous_claim = previous;
-            self.fence(LeaderEpoch(page.end.0), last_ticket, actions);
+            self.begin_term(previous);
+            self.fence(now, LeaderEpoch(page.end.0), last_ticket, actions);
             return true;
         }
         let ticket = allocate_ticket(last_ticket);
@@ -340,9 +346,8 @@
             ElectionStage::Claiming(pending, _) if pending == ticket => {
                 match result {
                     Ok(at) => {
-                        self.unresolved_claim = None;
-                        self.previous_claim = LeaderEpoch(at.first.0);
-                        self.fence(LeaderEpoch(at.next.0), last_ticket, actions);
+                        self.begin_term(LeaderEpoch(at.first.0));
+                        self.fence(now, LeaderEpoch(at.next.0), last_ticket, actions);
                     }
                     Err(error) => {
                         log::info!(target: "flamingowalk_domain::process::seat", cause = error.label(); "claim of leadership failed");
@@ -372,6 +377,10 @@
                 }
                 Err(error) => {
                     log::info!(target: "flamingowalk_domain::process::seat", epoch = epoch.0, cause = error.label(); "epoch not announced yet; retrying");
+                    let is_first_copy = self.announced_at == Some(self.copy_sent_at);
+                    if is_first_copy && error.is_definite() {
+                        self.announced_at = None;
+                    }
                     // Announcing the same epoch twice is harmless. The delay gives an
                     // overloaded log time to recover.
                     self.stage = ElectionStage::Announcing(epoch, now + ANNOUNCE_RETRY_DELAY);
@@ -382,7 +391,23 @@
         }
     }
 
-    fn fence(&mut self, epoch: LeaderEpoch, last_ticket: &mut u64, actions: &mut Vec<HostAction>) {
+    /// Prepares the announcement of an epoch, whose claim followed the one with the epoch
+    /// `previous`.
+    const fn begin_term(&mut self, previous: LeaderEpoch) {
+        self.unresolved_claim = None;
+        self.previous_claim = previous;
+        self.announced_at = None;
+    }
+
+    fn fence(
+        &mut self,
+        now: MonotonicTime,
+        epoch: LeaderEpoch,
+        last_ticket: &mut u64,
+        actions: &mut Vec<HostAction>,
+    ) {
+        self.announced_at.get_or_insert(now);
+        self.copy_sent_at = now;
         let ticket = allocate_ticket(last_ticket);
         self.stage = ElectionStage::Fencing(ticket, epoch);
         actions.push(HostAction::Append {
@@ -396,22 +421,23 @@
         });
     }
 
-    /// Becomes leader and returns the epoch, once a read sent after the epoch was announced
-    /// has reached the tail of the jobs stream. Returns `None` before, and while this host
-    /// is not catching up.
+    /// Becomes leader and returns the epoch, and when its announcement was sent, once a read
+    /// sent after the epoch was announced has reached the tail of the jobs stream. Returns
+    /// `None` before, and while this host is not catching up.
     pub fn try_become_leader(
         &mut self,
         confirmed_at: Option<MonotonicTime>,
-    ) -> Option<LeaderEpoch> {
+    ) -> Option<(LeaderEpoch, MonotonicTime)> {
         let ElectionStage::CatchingUp(epoch, since) = self.stage else {
             return None;
         };
+        let announced_at = self.announced_at?;
         if confirmed_at.is_none_or(|confirmed_at| confirmed_at < since) {
             return None;
         }
         self.stage = ElectionStage::Holding(epoch);
         self.highest_held = epoch;
-        Some(epoch)
+        Some((epoch, announced_at))
     }
 
     /// Returns how much longer some earlier planner may renew leases. The newest one does
--- a/crates/domain/src/process/host/leadership.rs
+++ b/crates/domain/src/process/host/leadership.rs
@@ -26,7 +26,8 @@
         let Some(manifest) = self.manifest.as_ref().filter(|_| has_workers) else {
             return;
         };
-        let Some(epoch) = self.election.try_become_leader(self.jobs.confirmed_at()) else {
+        let Some((epoch, announced_at)) = self.election.try_become_leader(self.jobs.confirmed_at())
+        else {
             return;
         };
         log::info!(target: "flamingowalk_domain::process::host::tenure", epoch = epoch.0, workers = self.reports.len(); "planning started");
@@ -36,6 +37,7 @@
             self.identity.name.clone(),
             self.identity.limits,
             Arc::clone(manifest),
+            announced_at,
             now,
         );
         let mut context = plan_context(now, wall, &mut self.last_ticket, actions);
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -128,12 +128,14 @@
 }
 
 impl PlannerState {
-    /// Creates a planner without jobs and workers.
+    /// Creates a planner without jobs and workers. The log accepted its epoch after
+    /// `announced_at`.
     pub fn new(
         epoch: LeaderEpoch,
         host: HostName,
         limits: PlanLimits,
         manifest: Arc<DomainManifest>,
+        announced_at: MonotonicTime,
         now: MonotonicTime,
     ) -> Self {
         Self {
@@ -144,7 +146,7 @@
             workers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             stopping: BTreeMap::new(),
-            writer: PlanWriter::new(epoch, now),
+            writer: PlanWriter::new(epoch, announced_at),
             calls: BTreeMap::new(),
             run_times: RunTimes::default(),
             is_dirty: true,
--- a/crates/domain/src/process/planner/writer.rs
+++ b/crates/domain/src/process/planner/writer.rs
@@ -87,8 +87,8 @@
 }
 
 impl PlanWriter {
-    /// Creates a writer whose epoch was announced by append zero.
-    pub fn new(epoch: LeaderEpoch, now: MonotonicTime) -> Self {
+    /// Creates a writer whose epoch was announced by append zero, sent at `announced_at`.
+    pub fn new(epoch: LeaderEpoch, announced_at: MonotonicTime) -> Self {
         Self {
             epoch,
             sequence: 1,
@@ -96,7 +96,7 @@
             sent: None,
             queued: RecordBatch::default(),
             typical_time: INITIAL_APPEND_TIME,
-            confirmed_at: now,
+            confirmed_at: announced_at,
         }
     }
 
