Jobs read again replace the table only once the reading is complete

What callers saw: after the log had dropped records that a host had not read yet, units of completed jobs ran again, a second run of a unit started on another worker while the first went on (TWICE), completed jobs were answered as queued, and a live planner was replaced.

Cause: a read answered by 410 makes the follower read the newest record of each key again, in pages in order of the keys. The host dropped its table at the first page and handled each record as news. Acceptances (a/) come before groups (g/) and outcomes (o/), so the planner added jobs that it had completed as new ones, even with all records in one page. The confirmation of the earlier reading stayed, so a host that had announced its epoch became leader with half of the table while it waited for the workers' reports: units whose group records were still to come started from run 1. Heartbeats were not observed meanwhile, and after 1.3 s hosts that were still reading claimed leadership.

Fix: the follower says when the records of a reading are the state of the stream at one offset: all pages, and the records from the end at the first page to the end at the last. Until then they go to a table of their own, and the earlier table, which is complete up to an earlier offset, stays in use; confirmations refer to it and remain true. The new table then replaces the earlier one in one step, and the planner and the waiting requests learn of what differs: a job that the planner knew is not added again, also if its outcome is not in the log yet. A host does not claim leadership from a planner whose heartbeats it cannot read yet. During a reading the host holds two tables.

reading_complete_at_one_offset compares the follower with in-order reading, with truncations, lost order of answers, and appends between the pages. It fails if a reading counts as complete at the end of the first page.

Ruled out: late answers to reads from before the restart (their tickets are dropped); a second truncation during a reading (it begins again, nothing of it was applied); a gap between pages and following (following begins at the end of the first page).

The simulated log now serves the newest records in pages of 500, in order of the keys, each as the stream is at its own time.

--- a/crates/domain-sim/src/sim_log.rs
+++ b/crates/domain-sim/src/sim_log.rs
@@ -14,6 +14,8 @@
 
 /// Number of newest appends of a writer whose results are kept to answer retries.
 const RETAINED_RESULTS: usize = 5;
+/// Number of records in a page of newest records.
+const NEWEST_PAGE_RECORDS: usize = 500;
 
 #[derive(Clone, Debug, Default)]
 struct SimStream {
@@ -32,9 +34,20 @@
 }
 
 /// Simulated log.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct SimLog {
     streams: BTreeMap<StreamName, SimStream>,
+    /// Number of records in a page of newest records.
+    pub newest_page_records: usize,
+}
+
+impl Default for SimLog {
+    fn default() -> Self {
+        Self {
+            streams: BTreeMap::new(),
+            newest_page_records: NEWEST_PAGE_RECORDS,
+        }
+    }
 }
 
 impl SimLog {
@@ -148,32 +161,36 @@
         })
     }
 
-    /// Returns the newest record of each key.
-    pub fn newest(&self, name: StreamName) -> NewestPage {
+    /// Returns a page of the newest record of each key, in order of the keys, from the key
+    /// after `after` on. Each page shows the stream as it is at its own time.
+    pub fn newest(&self, name: StreamName, after: Option<&str>) -> NewestPage {
         let Some(stream) = self.streams.get(&name) else {
             return NewestPage::default();
         };
-        let mut newest: BTreeMap<&Arc<str>, (u64, &StreamBody)> = BTreeMap::new();
+        let mut newest: BTreeMap<&str, (u64, &StreamBody)> = BTreeMap::new();
         for (offset, (key, body)) in stream.records.iter().enumerate() {
             newest.insert(key, (offset as u64, body));
         }
-        let is_live = |body: &StreamBody| {
-            !matches!(
+        newest.retain(|key, (_, body)| {
+            let is_live = !matches!(
                 body,
                 StreamBody::Encoded(_, None) | StreamBody::Worker(_, None)
-            )
-        };
-        let records =
-            newest
-                .into_values()
-                .filter(|(_, body)| is_live(body))
-                .map(|(offset, body)| StreamRecord {
-                    offset: StreamOffset(offset),
-                    body: body.clone(),
-                });
+            );
+            is_live && after.is_none_or(|after| *key > after)
+        });
+        let has_more = newest.len() > self.newest_page_records;
+        let last = newest.keys().take(self.newest_page_records).next_back();
+        let next_after = last.filter(|_| has_more).map(|key| Arc::from(*key));
+        let records = newest
+            .into_values()
+            .take(self.newest_page_records)
+            .map(|(offset, body)| StreamRecord {
+                offset: StreamOffset(offset),
+                body: body.clone(),
+            });
         NewestPage {
             records: records.collect(),
-            next_after: None,
+            next_after,
             end: self.end(name),
         }
     }
--- a/crates/domain-sim/src/sim_world.rs
+++ b/crates/domain-sim/src/sim_world.rs
@@ -8,7 +8,9 @@
 mod runs;
 
 use flamingowalk_domain::prelude::*;
-use flamingowalk_domain::process::action::{CallTicket, HostAction, ReadOrder, WorkerCall};
+use flamingowalk_domain::process::action::{
+    CallTicket, HostAction, NewestOrder, ReadOrder, WorkerCall,
+};
 use flamingowalk_domain::process::event::{HostEvent, WorkerError};
 use flamingowalk_domain::process::host::{DomainHost, HostIdentity};
 use flamingowalk_domain::process::planner::PlanLimits;
@@ -99,7 +101,7 @@
 enum LogCall {
     Append(CallTicket, AppendOrder),
     Read(ReadOrder),
-    ReadNewest(CallTicket, flamingowalk_domain::process::stream::StreamName),
+    ReadNewest(NewestOrder),
 }
 
 /// Identifies one run of a gang.
@@ -380,8 +382,9 @@
             }
             HostAction::ReadNewest(order) => {
                 let no_answer = HostEvent::ReadNewest(order.ticket, Err(StreamError::NoAnswer));
-                let call = LogCall::ReadNewest(order.ticket, order.stream);
-                self.call_log(index, incarnation, call, no_answer, order.timeout);
+                let timeout = order.timeout;
+                let call = LogCall::ReadNewest(order);
+                self.call_log(index, incarnation, call, no_answer, timeout);
             }
             HostAction::Append {
                 ticket,
--- a/crates/domain-sim/src/sim_world/log.rs
+++ b/crates/domain-sim/src/sim_world/log.rs
@@ -78,9 +78,10 @@
                 }
                 result => HostEvent::Read(order.ticket, result),
             },
-            LogCall::ReadNewest(ticket, stream) => {
-                self.claim_reads += u32::from(stream == StreamName::Seat);
-                HostEvent::ReadNewest(ticket, Ok(self.log.newest(stream)))
+            LogCall::ReadNewest(order) => {
+                self.claim_reads += u32::from(order.stream == StreamName::Seat);
+                let page = self.log.newest(order.stream, order.after.as_deref());
+                HostEvent::ReadNewest(order.ticket, Ok(page))
             }
         };
         self.answer_from_log(index, incarnation, event);
--- a/crates/domain-sim/tests/domain.rs
+++ b/crates/domain-sim/tests/domain.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod leases;
 mod load;
+mod reread;
 mod sharing;
 mod support;
 mod upkeep;
--- a/crates/domain/src/process/host.rs
+++ b/crates/domain/src/process/host.rs
@@ -73,7 +73,10 @@
     workers: Option<StreamFollower>,
     /// Newest report of each worker; the planner starts from these.
     reports: BTreeMap<WorkerName, Arc<WorkerReport>>,
+    /// State of the jobs stream at one offset.
     job_table: JobTable,
+    /// Records of the reading of the jobs stream that is not complete yet.
+    job_reading: Option<JobTable>,
     request_handler: RequestHandler,
     election: LeaderElection,
     planner: Option<PlannerState>,
@@ -102,6 +105,7 @@
             workers: None,
             reports: BTreeMap::new(),
             job_table: JobTable::default(),
+            job_reading: None,
             request_handler: RequestHandler::default(),
             planner: None,
             last_ticket: 0,
@@ -265,31 +269,35 @@
         actions: &mut Vec<HostAction>,
     ) {
         if output.is_reset {
-            self.job_table = JobTable::default();
+            self.job_reading = Some(JobTable::default());
         }
-        for record in output.records {
-            self.apply_job_record(now, wall, record, actions);
+        let records = output.records.into_iter().filter_map(decode_job_record);
+        let Some(reading) = &mut self.job_reading else {
+            for record in records {
+                let change = self.job_table.apply(now, record);
+                self.handle_job_change(now, wall, change, actions);
+            }
+            return;
+        };
+        for record in records {
+            reading.apply(now, record);
+        }
+        if output.is_complete
+            && let Some(reading) = self.job_reading.take()
+        {
+            for change in self.job_table.replace(reading) {
+                self.handle_job_change(now, wall, change, actions);
+            }
         }
     }
 
-    fn apply_job_record(
+    fn handle_job_change(
         &mut self,
         now: MonotonicTime,
         wall: WallTime,
-        record: StreamRecord,
+        change: TableChange,
         actions: &mut Vec<HostAction>,
     ) {
-        let StreamBody::Encoded(key, value) = record.body else {
-            if let StreamBody::Skipped(cause) = record.body {
-                skip_record(StreamName::Jobs, &cause);
-            }
-            return;
-        };
-        let decoded = match JobRecord::decode(&key, value.as_deref()) {
-            Ok(decoded) => decoded,
-            Err(error) => return skip_record(StreamName::Jobs, &error.to_string()),
-        };
-        let change = self.job_table.apply(now, decoded);
         match change {
             TableChange::None => {}
             TableChange::Accepted(job) => {
@@ -471,9 +479,9 @@
         self.finish_planning(now);
         let last = &mut self.last_ticket;
         let steady = self.jobs.confirmed_at().and(self.jobs.steady_since());
-        let has_config = self.manifest.is_some();
+        let can_lead = self.manifest.is_some() && self.jobs.is_complete();
         self.election
-            .poll(now, steady.filter(|_| has_config), last, actions);
+            .poll(now, steady.filter(|_| can_lead), last, actions);
         self.config.poll(now, last, actions);
         self.jobs.poll(now, last, actions);
         if let Some(workers) = &mut self.workers {
@@ -496,6 +504,19 @@
     }
 }
 
+fn decode_job_record(record: StreamRecord) -> Option<JobRecord> {
+    let cause = match record.body {
+        StreamBody::Encoded(key, value) => match JobRecord::decode(&key, value.as_deref()) {
+            Ok(decoded) => return Some(decoded),
+            Err(error) => error.to_string(),
+        },
+        StreamBody::Skipped(cause) => cause.to_string(),
+        StreamBody::Manifest(_) | StreamBody::Worker(..) | StreamBody::Wave(..) => return None,
+    };
+    skip_record(StreamName::Jobs, &cause);
+    None
+}
+
 fn record_read_error(error: Option<&StreamError>) {
     if let Some(error) = error {
         counter!(READS_FAILED, "cause" => error.label()).increment(1);
--- a/crates/domain/src/process/job_table.rs
+++ b/crates/domain/src/process/job_table.rs
@@ -29,7 +29,7 @@
 }
 
 /// Effect of a record that the host has to react to.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TableChange {
     /// No effect.
     None,
@@ -48,6 +48,8 @@
 pub struct JobTable {
     jobs: BTreeMap<JobKey, RecordedJob>,
     heartbeat: Option<PlannerHeartbeat>,
+    /// Mark of the newest append of a planner.
+    mark: Option<AppendMark>,
     waves: BTreeMap<WaveNumber, WaveRecord>,
 }
 
@@ -122,7 +124,10 @@
                 self.waves.insert(wave, record);
                 TableChange::None
             }
-            JobRecord::Mark(mark) => TableChange::Marked(mark),
+            JobRecord::Mark(mark) => {
+                self.mark = Some(mark);
+                TableChange::Marked(mark)
+            }
             JobRecord::Tombstone(key) => {
                 self.remove_key(key);
                 TableChange::None
@@ -130,6 +135,31 @@
         }
     }
 
+    /// Replaces the table by one that was read later. Returns what has changed.
+    pub fn replace(&mut self, table: Self) -> Vec<TableChange> {
+        let previous = std::mem::replace(self, table);
+        let mut changes = Vec::new();
+        for (key, job) in &self.jobs {
+            let known = previous.jobs.get(key);
+            let was_accepted = known.is_some_and(|known| known.accepted.is_some());
+            if job.accepted.is_some() && !was_accepted {
+                changes.push(TableChange::Accepted(*key));
+            }
+            if job.is_cancelled && !known.is_some_and(|known| known.is_cancelled) {
+                changes.push(TableChange::Cancelled(*key));
+            }
+        }
+        if self.heartbeat.is_some() && self.heartbeat != previous.heartbeat {
+            changes.push(TableChange::Heartbeat);
+        }
+        changes.extend(
+            self.mark
+                .filter(|mark| previous.mark != Some(*mark))
+                .map(TableChange::Marked),
+        );
+        changes
+    }
+
     fn accept(&mut self, key: JobKey, accepted: Arc<AcceptedJob>) -> TableChange {
         let job = self.jobs.entry(key).or_default();
         if job.accepted.is_some() {
--- a/crates/domain/src/process/stream_follower.rs
+++ b/crates/domain/src/process/stream_follower.rs
@@ -1,6 +1,8 @@
 //! Follows one stream: first reads the newest record of each key, then everything that is
 //! appended. Each offset after the first pages is returned once and in order, also when
-//! responses are slow, lost or late.
+//! responses are slow, lost or late. After records were truncated the newest record of each
+//! key is read again. [`FollowOutput::is_complete`] says when the records of such a reading
+//! make up the state of the stream.
 
 use crate::prelude::*;
 use crate::process::action::{CallTicket, HostAction, NewestOrder, ReadOrder};
@@ -49,9 +51,13 @@
 pub struct FollowOutput {
     /// Records in order.
     pub records: Vec<StreamRecord>,
-    /// Whether these records replace everything returned before: they are the first ones,
-    /// or the follower has restarted after records were truncated.
+    /// Whether a new reading begins with these records: they are the first ones, or the
+    /// follower has restarted after records were truncated.
     pub is_reset: bool,
+    /// Whether the records returned since the newest reset make up the state of the whole
+    /// stream at one offset. Until then some keys are missing, and others are newer than
+    /// records that follow.
+    pub is_complete: bool,
     /// Time before which none of these records was written: when the newest earlier read
     /// that reached the tail was sent. `None` if no read has reached the tail yet, and for
     /// the newest records of the keys.
@@ -65,6 +71,9 @@
     stage: FollowStage,
     /// Lowest offset that was not returned yet.
     next: StreamOffset,
+    /// End of the stream at the newest page of newest records: the pages and everything that
+    /// was appended up to there are consistent.
+    pages_end: StreamOffset,
     /// The read that waits at the tail or fetches pages.
     pending: Option<PendingRead>,
     /// The immediate read, which does not wait at the tail.
@@ -107,6 +116,7 @@
                 follow_from: None,
             },
             next: StreamOffset(0),
+            pages_end: StreamOffset(0),
             pending: None,
             immediate: None,
             wants_immediate: false,
@@ -160,6 +170,12 @@
         self.next
     }
 
+    /// Whether the records returned since the newest reset make up the state of the whole
+    /// stream at one offset.
+    pub const fn is_complete(&self) -> bool {
+        matches!(self.stage, FollowStage::Following) && self.next.0 >= self.pages_end.0
+    }
+
     /// Sets the minimum time between reads at the tail.
     pub const fn set_read_interval(&mut self, read_interval: Duration) {
         self.read_interval = read_interval;
@@ -281,6 +297,7 @@
         Some(FollowOutput {
             records,
             is_reset: false,
+            is_complete: self.is_complete(),
             written_after,
         })
     }
@@ -306,6 +323,7 @@
         let is_reset = follow_from.is_none();
         let from = *follow_from.get_or_insert(page.end);
         *after = page.next_after;
+        self.pages_end = self.pages_end.max(page.end);
         if after.is_none() {
             self.next = from;
             self.stage = FollowStage::Following;
@@ -313,6 +331,7 @@
         Some(FollowOutput {
             records: page.records,
             is_reset,
+            is_complete: self.is_complete(),
             written_after: None,
         })
     }
