Workers read again replace the reports only once the reading is complete

What workers saw: after the log had dropped reports that the planner had not read yet, a unit on a draining worker was started on another worker while it still ran (TWICE).

Cause: while the newest reports were read again, all known workers that were not on the first page counted as removed. The removal of a draining worker's entry shortly after its report means that it has left, so its runs were given up. The next page listed it again.

Fix: as for the jobs, reports of a reading are collected until it is the state of the stream at one offset, and then compared with the reports in use in one step.

Ruled out: a wrong conclusion from entries that are missing in the complete reading. They were removed after the report that this host knows, and the bound on the age of that report is not changed by the reading.

--- a/crates/domain-sim/tests/reread.rs
+++ b/crates/domain-sim/tests/reread.rs
@@ -91,6 +91,28 @@
     assert_eq!(world.starts, 30, "number of starts");
 }
 
+/// Runs on a draining worker were given up as if the worker had left.
+#[test]
+fn planner_reread_draining_workers() {
+    let mut world = ready_world(95, 4, 9);
+    for number in 1..=8 {
+        let work = Duration::from_secs(3);
+        world.submit(0, BATCH, JobKey(number), &job(vec![step(1, 8)]), work);
+    }
+    world.run_for(Duration::from_secs(1));
+    assert_eq!(world.starts, 8, "number of starts before the truncation");
+    let mut workers = world.workers.iter().rev();
+    let busy = workers.find(|(_, worker)| !worker.running.is_empty());
+    let name = busy.expect("a busy worker").0.clone();
+    world.drain_worker(&name);
+    world.run_for(Duration::from_millis(400));
+    world.log.newest_page_records = 3;
+    world.drain_worker(&name);
+    world.log.truncate_history();
+    let world = check_all_done(world);
+    assert_eq!(world.starts, 8, "number of starts");
+}
+
 /// Callers saw completed jobs as queued.
 #[test]
 fn query_reread_completed_jobs() {
--- a/crates/domain/src/process/host.rs
+++ b/crates/domain/src/process/host.rs
@@ -73,6 +73,8 @@
     workers: Option<StreamFollower>,
     /// Newest report of each worker; the planner starts from these.
     reports: BTreeMap<WorkerName, Arc<WorkerReport>>,
+    /// Reports of the reading of the workers stream that is not complete yet.
+    report_reading: Option<BTreeMap<WorkerName, Arc<WorkerReport>>>,
     /// State of the jobs stream at one offset.
     job_table: JobTable,
     /// Records of the reading of the jobs stream that is not complete yet.
@@ -104,6 +106,7 @@
             jobs: StreamFollower::new(StreamName::Jobs, FOLLOW_READ_INTERVAL, now),
             workers: None,
             reports: BTreeMap::new(),
+            report_reading: None,
             job_table: JobTable::default(),
             job_reading: None,
             request_handler: RequestHandler::default(),
@@ -353,22 +356,36 @@
         actions: &mut Vec<HostAction>,
     ) {
         let written_after = output.written_after;
-        let mut missing: BTreeSet<WorkerName> = BTreeSet::new();
         if output.is_reset {
-            missing = self.reports.keys().cloned().collect();
+            self.report_reading = Some(BTreeMap::new());
         }
-        for record in output.records {
-            match record.body {
-                StreamBody::Worker(name, report) => {
-                    missing.remove(&name);
-                    self.update_report(now, wall, &name, report, written_after, actions);
-                }
-                StreamBody::Skipped(cause) => skip_record(StreamName::Workers, &cause),
-                StreamBody::Manifest(_) | StreamBody::Wave(..) | StreamBody::Encoded(..) => {}
+        let reports = output.records.into_iter().filter_map(worker_report);
+        let Some(reading) = &mut self.report_reading else {
+            for (name, report) in reports {
+                self.update_report(now, wall, &name, report, written_after, actions);
             }
+            return;
+        };
+        for (name, report) in reports {
+            match report {
+                Some(report) => reading.insert(name, report),
+                None => reading.remove(&name),
+            };
         }
-        for name in missing {
-            self.update_report(now, wall, &name, None, written_after, actions);
+        if output.is_complete
+            && let Some(reading) = self.report_reading.take()
+        {
+            let names = self.reports.keys();
+            let missing: Vec<_> = names
+                .filter(|name| !reading.contains_key(*name))
+                .cloned()
+                .collect();
+            for (name, report) in reading {
+                self.update_report(now, wall, &name, Some(report), None, actions);
+            }
+            for name in missing {
+                self.update_report(now, wall, &name, None, None, actions);
+            }
         }
     }
 
@@ -517,6 +534,17 @@
     None
 }
 
+fn worker_report(record: StreamRecord) -> Option<(WorkerName, Option<Arc<WorkerReport>>)> {
+    match record.body {
+        StreamBody::Worker(name, report) => Some((name, report)),
+        StreamBody::Skipped(cause) => {
+            skip_record(StreamName::Workers, &cause);
+            None
+        }
+        StreamBody::Manifest(_) | StreamBody::Wave(..) | StreamBody::Encoded(..) => None,
+    }
+}
+
 fn record_read_error(error: Option<&StreamError>) {
     if let Some(error) = error {
         counter!(READS_FAILED, "cause" => error.label()).increment(1);
