Waves that are missing in a new reading of the operator's stream are withdrawn

What the operator saw: a wave that was withdrawn shortly before the log dropped its records went on, and machines had their upkeep all the same.

Cause: after records were truncated a host reads the newest record of each key again. A withdrawn wave has no such record, and nothing else removed it.

Fix: as for jobs and reports, waves of a reading are collected until it is complete; then those in use that it lacks are withdrawn. Configurations are adopted at once as before: only a higher version is adopted, so the order of reading does not matter.

The simulated log omits withdrawn waves from the newest records, as the platform does.

--- a/crates/domain-sim/src/sim_log.rs
+++ b/crates/domain-sim/src/sim_log.rs
@@ -174,7 +174,9 @@
         newest.retain(|key, (_, body)| {
             let is_live = !matches!(
                 body,
-                StreamBody::Encoded(_, None) | StreamBody::Worker(_, None)
+                StreamBody::Encoded(_, None)
+                    | StreamBody::Worker(_, None)
+                    | StreamBody::Wave(_, None)
             );
             is_live && after.is_none_or(|after| *key > after)
         });
--- a/crates/domain-sim/tests/upkeep.rs
+++ b/crates/domain-sim/tests/upkeep.rs
@@ -119,6 +119,23 @@
     assert_eq!(world.starts, 2);
 }
 
+/// The withdrawal was truncated before the hosts read it, and the wave went on.
+#[test]
+fn wave_withdrawn_before_reread() {
+    let mut world = world_with_wave(99, 12, 1);
+    world.run_for(Duration::from_secs(6));
+    world.log.put_wave(WAVE, None);
+    world.log.truncate_history();
+    world.run_for(Duration::from_secs(4));
+    let upkeeps = world.machines.upkeeps;
+    assert!(upkeeps < 10, "the wave was over before it was withdrawn");
+    world.run_for(Duration::from_secs(20));
+    assert_eq!(
+        world.machines.upkeeps, upkeeps,
+        "upkeep after the withdrawal"
+    );
+}
+
 #[test]
 fn wave_removed_machine_skipped() {
     let mut world = world_with_wave(96, 3, 1);
--- a/crates/domain/src/process/host.rs
+++ b/crates/domain/src/process/host.rs
@@ -67,6 +67,8 @@
     identity: HostIdentity,
     manifest: Option<Arc<DomainManifest>>,
     waves: BTreeMap<WaveNumber, Arc<WaveOrder>>,
+    /// Waves of the reading of the operator's stream that is not complete yet.
+    wave_reading: Option<BTreeMap<WaveNumber, Arc<WaveOrder>>>,
     config: StreamFollower,
     jobs: StreamFollower,
     /// Follows the workers stream while this host plans or is about to.
@@ -102,6 +104,7 @@
             identity,
             manifest: None,
             waves: BTreeMap::new(),
+            wave_reading: None,
             config: StreamFollower::new(StreamName::Config, CONFIG_READ_INTERVAL, now),
             jobs: StreamFollower::new(StreamName::Jobs, FOLLOW_READ_INTERVAL, now),
             workers: None,
--- a/crates/domain/src/process/host/config.rs
+++ b/crates/domain/src/process/host/config.rs
@@ -10,14 +10,42 @@
 impl DomainHost {
     /// Applies records of the operator's stream.
     pub(super) fn handle_config(&mut self, output: FollowOutput) {
+        if output.is_reset {
+            self.wave_reading = Some(BTreeMap::new());
+        }
         for record in output.records {
             match record.body {
                 StreamBody::Manifest(manifest) => self.adopt_manifest(manifest),
-                StreamBody::Wave(number, order) => self.apply_wave(number, order),
+                StreamBody::Wave(number, order) => self.read_wave(number, order),
                 StreamBody::Skipped(cause) => skip_record(StreamName::Config, &cause),
                 StreamBody::Worker(..) | StreamBody::Encoded(..) => {}
             }
         }
+        if output.is_complete
+            && let Some(reading) = self.wave_reading.take()
+        {
+            let numbers = self.waves.keys();
+            let withdrawn: Vec<_> = numbers
+                .filter(|number| !reading.contains_key(number))
+                .copied()
+                .collect();
+            for number in withdrawn {
+                self.apply_wave(number, None);
+            }
+            for (number, order) in reading {
+                self.apply_wave(number, Some(order));
+            }
+        }
+    }
+
+    fn read_wave(&mut self, number: WaveNumber, order: Option<Arc<WaveOrder>>) {
+        let Some(reading) = &mut self.wave_reading else {
+            return self.apply_wave(number, order);
+        };
+        match order {
+            Some(order) => reading.insert(number, order),
+            None => reading.remove(&number),
+        };
     }
 
     fn apply_wave(&mut self, number: WaveNumber, order: Option<Arc<WaveOrder>>) {
