The end of a job keeps its time when the jobs are read again

What operators would see: records of ended jobs that stay in the log for longer than status-s, and for ever if records are truncated more often than that.

Cause: ended_at is the time at which the host read the end, and reading again set it anew.

Evidence, expired_keys_after_replace on the code before: the keys lack Outcome(JobKey(1)).

Fix: a job that had ended in the replaced table keeps the earlier time. A process that starts anew still counts from its first reading; the records hold no time of the end. That only delays the removal.

--- a/crates/domain/src/process/job_table.rs
+++ b/crates/domain/src/process/job_table.rs
@@ -24,7 +24,7 @@
     pub recorded: BTreeSet<GroupKey>,
     /// Whether a unit has ever started.
     pub has_started: bool,
-    /// When this host read that the job has ended or was cancelled.
+    /// When this host first read that the job has ended or was cancelled.
     pub ended_at: Option<MonotonicTime>,
 }
 
@@ -139,8 +139,10 @@
     pub fn replace(&mut self, table: Self) -> Vec<TableChange> {
         let previous = std::mem::replace(self, table);
         let mut changes = Vec::new();
-        for (key, job) in &self.jobs {
+        for (key, job) in &mut self.jobs {
             let known = previous.jobs.get(key);
+            let first_ended_at = known.and_then(|known| known.ended_at);
+            job.ended_at = job.ended_at.map(|at| first_ended_at.unwrap_or(at));
             let was_accepted = known.is_some_and(|known| known.accepted.is_some());
             if job.accepted.is_some() && !was_accepted {
                 changes.push(TableChange::Accepted(*key));
