--- a/crates/domain/src/process/host.rs
+++ b/crates/domain/src/process/host.rs
@@ -67,13 +67,20 @@
     identity: HostIdentity,
     manifest: Option<Arc<DomainManifest>>,
     waves: BTreeMap<WaveNumber, Arc<WaveOrder>>,
+    /// Waves of the reading of the operator's stream that is not complete yet.
+    wave_reading: Option<BTreeMap<WaveNumber, Arc<WaveOrder>>>,
     config: StreamFollower,
     jobs: StreamFollower,
     /// Follows the workers stream while this host plans or is about to.
     workers: Option<StreamFollower>,
     /// Newest report of each worker; the planner starts from these.
     reports: BTreeMap<WorkerName, Arc<WorkerReport>>,
+    /// Reports of the reading of the workers stream that is not complete yet.
+    report_reading: Option<BTreeMap<WorkerName, Arc<WorkerReport>>>,
+    /// State of the jobs stream at one offset.
     job_table: JobTable,
+    /// Records of the reading of the jobs stream that is not complete yet.
+    job_reading: Option<JobTable>,
     request_handler: RequestHandler,
     election: LeaderElection,
     planner: Option<PlannerState>,
@@ -97,11 +104,14 @@
             identity,
             manifest: None,
             waves: BTreeMap::new(),
+            wave_reading: None,
             config: StreamFollower::new(StreamName::Config, CONFIG_READ_INTERVAL, now),
             jobs: StreamFollower::new(StreamName::Jobs, FOLLOW_READ_INTERVAL, now),
             workers: None,
             reports: BTreeMap::new(),
+            report_reading: None,
             job_table: JobTable::default(),
+            job_reading: None,
             request_handler: RequestHandler::default(),
             planner: None,
             last_ticket: 0,
@@ -265,31 +275,35 @@
         actions: &mut Vec<HostAction>,
     ) {
         if output.is_reset {
-            self.job_table = JobTable::default();
+            self.job_reading = Some(JobTable::default());
         }
-        for record in output.records {
-            self.apply_job_record(now, wall, record, actions);
+        let records = output.records.into_iter().filter_map(decode_job_record);
+        let Some(reading) = &mut self.job_reading else {
+            for record in records {
+                let change = self.job_table.apply(now, record);
+                self.handle_job_change(now, wall, change, actions);
+            }
+            return;
+        };
+        for record in records {
+            reading.apply(now, record);
+        }
+        if output.is_complete
+            && let Some(reading) = self.job_reading.take()
+        {
+            for change in self.job_table.replace(reading) {
+                self.handle_job_change(now, wall, change, actions);
+            }
         }
     }
 
-    fn apply_job_record(
+    fn handle_job_change(
         &mut self,
         now: MonotonicTime,
         wall: WallTime,
-        record: StreamRecord,
+        change: TableChange,
         actions: &mut Vec<HostAction>,
     ) {
-        let StreamBody::Encoded(key, value) = record.body else {
-            if let StreamBody::Skipped(cause) = record.body {
-                skip_record(StreamName::Jobs, &cause);
-            }
-            return;
-        };
-        let decoded = match JobRecord::decode(&key, value.as_deref()) {
-            Ok(decoded) => decoded,
-            Err(error) => return skip_record(StreamName::Jobs, &error.to_string()),
-        };
-        let change = self.job_table.apply(now, decoded);
         match change {
             TableChange::None => {}
             TableChange::Accepted(job) => {
@@ -345,22 +359,36 @@
         actions: &mut Vec<HostAction>,
     ) {
         let written_after = output.written_after;
-        let mut missing: BTreeSet<WorkerName> = BTreeSet::new();
         if output.is_reset {
-            missing = self.reports.keys().cloned().collect();
+            self.report_reading = Some(BTreeMap::new());
         }
-        for record in output.records {
-            match record.body {
-                StreamBody::Worker(name, report) => {
-                    missing.remove(&name);
-                    self.update_report(now, wall, &name, report, written_after, actions);
-                }
-                StreamBody::Skipped(cause) => skip_record(StreamName::Workers, &cause),
-                StreamBody::Manifest(_) | StreamBody::Wave(..) | StreamBody::Encoded(..) => {}
+        let reports = output.records.into_iter().filter_map(worker_report);
+        let Some(reading) = &mut self.report_reading else {
+            for (name, report) in reports {
+                self.update_report(now, wall, &name, report, written_after, actions);
             }
+            return;
+        };
+        for (name, report) in reports {
+            match report {
+                Some(report) => reading.insert(name, report),
+                None => reading.remove(&name),
+            };
         }
-        for name in missing {
-            self.update_report(now, wall, &name, None, written_after, actions);
+        if output.is_complete
+            && let Some(reading) = self.report_reading.take()
+        {
+            let names = self.reports.keys();
+            let missing: Vec<_> = names
+                .filter(|name| !reading.contains_key(*name))
+                .cloned()
+                .collect();
+            for (name, report) in reading {
+                self.update_report(now, wall, &name, Some(report), None, actions);
+            }
+            for name in missing {
+                self.update_report(now, wall, &name, None, None, actions);
+            }
         }
     }
 
@@ -471,9 +499,9 @@
         self.finish_planning(now);
         let last = &mut self.last_ticket;
         let steady = self.jobs.confirmed_at().and(self.jobs.steady_since());
-        let has_config = self.manifest.is_some();
+        let can_lead = self.manifest.is_some() && self.jobs.is_complete();
         self.election
-            .poll(now, steady.filter(|_| has_config), last, actions);
+            .poll(now, steady.filter(|_| can_lead), last, actions);
         self.config.poll(now, last, actions);
         self.jobs.poll(now, last, actions);
         if let Some(workers) = &mut self.workers {
@@ -496,6 +524,30 @@
     }
 }
 
+fn decode_job_record(record: StreamRecord) -> Option<JobRecord> {
+    let cause = match record.body {
+        StreamBody::Encoded(key, value) => match JobRecord::decode(&key, value.as_deref()) {
+            Ok(decoded) => return Some(decoded),
+            Err(error) => error.to_string(),
+        },
+        StreamBody::Skipped(cause) => cause.to_string(),
+        StreamBody::Manifest(_) | StreamBody::Worker(..) | StreamBody::Wave(..) => return None,
+    };
+    skip_record(StreamName::Jobs, &cause);
+    None
+}
+
+fn worker_report(record: StreamRecord) -> Option<(WorkerName, Option<Arc<WorkerReport>>)> {
+    match record.body {
+        StreamBody::Worker(name, report) => Some((name, report)),
+        StreamBody::Skipped(cause) => {
+            skip_record(StreamName::Workers, &cause);
+            None
+        }
+        StreamBody::Manifest(_) | StreamBody::Wave(..) | StreamBody::Encoded(..) => None,
+    }
+}
+
 fn record_read_error(error: Option<&StreamError>) {
     if let Some(error) = error {
         counter!(READS_FAILED, "cause" => error.label()).increment(1);
