Attempts: each failed run counts once, whatever order its ends arrive in

Cause: the phase of the group stood for "this run was not counted yet". A failed end counted only while the group was active. When one member of a gang fails, the others end broken on other workers; a broken end that is listed first puts the group into stopping, and the failed end that follows did not count. At a takeover all workers are listed at once, and a cut off worker is listed late, so this is frequent there.

The same phase also erred to the other side: a successor restores a recorded run as active, so that a failed end which its predecessor had recorded, but not acknowledged, counted again, and a job failed before its last attempt.

Now the failed runs are kept and recorded by number beside their count, and a run counts when its number is new. The count no longer depends on the phase, on the order of the ends or on the planner that handles them. Not counted are, as before, ends of units that last, and failed ends of a job that is closing or of a group that is done, so that a cancelled job is never shown as failed.

Ruled out: ends acknowledged before their record (the record is queued before the acknowledgement and written by the same or an earlier append). Left: a failed end that is listed after the group was started again still does not count.

--- /dev/null
+++ b/crates/domain-sim/tests/attempts.rs
@@ -0,0 +1,74 @@
+//! Attempts: a job fails after `max_attempts` failed runs of one unit or gang, whatever
+//! order their ends arrive in and however many planners handle them.
+
+use crate::support::{BATCH, busy_worker, gang, job, planner_of, ready_world, step};
+use flamingowalk_domain::prelude::*;
+use flamingowalk_domain::request::caller_request::{CallerResponse, JobPhase};
+use flamingowalk_domain_sim::SimWorld;
+
+/// Time within which the next run of a failed unit is started.
+const RESTART_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Checks that a job has failed, with `starts` starts in all.
+#[track_caller]
+fn check_failed(world: &mut SimWorld, key: JobKey, starts: u64) {
+    world.run_for(Duration::from_secs(6));
+    assert_eq!(world.starts, starts, "starts");
+    let query = world.query(0, BATCH, key);
+    world.run_for(Duration::from_millis(200));
+    let phase = &world.responses[&query];
+    assert_eq!(*phase, CallerResponse::Phase(JobPhase::Failed));
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Guards against failed runs of a gang that do not count, since the end of another member
+/// arrived before the failed one.
+#[test]
+fn attempts_failed_member_listed_last() {
+    let mut world = world_of_failing_workers(91, 8);
+    let work = Duration::from_millis(500);
+    world.submit(0, BATCH, JobKey(1), &job(vec![gang(2, 8)]), work);
+    for attempt in 1..=3 {
+        let is_started = world.run_until(RESTART_TIMEOUT, |world| world.starts == attempt * 2);
+        assert!(is_started, "attempt {attempt} was not started");
+        // The run on the first worker fails, which breaks the run on the other.
+        let name = busy_worker(&world);
+        set_reachable(&mut world, &name, false);
+        world.run_for(Duration::from_millis(900));
+        set_reachable(&mut world, &name, true);
+    }
+    check_failed(&mut world, JobKey(1), 6);
+}
+
+/// Guards against failed runs that count twice, since the end is listed to the next planner
+/// again if the planner that recorded it did not acknowledge it.
+#[test]
+fn attempts_end_listed_to_next_planner() {
+    let mut world = world_of_failing_workers(92, 2);
+    let work = Duration::from_millis(500);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    for attempt in 1..=3 {
+        let is_started = world.run_until(RESTART_TIMEOUT, |world| world.starts == attempt);
+        assert!(is_started, "attempt {attempt} was not started");
+        world.run_for(work + Duration::from_millis(60));
+        let index = planner_of(&world);
+        world.kill_host(index);
+        world.start_host(index);
+    }
+    check_failed(&mut world, JobKey(1), 3);
+}
+
+/// Returns a world in which every run fails.
+fn world_of_failing_workers(seed: u64, count: usize) -> SimWorld {
+    let mut world = ready_world(seed, 3, count);
+    for worker in world.workers.values_mut() {
+        worker.fails_all = true;
+    }
+    world
+}
+
+fn set_reachable(world: &mut SimWorld, name: &WorkerName, is_reachable: bool) {
+    if let Some(worker) = world.workers.get_mut(name) {
+        worker.is_reachable = is_reachable;
+    }
+}
--- a/crates/domain-sim/tests/domain.rs
+++ b/crates/domain-sim/tests/domain.rs
@@ -1,6 +1,7 @@
 //! Tests of a whole planning domain on a virtual clock.
 
 mod advice;
+mod attempts;
 mod faults;
 mod leases;
 mod load;
--- a/crates/domain/src/process/planner/end.rs
+++ b/crates/domain/src/process/planner/end.rs
@@ -72,7 +72,7 @@
                 self.finish_group(now, &key);
                 self.release_member(now, &key, index, ReleaseEvidence::Ended);
             }
-            EndCause::Failed => self.handle_failure(context, name, key, index),
+            EndCause::Failed => self.handle_failure(context, name, key, index, end.run),
             EndCause::Stopped
             | EndCause::Lapsed
             | EndCause::GangBroken
@@ -108,6 +108,7 @@
         name: &WorkerName,
         key: GroupKey,
         index: usize,
+        run: RunNumber,
     ) {
         let now = context.now;
         let is_quarantined = self
@@ -118,30 +119,36 @@
             log::info!(target: "worker", worker = name.as_str(); "worker quarantined after repeated failures");
         }
         self.avoid_member_worker(&key, index);
+        let is_exhausted = self.record_failure(&key, run);
+        self.release_member(now, &key, index, ReleaseEvidence::Ended);
+        self.stop_group(now, key);
+        if is_exhausted {
+            self.fail_job(now, key.job);
+        }
+    }
+
+    /// Counts a failed run as an attempt, if it was not counted before, and records it.
+    /// Returns whether it was the last attempt.
+    fn record_failure(&mut self, key: &GroupKey, run: RunNumber) -> bool {
         let Some(job) = self.jobs.get_mut(&key.job) else {
-            return;
+            return false;
         };
         let limit = job.accepted.max_attempts;
-        let is_long_running = job
-            .shape(key.step)
-            .is_some_and(|shape| shape.is_long_running);
-        let Some(group) = job.group_mut(&key) else {
-            return;
+        let has_limit = !job.is_closing
+            && job
+                .shape(key.step)
+                .is_some_and(|shape| !shape.is_long_running);
+        let Some(group) = job.group_mut(key) else {
+            return false;
         };
-        // One failed member ends the run of the whole gang, so a second failure in the
-        // same run does not count as another attempt.
-        let is_first_failure = matches!(group.phase, GroupPhase::Active);
-        if is_first_failure {
+        let is_counted = has_limit && group.phase != GroupPhase::Done;
+        if is_counted && group.failed_runs.insert(run) {
             group.failures += 1;
         }
-        let is_exhausted = group.failures >= limit && !is_long_running;
+        let is_exhausted = is_counted && group.failures >= limit;
         let record = group.record();
-        self.writer.push(&JobRecord::Group(key, record), None);
-        self.release_member(now, &key, index, ReleaseEvidence::Ended);
-        self.stop_group(now, key);
-        if is_exhausted {
-            self.fail_job(now, key.job);
-        }
+        self.writer.push(&JobRecord::Group(*key, record), None);
+        is_exhausted
     }
 
     /// Marks a group as done and records it, and its job's outcome if all is done.
--- a/crates/domain/src/process/planner/job.rs
+++ b/crates/domain/src/process/planner/job.rs
@@ -49,8 +49,12 @@
 pub struct PlanGroup {
     /// Newest run; zero before the first.
     pub run: RunNumber,
-    /// Runs that ended as failed.
+    /// Number of runs that ended as failed; not kept for long-running steps, which have no
+    /// limit.
     pub failures: u16,
+    /// These runs, so that each counts once: several members may fail, and an end is listed
+    /// to the next planner again if it was not acknowledged.
+    pub failed_runs: BTreeSet<RunNumber>,
     /// Newest checkpoint.
     pub saved: Option<Arc<str>>,
     /// Progress through starting, running and stopping.
@@ -182,6 +186,7 @@
         GroupRecord {
             run: self.run,
             failures: self.failures,
+            failed_runs: self.failed_runs.clone(),
             stage,
             places: places.collect(),
             saved: self.saved.clone(),
--- a/crates/domain/src/process/planner/takeover.rs
+++ b/crates/domain/src/process/planner/takeover.rs
@@ -145,6 +145,7 @@
         };
         group.run = record.run;
         group.failures = record.failures;
+        group.failed_runs.clone_from(&record.failed_runs);
         group.saved.clone_from(&record.saved);
         group.started_at = now;
         group.is_full_run = false;
--- a/crates/domain/src/process/record.rs
+++ b/crates/domain/src/process/record.rs
@@ -106,6 +106,8 @@
     pub run: RunNumber,
     /// Number of failed runs.
     pub failures: u16,
+    /// The failed runs, unless the record is from a release that did not list them.
+    pub failed_runs: BTreeSet<RunNumber>,
     /// Stage of the group.
     pub stage: GroupStage,
     /// Places of the members in their order, while the stage is [`GroupStage::Started`].
@@ -348,6 +350,8 @@
     GroupStage,
     Vec<MemberPlace>,
     Option<Arc<str>>,
+    // Last and optional, so that earlier releases and this one can read each other's records.
+    #[serde(default)] BTreeSet<RunNumber>,
 );
 
 impl From<GroupRecord> for GroupRow {
@@ -358,16 +362,18 @@
             record.stage,
             record.places,
             record.saved,
+            record.failed_runs,
         )
     }
 }
 
 impl From<GroupRow> for GroupRecord {
     fn from(row: GroupRow) -> Self {
-        let GroupRow(run, failures, stage, places, saved) = row;
+        let GroupRow(run, failures, stage, places, saved, failed_runs) = row;
         Self {
             run,
             failures,
+            failed_runs,
             stage,
             places,
             saved,
