Attempts: count the failed end of a run that is not the newest

Callers saw a unit start more often than max-attempts allows, and run on after its last failed run had been listed.

Cause: handle_older_end handled only done. An end comes there if a later run of the unit was recorded, or if all members of its run were released: a worker that could not be reached lists the failed end after its lease has expired and the unit was started elsewhere.

Such an end is now counted and recorded by the same function as that of the newest run, once for each number of a run, before it is acknowledged. If it was the last attempt, the job fails, which stops the newer run, also one that is only being recorded: send_starts finds no such job. Ends of a group that is done change nothing, as before.

Both tests fail on the code before: attempts_end_listed_after_restart: starts, left: 4, right: 3 attempts_last_end_listed_stops_newer_run: left: Phase(Running), right: Phase(Failed)

--- a/crates/domain-sim/tests/attempts.rs
+++ b/crates/domain-sim/tests/attempts.rs
@@ -58,6 +58,45 @@
     check_failed(&mut world, JobKey(1), 3);
 }
 
+/// Guards against failed runs that do not count, since their end was listed after the lease
+/// had expired and the next run had started.
+#[test]
+fn attempts_end_listed_after_restart() {
+    let mut world = world_of_failing_workers(93, 4);
+    let work = Duration::from_millis(500);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    assert!(world.run_until(RESTART_TIMEOUT, |world| world.starts == 1));
+    let name = busy_worker(&world);
+    set_reachable(&mut world, &name, false);
+    let lease_timeout = world.limits.lease_limit + RESTART_TIMEOUT;
+    assert!(world.run_until(lease_timeout, |world| world.starts == 2));
+    world.run_for(work / 2);
+    set_reachable(&mut world, &name, true);
+    check_failed(&mut world, JobKey(1), 3);
+}
+
+/// Guards against a unit that runs on after its last attempt, which an earlier run was by its
+/// end that was listed late.
+#[test]
+fn attempts_last_end_listed_stops_newer_run() {
+    let mut world = world_of_failing_workers(94, 4);
+    let work = Duration::from_millis(500);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    assert!(world.run_until(RESTART_TIMEOUT, |world| world.starts == 3));
+    let name = busy_worker(&world);
+    set_reachable(&mut world, &name, false);
+    for worker in world.workers.values_mut() {
+        worker.fails_all = false;
+        worker.speed = 0.01;
+    }
+    let lease_timeout = world.limits.lease_limit + RESTART_TIMEOUT;
+    assert!(world.run_until(lease_timeout, |world| world.starts == 4));
+    set_reachable(&mut world, &name, true);
+    check_failed(&mut world, JobKey(1), 4);
+    let mut workers = world.workers.values();
+    assert!(workers.all(|worker| worker.running.is_empty()));
+}
+
 /// Returns a world in which every run fails.
 fn world_of_failing_workers(seed: u64, count: usize) -> SimWorld {
     let mut world = ready_world(seed, 3, count);
--- a/crates/domain/src/process/planner/end.rs
+++ b/crates/domain/src/process/planner/end.rs
@@ -83,22 +83,35 @@
         }
     }
 
-    /// Handles the end of a run that is not the newest of its unit. If it completed, the
-    /// group is done, and later runs are stopped.
+    /// Handles the end of a run that is not the newest of its unit, or whose members were
+    /// all released. If it completed, the group is done; if it was the last attempt, the job
+    /// has failed. Later runs are stopped.
     fn handle_older_end(&mut self, now: MonotonicTime, end: &EndedUnit) {
-        if end.cause != EndCause::Done {
-            return;
-        }
         let located = self
             .jobs
             .get(&end.unit.job)
             .and_then(|job| job.locate(&end.unit).map(|(key, _)| (job.group(&key), key)));
-        if let Some((Some(group), key)) = located
-            && group.phase != GroupPhase::Done
-        {
-            log::warn!(target: "end", unit = end.unit.to_string().as_str(), run = end.run.0; "an earlier run completed");
-            self.finish_group(now, &key);
-            self.stop_group(now, key);
+        let Some((Some(group), key)) = located else {
+            return;
+        };
+        if group.phase == GroupPhase::Done {
+            return;
+        }
+        match end.cause {
+            EndCause::Done => {
+                log::warn!(target: "end", unit = end.unit.to_string().as_str(), run = end.run.0; "an earlier run completed");
+                self.finish_group(now, &key);
+                self.stop_group(now, key);
+            }
+            EndCause::Failed => {
+                if self.record_failure(&key, end.run) {
+                    self.fail_job(now, key.job);
+                }
+            }
+            EndCause::Stopped
+            | EndCause::Lapsed
+            | EndCause::GangBroken
+            | EndCause::GangIncomplete => {}
         }
     }
 
