Failing test: a worker listed during a term is open while a foreign run is on it

A worker got more than its capacity. A planner without a valid leader lease finds a run that it has no record of on a worker that is listed again, counts it as expired in the next tick, and hands out its capacity once the log accepts appends again:

The simulated log can refuse appends while it serves reads.

--- a/crates/domain-sim/src/sim_world.rs
+++ b/crates/domain-sim/src/sim_world.rs
@@ -135,6 +135,8 @@
     pub is_log_up: bool,
     /// Factor on the time that the log takes to serve a call.
     pub log_slowdown: u32,
+    /// Whether the log refuses all appends of hosts while it serves reads.
+    pub refuses_appends: bool,
     /// Time until which the log holds back new records from waiting reads. A read whose
     /// own wait is over is answered all the same.
     pub reads_held_until: MonotonicTime,
@@ -190,6 +192,7 @@
             log: SimLog::default(),
             is_log_up: true,
             log_slowdown: 1,
+            refuses_appends: false,
             reads_held_until: MonotonicTime(0),
             answer_loss_rate: 0.0,
             late_append_rate: 0.0,
--- a/crates/domain-sim/src/sim_world/log.rs
+++ b/crates/domain-sim/src/sim_world/log.rs
@@ -4,7 +4,7 @@
 use flamingowalk_domain::prelude::*;
 use flamingowalk_domain::process::action::AdviceOrder;
 use flamingowalk_domain::process::event::{AdviceError, HostEvent};
-use flamingowalk_domain::process::stream::StreamName;
+use flamingowalk_domain::process::stream::{StreamError, StreamName};
 use rand::Rng;
 
 use crate::sim_world::{
@@ -53,6 +53,9 @@
             return;
         }
         let event = match call {
+            LogCall::Append(ticket, _) if self.refuses_appends => {
+                HostEvent::Appended(ticket, Err(StreamError::Refused { status: 429 }))
+            }
             LogCall::Append(ticket, order) => {
                 let is_late = ticket != NO_REPLY_TICKET && self.late_append_rate > 0.0;
                 if is_late && self.random.random_bool(self.late_append_rate) {
--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -8,6 +8,7 @@
 use flamingowalk_domain::prelude::*;
 use flamingowalk_domain::process::election::ElectionStage;
 use flamingowalk_domain::process::host::DomainHost;
+use flamingowalk_domain::process::planner::limits::LEADER_LEASE_DURATION;
 use flamingowalk_domain_sim::SimWorld;
 use rstest::rstest;
 
@@ -267,6 +268,41 @@
     }
 }
 
+/// Guards against starts on a worker whose foreign run counts as expired once it is listed:
+/// no poll had renewed a lease there, since the log confirmed nothing.
+#[test]
+fn lease_unrecorded_run_of_listed_worker_awaited() {
+    let mut world = ready_world(51, 3, 1);
+    let name = WorkerName::from("worker-000");
+    let work = Duration::from_secs(30);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(1));
+    world.workers.get_mut(&name).unwrap().reaches_log = false;
+    world.run_for(Duration::from_secs(6));
+    set_reachable(&mut world, &name, false);
+    world.cancel(0, BATCH, JobKey(1));
+    let rest = Duration::from_secs(1);
+    world.submit(0, BATCH, JobKey(2), &job(vec![step(1, 8)]), rest);
+    world.run_for(Duration::from_millis(100));
+    let first = planner_of(&world);
+    world.drain_host(first);
+    world.run_for(Duration::from_millis(400));
+    assert_ne!(world.planner(), Some(first), "the planner has not resigned");
+    world.refuses_appends = true;
+    world.run_for(LEADER_LEASE_DURATION);
+    set_reachable(&mut world, &name, true);
+    world.workers.get_mut(&name).unwrap().reaches_log = true;
+    let lists_run = |world: &SimWorld| {
+        let host = world.hosts[planner_of(world)].host.as_ref();
+        let planner = host.and_then(|host| host.planner());
+        let worker = planner.and_then(|planner| planner.workers().get(&name));
+        worker.is_some_and(|worker| !worker.unrecorded.is_empty())
+    };
+    assert!(world.run_until(Duration::from_secs(3), lists_run));
+    world.refuses_appends = false;
+    check_all_done(world);
+}
+
 /// Disconnects the first worker that has runs from the hosts and the log.
 fn disconnect_busy_worker(world: &mut SimWorld) -> WorkerName {
     let name = busy_worker(world);
