Planner: a listed run without a record keeps its worker closed until it has ended

A worker got more than its capacity. The lease bound of a worker is raised by the orders of this term and by adopted members only. A planner without a valid leader lease polls without renewing; for a worker that is listed during its term the bound is then zero, and for an idle worker it is that of its last run. A run in its listing that the planner has no record of counted as expired in the next tick: its stop was dropped, and the worker was open.

Evidence, lease_unrecorded_run_of_listed_worker_awaited before:

A listing that shows such a run now raises the bound by the longest lease that a worker grants, with drift. The run was there when the listing was requested, so no lease of it can be longer.

Ruled out: a bound other than zero for a worker's first listing. Without runs nothing can expire there, and runs that are started or adopted raise the bound themselves.

--- a/crates/domain/src/process/planner/listing.rs
+++ b/crates/domain/src/process/planner/listing.rs
@@ -197,9 +197,13 @@
                 unrecorded.insert(*unit, listed.run);
             }
         }
+        let lease = self.limits.lease_limit;
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
+        if !unrecorded.is_empty() {
+            worker.link.bound_foreign_lease(context.now, lease);
+        }
         let had_unrecorded = !worker.unrecorded.is_empty();
         worker.unrecorded.clone_from(&unrecorded);
         if had_unrecorded || !unrecorded.is_empty() {
--- a/crates/domain/src/process/planner/worker.rs
+++ b/crates/domain/src/process/planner/worker.rs
@@ -235,6 +235,12 @@
         self.lease_until
     }
 
+    /// Raises the lease bound for a run that was just listed and whose lease this planner
+    /// may not have granted: a worker grants no longer lease than `lease`.
+    pub fn bound_foreign_lease(&mut self, now: MonotonicTime, lease: Duration) {
+        self.lease_bound = self.lease_bound.max(now + with_drift(lease));
+    }
+
     /// Updates the worker's time from an answer that arrived now. The clock was read before
     /// that, so the worker's current time is never overestimated, except by drift.
     pub const fn update_clock(&mut self, now: MonotonicTime, clock: WorkerClock) {
