Simulated workers compare names only, as the platform's do; three failing tests

X-Expect-Instance holds the worker's id, so an order reaches whichever incarnation has that id when it is carried out. The simulated worker compared incarnations and refused such orders, which hid that a unit ran twice. It now carries them out, and shortens leases to the longest one, as PROTOCOL.md says of until-ms. A worker of another name at the address still refuses; replace_worker simulates it.

A worker that has restarted under its name before the planner learns of it accepts a start, and the run counts as lost with the earlier incarnation (all five cases):

The next incarnation carries out a late start that the earlier one was told to stop:

A takeover finds a record that names an earlier incarnation than the report (both cases):

--- a/crates/domain-sim/src/sim_worker.rs
+++ b/crates/domain-sim/src/sim_worker.rs
@@ -45,6 +45,8 @@
     pub born_at: MonotonicTime,
     /// Whether its process is up.
     pub is_up: bool,
+    /// Whether a worker of another name has its address and refuses the orders for it.
+    pub is_replaced: bool,
     /// Whether hosts can reach it.
     pub is_reachable: bool,
     /// The only host that can reach it, or `None` if all can.
@@ -78,6 +80,7 @@
             report,
             born_at,
             is_up: true,
+            is_replaced: false,
             is_reachable: true,
             only_host: None,
             reaches_log: true,
@@ -121,28 +124,30 @@
             .fold(UnitDemand::default(), |sum, run| sum.plus(&run.demand))
     }
 
-    /// Carries out an order of a planner. Refuses it if it is for another incarnation or if
-    /// an order of a higher epoch arrived before.
+    /// Carries out an order of a planner, whichever incarnation it was sent to: an order
+    /// names the worker only. Refuses it if an order of a higher epoch arrived before.
+    /// Leases are shortened to `lease_limit`.
     pub fn handle_order(
         &mut self,
         now: MonotonicTime,
-        incarnation: WorkerIncarnation,
+        lease_limit: Duration,
         epoch: LeaderEpoch,
         order: &WorkerOrder,
         make_run: impl FnOnce(&StartOrder) -> SimRun,
     ) -> WorkerAnswer {
         let clock = self.clock(now);
-        if incarnation != self.report.incarnation {
+        if self.is_replaced {
             return refusal(RefusalCause::IncarnationMismatch, clock);
         }
         if epoch < self.highest_epoch {
             return refusal(RefusalCause::Fenced, clock);
         }
         self.highest_epoch = epoch;
+        let longest_lease = WorkerClock(clock.0 + lease_limit.as_millis() as u64);
         match order {
-            WorkerOrder::Start(start) => self.start(now, start, make_run),
+            WorkerOrder::Start(start) => self.start(now, start, longest_lease, make_run),
             WorkerOrder::Stop { unit, run } => self.stop(now, *unit, *run),
-            WorkerOrder::Poll(poll) => self.poll(now, poll),
+            WorkerOrder::Poll(poll) => self.poll(now, poll, longest_lease),
         }
     }
 
@@ -150,13 +155,14 @@
         &mut self,
         now: MonotonicTime,
         order: &StartOrder,
+        longest_lease: WorkerClock,
         make_run: impl FnOnce(&StartOrder) -> SimRun,
     ) -> WorkerAnswer {
         let clock = self.clock(now);
         if order.lease_until <= clock {
             return refusal(RefusalCause::LeaseExpired, clock);
         }
-        self.lease_until = self.lease_until.max(order.lease_until);
+        self.extend_lease(order.lease_until, longest_lease);
         if let Some(known) = self.running.get(&order.unit)
             && known.run == order.run
         {
@@ -185,14 +191,23 @@
         WorkerAnswer::Done { clock }
     }
 
-    fn poll(&mut self, now: MonotonicTime, order: &PollOrder) -> WorkerAnswer {
+    fn poll(
+        &mut self,
+        now: MonotonicTime,
+        order: &PollOrder,
+        longest_lease: WorkerClock,
+    ) -> WorkerAnswer {
         self.ended.retain(|end| end.number > order.acknowledged);
         if let Some(until) = order.lease_until {
-            self.lease_until = self.lease_until.max(until);
+            self.extend_lease(until, longest_lease);
         }
         WorkerAnswer::Listed(self.list(now))
     }
 
+    fn extend_lease(&mut self, until: WorkerClock, longest_lease: WorkerClock) {
+        self.lease_until = self.lease_until.max(until.min(longest_lease));
+    }
+
     /// Lists its runs, and the ends that were not acknowledged.
     pub fn list(&self, now: MonotonicTime) -> WorkerListing {
         let running = self.running.iter().map(|(unit, run)| RunningUnit {
--- a/crates/domain-sim/src/sim_world.rs
+++ b/crates/domain-sim/src/sim_world.rs
@@ -116,6 +116,8 @@
     host: usize,
     incarnation: u64,
     call: Box<WorkerCall>,
+    /// Incarnation of the worker that holds the poll.
+    holder: WorkerIncarnation,
     acknowledged: u64,
     until: MonotonicTime,
 }
--- a/crates/domain-sim/src/sim_world/orders.rs
+++ b/crates/domain-sim/src/sim_world/orders.rs
@@ -38,6 +38,7 @@
             let waiting = WaitingPoll {
                 host: index,
                 incarnation,
+                holder: listing.incarnation.unwrap_or_default(),
                 acknowledged: poll.acknowledged,
                 call,
                 until,
@@ -56,6 +57,7 @@
     pub(super) fn order_worker(&mut self, call: &WorkerCall) -> WorkerAnswer {
         let now = self.now;
         let new_violations = self.start_violations(call);
+        let lease_limit = self.limits.lease_limit;
         let submissions = &self.submissions;
         let Some(worker) = self.workers.get_mut(&call.worker) else {
             return WorkerAnswer::Done {
@@ -63,7 +65,6 @@
             };
         };
         if let WorkerOrder::Start(start) = &call.order
-            && call.incarnation == worker.report.incarnation
             && self
                 .advice
                 .refuses(now, start, &call.worker, worker.report.incarnation)
@@ -76,7 +77,7 @@
         let fails_all = worker.fails_all;
         let speed = worker.speed;
         let make_run = |start: &StartOrder| new_run(now, submissions, start, speed, fails_all);
-        let answer = worker.handle_order(now, call.incarnation, call.epoch, &call.order, make_run);
+        let answer = worker.handle_order(now, lease_limit, call.epoch, &call.order, make_run);
         if let (Some(violations), WorkerAnswer::Done { .. }) = (new_violations, &answer) {
             self.violations.extend(
                 violations
@@ -163,7 +164,7 @@
         let is_connected = worker.is_up
             && worker.is_reachable_from(poll.host)
             && self.hosts[poll.host].reaches_workers;
-        if !is_connected || worker.report.incarnation != poll.call.incarnation {
+        if !is_connected || worker.report.incarnation != poll.holder {
             return;
         }
         let listing = worker.list(now);
--- a/crates/domain-sim/src/sim_world/runs.rs
+++ b/crates/domain-sim/src/sim_world/runs.rs
@@ -217,6 +217,25 @@
         }
     }
 
+    /// Replaces a worker by one of another name at its address, which refuses the orders
+    /// for it. Returns the name.
+    pub fn replace_worker(&mut self, name: &WorkerName) -> WorkerName {
+        self.crash_worker(name);
+        let now = self.now;
+        let next = WorkerName::from(format!("{name}+"));
+        if let Some(worker) = self.workers.get_mut(name) {
+            let mut report = worker.report.clone();
+            report.name = next.clone();
+            worker.is_up = true;
+            worker.is_replaced = true;
+            worker.reaches_log = false;
+            self.workers
+                .insert(next.clone(), SimWorker::new(report, now));
+            self.push(Duration::ZERO, WorldEvent::Report(next.clone()));
+        }
+        next
+    }
+
     /// Makes a worker report at once that it is draining.
     pub fn drain_worker(&mut self, name: &WorkerName) {
         if let Some(worker) = self.workers.get_mut(name) {
--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -303,6 +303,98 @@
     check_all_done(world);
 }
 
+/// Guards against a start that is carried out late by the next incarnation of its worker,
+/// which has seen no stop, while the unit runs elsewhere.
+#[test]
+fn restart_late_start_on_next_incarnation_stopped_there() {
+    let mut world = ready_world(54, 3, 2);
+    for worker in world.workers.values_mut() {
+        worker.next_start_delay = Some(Duration::from_millis(2_500));
+    }
+    let work = Duration::from_secs(4);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    let is_sent = |world: &SimWorld| {
+        let mut workers = world.workers.values();
+        workers.any(|worker| worker.next_start_delay.is_none())
+    };
+    assert!(world.run_until(Duration::from_secs(1), is_sent));
+    let mut workers = world.workers.iter_mut();
+    let found = workers.find(|(_, worker)| worker.next_start_delay.is_none());
+    let (name, worker) = found.expect("a worker received the start");
+    let name = name.clone();
+    worker.is_reachable = false;
+    for worker in world.workers.values_mut() {
+        worker.next_start_delay = None;
+    }
+    world.run_for(Duration::from_millis(700));
+    world.crash_worker(&name);
+    world.restart_worker(&name);
+    set_reachable(&mut world, &name, false);
+    world.run_for(Duration::from_millis(1_750));
+    set_reachable(&mut world, &name, true);
+    check_all_done(world);
+}
+
+/// Guards against counting a run as lost with the incarnation that its start was sent to:
+/// the worker had restarted unnoticed, and its next incarnation accepted the start.
+#[rstest]
+fn restart_unnoticed_before_start_run_not_lost(#[values(0, 300, 600, 900, 1_200)] millis: u64) {
+    let mut world = ready_world(55, 3, 2);
+    let names: Vec<_> = world.workers.keys().cloned().collect();
+    world.run_for(Duration::from_millis(millis));
+    for name in &names {
+        world.crash_worker(name);
+        world.restart_worker(name);
+    }
+    let work = Duration::from_secs(4);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    assert!(world.run_until(Duration::from_secs(1), |world| world.starts == 1));
+    check_all_done(world);
+}
+
+/// Guards against counting a recorded run as lost at a takeover since its worker has
+/// restarted: the start of the previous planner had reached the next incarnation.
+#[rstest]
+#[case::answers(true)]
+#[case::disconnected(false)]
+fn takeover_run_on_next_incarnation_not_lost(#[case] is_reachable: bool) {
+    let mut world = ready_world(56, 3, 2);
+    let names: Vec<_> = world.workers.keys().cloned().collect();
+    for name in &names {
+        world.crash_worker(name);
+        world.restart_worker(name);
+        if let Some(worker) = world.workers.get_mut(name) {
+            worker.reaches_log = false;
+        }
+    }
+    let work = Duration::from_secs(6);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    assert!(world.run_until(Duration::from_secs(1), |world| world.starts == 1));
+    let name = busy_worker(&world);
+    let first = planner_of(&world);
+    world.kill_host(first);
+    for worker in world.workers.values_mut() {
+        worker.reaches_log = true;
+    }
+    set_reachable(&mut world, &name, is_reachable);
+    check_all_done(world);
+}
+
+/// Guards against waiting for the leases of a worker whose address another worker has: the
+/// refusal of its orders shows that its runs have ended.
+#[test]
+fn replaced_worker_restarts_runs_at_once() {
+    let mut world = ready_world(57, 3, 2);
+    let work = Duration::from_secs(4);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(1));
+    let name = busy_worker(&world);
+    world.replace_worker(&name);
+    let is_restarted = world.run_until(Duration::from_secs(4), |world| world.starts == 2);
+    assert!(is_restarted, "the unit was not started elsewhere");
+    check_all_done(world);
+}
+
 /// Disconnects the first worker that has runs from the hosts and the log.
 fn disconnect_busy_worker(world: &mut SimWorld) -> WorkerName {
     let name = busy_worker(world);
