Planner: only a later incarnation of a worker proves that a recorded run is lost

A unit ran twice. Any other incarnation of the listed worker than the recorded one counted as the end of a recorded run at a takeover, an earlier one too. A worker's report may be written late and replace the report of its next incarnation, so that the planner starts from a table in which the worker is older than the record. It then placed the unit again at once.

Evidence, takeover_with_report_of_earlier_incarnation_waits_for_lease before, the same for a worker that stays disconnected, is listed again, or answers:

A recorded run is now held on its worker unless the report is of a later incarnation. When the recorded incarnation is reported or answers, the worker is replaced by it, and the run stays held with the lease bound that it had. Stops of such runs are sent again, since answers to calls to the previous incarnation are ignored. A listing of another incarnation replaces the worker at once instead of marking it unlisted with its old incarnation, so that what is held there is listed and stopped without waiting for its report.

Ruled out: an older report during a term. The planner has ignored those before, and the reports of the host only matter at its start, where the record now has precedence.

--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -395,6 +395,44 @@
     check_all_done(world);
 }
 
+/// Guards against taking a report of an earlier incarnation, written late, for the end of
+/// the recorded one: the run went on while its unit was started elsewhere.
+#[rstest]
+#[case::disconnected(false, false)]
+#[case::listed_again(true, false)]
+#[case::answers(false, true)]
+fn takeover_with_report_of_earlier_incarnation_waits_for_lease(
+    #[case] reaches_log: bool,
+    #[case] is_reachable: bool,
+) {
+    let mut world = ready_world(52, 3, 2);
+    let old_reports: BTreeMap<_, _> = world
+        .workers
+        .iter()
+        .map(|(name, worker)| (name.clone(), Arc::new(worker.report.clone())))
+        .collect();
+    for name in old_reports.keys() {
+        world.crash_worker(name);
+        world.restart_worker(name);
+    }
+    world.run_for(Duration::from_secs(3));
+    let work = Duration::from_secs(8);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(1));
+    let name = disconnect_busy_worker(&mut world);
+    let old_report = Arc::clone(&old_reports[&name]);
+    world.log.put_worker(&name, Some(old_report));
+    let first = planner_of(&world);
+    world.kill_host(first);
+    let has_next = |world: &SimWorld| world.planner().is_some();
+    assert!(world.run_until(Duration::from_secs(4), has_next));
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.reaches_log = reaches_log;
+        worker.is_reachable = is_reachable;
+    }
+    check_all_done(world);
+}
+
 /// Disconnects the first worker that has runs from the hosts and the log.
 fn disconnect_busy_worker(world: &mut SimWorld) -> WorkerName {
     let name = busy_worker(world);
--- a/crates/domain/src/process/planner/end.rs
+++ b/crates/domain/src/process/planner/end.rs
@@ -7,7 +7,7 @@
 use crate::prelude::*;
 use crate::process::event::{EndCause, EndedUnit};
 use crate::process::planner::evidence::ReleaseEvidence;
-use crate::process::planner::job::GroupPhase;
+use crate::process::planner::job::{GroupPhase, PlanMember};
 use crate::process::planner::state::{PlanContext, PlannerState};
 use crate::process::planner::writer::CommitEffect;
 use crate::process::record::{JobOutcome, JobRecord};
@@ -227,16 +227,33 @@
         name: &WorkerName,
         evidence: ReleaseEvidence,
         why: &str,
+    ) {
+        self.release_lost_members(context, name, evidence, why, |_| true);
+    }
+
+    /// Releases the members on a worker that `is_lost` returns true for, and stops the other
+    /// members of their groups.
+    pub(super) fn release_lost_members(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        name: &WorkerName,
+        evidence: ReleaseEvidence,
+        why: &str,
+        is_lost: impl Fn(&PlanMember) -> bool,
     ) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
         worker.unrecorded.clear();
-        let held: Vec<_> = worker
-            .holdings
-            .values()
+        let held = worker.holdings.values();
+        let mut held: Vec<_> = held
             .map(|holding| (holding.group, holding.member))
             .collect();
+        held.retain(|(key, index)| {
+            let group = self.jobs.get(&key.job).and_then(|job| job.group(key));
+            let member = group.and_then(|group| group.members.get(*index));
+            member.is_none_or(&is_lost)
+        });
         if !held.is_empty() {
             log::info!(target: "end", worker = name.as_str(), runs = held.len(), why, lease_left_ms = worker.link.lease_bound.since(context.now).as_millis() as u64; "runs are lost");
         }
@@ -244,7 +261,10 @@
             self.release_member(context.now, &key, index, evidence);
             self.stop_group(context.now, key);
         }
-        self.stopping.retain(|_, stop| stop.worker != *name);
+        let worker = self.workers.get(name);
+        self.stopping.retain(|unit, stop| {
+            stop.worker != *name || worker.is_some_and(|worker| worker.holdings.contains_key(unit))
+        });
     }
 
     /// Releases the units on workers whose leases have certainly expired.
--- a/crates/domain/src/process/planner/listing.rs
+++ b/crates/domain/src/process/planner/listing.rs
@@ -11,6 +11,7 @@
 use crate::process::planner::poll::RETRY_DELAY;
 use crate::process::planner::state::{PendingCall, PlanContext, PlannerState, StopOrder};
 use crate::process::planner::worker::Holding;
+use crate::process::worker_report::WorkerReport;
 use crate::request::submission::UnitDemand;
 
 /// Counter of listed runs of which the unit has a later run on another worker.
@@ -54,19 +55,9 @@
         listing: &WorkerListing,
     ) {
         let name = &call.worker;
-        let is_other_incarnation = listing
-            .incarnation
-            .is_some_and(|incarnation| incarnation != call.incarnation);
-        if is_other_incarnation {
-            self.release_lost_units(
-                context,
-                name,
-                ReleaseEvidence::IncarnationChanged,
-                "the worker's incarnation has changed",
-            );
-            if let Some(worker) = self.workers.get_mut(name) {
-                worker.is_listed = false;
-            }
+        let incarnation = listing.incarnation.unwrap_or(call.incarnation);
+        if incarnation != call.incarnation {
+            self.handle_other_incarnation(context, name, incarnation, listing.clock);
             return;
         }
         let is_complete = listing.ended.len() < MAX_LISTED_ENDS;
@@ -91,6 +82,31 @@
         }
     }
 
+    /// Replaces a worker of which another incarnation than the reported one has answered.
+    /// The workers stream reports that incarnation within a heartbeat.
+    fn handle_other_incarnation(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        name: &WorkerName,
+        incarnation: WorkerIncarnation,
+        clock: WorkerClock,
+    ) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let report = WorkerReport {
+            incarnation,
+            clock,
+            is_draining: false,
+            remaining: None,
+            ..(*worker.report).clone()
+        };
+        self.replace_worker(context, name, Arc::new(report), None);
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.is_listed = false;
+        }
+    }
+
     /// Whether no later listing of the worker was handled already: answers on two
     /// connections may arrive out of order.
     fn is_newest_listing(&mut self, name: &WorkerName, clock: WorkerClock) -> bool {
--- a/crates/domain/src/process/planner/report.rs
+++ b/crates/domain/src/process/planner/report.rs
@@ -99,7 +99,8 @@
         self.is_dirty |= was_usable != (worker.is_listed && !worker.is_draining);
     }
 
-    /// Replaces a worker that has restarted: no run of its previous incarnation is left.
+    /// Replaces a worker by another incarnation. The runs of earlier incarnations are lost;
+    /// a run that is recorded on this one stays held.
     pub(super) fn replace_worker(
         &mut self,
         context: &mut PlanContext<'_>,
@@ -107,16 +108,28 @@
         report: Arc<WorkerReport>,
         written_after: Option<MonotonicTime>,
     ) {
-        log::info!(target: "worker", worker = name.as_str(), life = report.incarnation.0; "worker restarted");
-        self.release_lost_units(
-            context,
-            name,
-            ReleaseEvidence::IncarnationChanged,
-            "worker started anew",
-        );
-        let worker = PlanWorker::new(report, context.now, written_after);
+        let (now, incarnation) = (context.now, report.incarnation);
+        log::info!(target: "worker", worker = name.as_str(), life = incarnation.0; "worker restarted");
+        let evidence = ReleaseEvidence::IncarnationChanged;
+        self.release_lost_members(context, name, evidence, "worker started anew", |member| {
+            member.incarnation < incarnation
+        });
+        let mut worker = PlanWorker::new(report, now, written_after);
+        if let Some(previous) = self.workers.remove(name) {
+            worker.link.lease_bound = previous.link.lease_bound;
+            for (unit, holding) in previous.holdings {
+                worker.hold(unit, holding);
+            }
+        }
         self.workers.insert(name.clone(), worker);
         self.restore_claims(name);
+        // Answers to the calls to the previous incarnation are ignored.
+        for stop in self.stopping.values_mut() {
+            if stop.worker == *name {
+                stop.ticket = None;
+                stop.send_at = now;
+            }
+        }
         self.is_dirty = true;
     }
 }
--- a/crates/domain/src/process/planner/takeover.rs
+++ b/crates/domain/src/process/planner/takeover.rs
@@ -173,7 +173,8 @@
         }
     }
 
-    /// Holds the capacity of a recorded run on the workers whose incarnation still matches.
+    /// Holds the capacity of a recorded run on its workers, unless they are known to have
+    /// restarted. The report of a worker may be older than the record of the run.
     fn hold_recorded_run(&mut self, now: MonotonicTime, key: &GroupKey, holding: Holding) {
         let members = self
             .group_mut(key)
@@ -183,7 +184,7 @@
             let worker = self
                 .workers
                 .get_mut(&member.worker)
-                .filter(|worker| worker.incarnation() == member.incarnation);
+                .filter(|worker| worker.incarnation() <= member.incarnation);
             match worker {
                 Some(worker) => {
                     let holding = Holding {
@@ -197,8 +198,8 @@
         }
     }
 
-    /// Handles a recorded member on a worker that is not listed, or that has another
-    /// incarnation. With another incarnation the run is lost; on an unlisted worker it may
+    /// Handles a recorded member on a worker that is not listed, or that has a later
+    /// incarnation. With a later incarnation the run is lost; on an unlisted worker it may
     /// go on until its lease has certainly expired.
     fn track_unlisted_member(&mut self, now: MonotonicTime, key: &GroupKey, index: usize) {
         let name = self.member_worker(key, index);
@@ -213,7 +214,7 @@
     }
 
     /// Holds the capacity of recorded runs on a worker that is listed again, or counts them
-    /// as lost if it has another incarnation.
+    /// as lost if it has a later incarnation.
     pub(super) fn adopt_unlisted_members(&mut self, now: MonotonicTime, name: &WorkerName) {
         let unlisted_members = std::mem::take(&mut self.unlisted_members);
         for (key, index, lease_end) in unlisted_members {
@@ -234,7 +235,7 @@
             let worker = self
                 .workers
                 .get_mut(name)
-                .filter(|worker| worker.incarnation() == member.incarnation);
+                .filter(|worker| worker.incarnation() <= member.incarnation);
             if let Some((worker, holding)) = worker.zip(holding) {
                 worker.hold(key.unit(index as u16), holding);
                 worker.link.lease_bound = worker.link.lease_bound.max(lease_end);
