Planner: a restart of a worker ends only the runs that the earlier incarnation listed

A unit ran twice, and a restarted worker could be filled over its capacity. The planner took the end of an incarnation for the end of every run that it had started there. An order names its worker by id only: a worker that restarts under its id carries out starts that were meant for its earlier incarnation, also late ones, and knows no stop and no fence of before. The common case needs no late order: between a restart and the next report, at most 1.5 s, a start is accepted and answered by the next incarnation, and its report then released the run.

Only a listing names the incarnation that has a run. A member now notes which one listed it, and is lost when that one ends. Any other member that may have been started stays held on the next incarnation and is stopped there, which makes it refuse the run from then on, and is released by a listing requested after the answered stop. At a takeover a recorded run is held on its worker whatever its incarnation, until that answers a poll: from this answer on it refuses the starts of earlier planners. Where a worker cannot be reached, the lease bound ends the wait as before.

Ruled out: taking a start's answer as evidence, since it does not name the incarnation; and clocks, since they start anew and a young earlier incarnation cannot be told from the next. A run that a restarted worker accepted unnoticed is stopped and started again, which costs at most the work of the time until its report.

--- a/crates/domain/src/process/planner/job.rs
+++ b/crates/domain/src/process/planner/job.rs
@@ -90,8 +90,12 @@
 pub struct PlanMember {
     /// Worker.
     pub worker: WorkerName,
-    /// Incarnation of the worker.
+    /// Newest known incarnation of the worker that may have received the start. Orders name
+    /// the worker only, so any later one may have received it as well.
     pub incarnation: WorkerIncarnation,
+    /// Incarnation that listed the run. The run ends with it, and before it was listed no
+    /// incarnation's end proves that the run has ended.
+    pub listed_by: Option<WorkerIncarnation>,
     /// Progress through starting, running and stopping.
     pub stage: MemberStage,
     /// Progress of its work as its worker lists it.
--- a/crates/domain/src/process/planner/listing.rs
+++ b/crates/domain/src/process/planner/listing.rs
@@ -25,6 +25,8 @@
 /// The runs of a listing.
 #[derive(Debug)]
 struct ListedRuns<'a> {
+    /// Incarnation that made the listing, if the listing names it.
+    incarnation: Option<WorkerIncarnation>,
     /// When the listing was requested.
     sent_at: MonotonicTime,
     /// Whether its ends are not truncated, so that a run in neither list is no longer on
@@ -67,6 +69,7 @@
         }
         let runs = listing.running.iter();
         let listed = ListedRuns {
+            incarnation: listing.incarnation,
             sent_at: call.sent_at,
             is_complete,
             running: runs.map(|run| (run.unit, run)).collect(),
@@ -176,8 +179,12 @@
         };
         let run = listed.running.get(unit);
         let run = run.filter(|run| run.run == group.run);
+        let (stage, is_listed) = (member.stage, run.is_some());
+        if is_listed && let Some(member) = self.member_mut(key, holding.member) {
+            member.listed_by = listed.incarnation;
+        }
         let is_conclusive = |since: MonotonicTime| listed.is_complete && listed.sent_at >= since;
-        match (member.stage, run) {
+        match (stage, run) {
             (MemberStage::Starting, Some(run)) => {
                 self.set_stage(key, holding.member, |_| MemberStage::Running(now));
                 self.update_progress(now, key, holding.member, listed.clock, run);
--- a/crates/domain/src/process/planner/report.rs
+++ b/crates/domain/src/process/planner/report.rs
@@ -4,6 +4,7 @@
 
 use crate::prelude::*;
 use crate::process::planner::evidence::ReleaseEvidence;
+use crate::process::planner::job::MemberStage;
 use crate::process::planner::state::{PlanContext, PlannerState};
 use crate::process::planner::worker::PlanWorker;
 use crate::process::worker_report::WorkerReport;
@@ -42,7 +43,7 @@
                 let worker = PlanWorker::new(report, context.now, written_after);
                 self.workers.insert(name.clone(), worker);
                 self.restore_claims(name);
-                self.adopt_unlisted_members(context.now, name);
+                self.adopt_unlisted_members(name);
                 self.is_dirty = true;
             }
             Some(incarnation) if incarnation < report.incarnation => {
@@ -99,8 +100,10 @@
         self.is_dirty |= was_usable != (worker.is_listed && !worker.is_draining);
     }
 
-    /// Replaces a worker by another incarnation. The runs of earlier incarnations are lost;
-    /// a run that is recorded on this one stays held.
+    /// Replaces a worker by another incarnation. The runs that an earlier one has listed are
+    /// lost. The start of any other run may have reached this incarnation or may still do
+    /// so, and this incarnation has seen no stop: the run stays held and is stopped here,
+    /// unless its start was sent to this incarnation.
     pub(super) fn replace_worker(
         &mut self,
         context: &mut PlanContext<'_>,
@@ -112,17 +115,32 @@
         log::info!(target: "worker", worker = name.as_str(), life = incarnation.0; "worker restarted");
         let evidence = ReleaseEvidence::IncarnationChanged;
         self.release_lost_members(context, name, evidence, "worker started anew", |member| {
-            member.incarnation < incarnation
+            let was_sent = member.stage != MemberStage::Recording;
+            !was_sent || member.listed_by.is_some_and(|listed| listed != incarnation)
         });
+        let lease = self.limits.lease_limit;
+        let mut moved = Vec::new();
         let mut worker = PlanWorker::new(report, now, written_after);
         if let Some(previous) = self.workers.remove(name) {
             worker.link.lease_bound = previous.link.lease_bound;
             for (unit, holding) in previous.holdings {
                 worker.hold(unit, holding);
+                worker.link.bound_foreign_lease(now, lease);
+                moved.push((holding.group, holding.member));
             }
         }
         self.workers.insert(name.clone(), worker);
         self.restore_claims(name);
+        for (key, index) in moved {
+            if let Some(member) = self.member_mut(&key, index)
+                && member.incarnation != incarnation
+            {
+                log::info!(target: "stop", group = key.to_string().as_str(), member = index, worker = name.as_str(); "run may have reached the next incarnation; stopping it there");
+                member.incarnation = incarnation;
+                member.stage = MemberStage::Starting;
+                self.stop_group(now, key);
+            }
+        }
         // Answers to the calls to the previous incarnation are ignored.
         for stop in self.stopping.values_mut() {
             if stop.worker == *name {
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -59,6 +59,7 @@
             group.members.push(PlanMember {
                 worker: name.clone(),
                 incarnation: worker.incarnation(),
+                listed_by: None,
                 stage: MemberStage::Recording,
                 progress: MemberProgress::default(),
             });
@@ -495,11 +496,12 @@
     where
         F: FnOnce(MemberStage) -> MemberStage,
     {
-        let member = self
-            .group_mut(key)
-            .and_then(|group| group.members.get_mut(index));
-        if let Some(member) = member {
+        if let Some(member) = self.member_mut(key, index) {
             member.stage = change(member.stage);
         }
     }
+
+    pub(super) fn member_mut(&mut self, key: &GroupKey, index: usize) -> Option<&mut PlanMember> {
+        self.group_mut(key)?.members.get_mut(index)
+    }
 }
--- a/crates/domain/src/process/planner/takeover.rs
+++ b/crates/domain/src/process/planner/takeover.rs
@@ -164,58 +164,42 @@
                     group.members.push(PlanMember {
                         worker: place.0.clone(),
                         incarnation: place.1,
+                        listed_by: None,
                         stage: MemberStage::Running(now),
                         progress: MemberProgress::default(),
                     });
                 }
-                self.hold_recorded_run(now, key, holding);
+                self.hold_recorded_run(key, holding);
             }
         }
     }
 
-    /// Holds the capacity of a recorded run on its workers, unless they are known to have
-    /// restarted. The report of a worker may be older than the record of the run.
-    fn hold_recorded_run(&mut self, now: MonotonicTime, key: &GroupKey, holding: Holding) {
+    /// Holds the capacity of a recorded run on its workers, whatever their incarnations: the
+    /// start may have reached a later one than was recorded, and the report of a worker may
+    /// be older than the record. A listing requested by this planner shows whether the run
+    /// is there, since its worker refuses the starts of earlier planners from then on. On a
+    /// worker that is not listed the run may go on until its lease has certainly expired.
+    fn hold_recorded_run(&mut self, key: &GroupKey, holding: Holding) {
         let members = self
             .group_mut(key)
             .map(|group| group.members.clone())
             .unwrap_or_default();
         for (index, member) in members.iter().enumerate() {
-            let worker = self
-                .workers
-                .get_mut(&member.worker)
-                .filter(|worker| worker.incarnation() <= member.incarnation);
-            match worker {
-                Some(worker) => {
-                    let holding = Holding {
-                        member: index,
-                        ..holding
-                    };
-                    worker.hold(key.unit(index as u16), holding);
-                }
-                None => self.track_unlisted_member(now, key, index),
+            if let Some(worker) = self.workers.get_mut(&member.worker) {
+                let holding = Holding {
+                    member: index,
+                    ..holding
+                };
+                worker.hold(key.unit(index as u16), holding);
+            } else {
+                let lease_end = self.inherited_leases_end;
+                self.unlisted_members.push((*key, index, lease_end));
             }
         }
     }
 
-    /// Handles a recorded member on a worker that is not listed, or that has a later
-    /// incarnation. With a later incarnation the run is lost; on an unlisted worker it may
-    /// go on until its lease has certainly expired.
-    fn track_unlisted_member(&mut self, now: MonotonicTime, key: &GroupKey, index: usize) {
-        let name = self.member_worker(key, index);
-        let is_known = name.is_some_and(|name| self.workers.contains_key(&name));
-        if is_known {
-            self.release_member(now, key, index, ReleaseEvidence::IncarnationChanged);
-            self.stop_group(now, *key);
-            return;
-        }
-        self.unlisted_members
-            .push((*key, index, self.inherited_leases_end));
-    }
-
-    /// Holds the capacity of recorded runs on a worker that is listed again, or counts them
-    /// as lost if it has a later incarnation.
-    pub(super) fn adopt_unlisted_members(&mut self, now: MonotonicTime, name: &WorkerName) {
+    /// Holds the capacity of recorded runs on a worker that is listed again.
+    pub(super) fn adopt_unlisted_members(&mut self, name: &WorkerName) {
         let unlisted_members = std::mem::take(&mut self.unlisted_members);
         for (key, index, lease_end) in unlisted_members {
             let member = self
@@ -232,16 +216,11 @@
             let holding = job
                 .and_then(|job| job.shape(key.step))
                 .map(|shape| Holding::new(key, index, shape, true));
-            let worker = self
-                .workers
-                .get_mut(name)
-                .filter(|worker| worker.incarnation() <= member.incarnation);
-            if let Some((worker, holding)) = worker.zip(holding) {
+            if let Some((worker, holding)) = self.workers.get_mut(name).zip(holding) {
                 worker.hold(key.unit(index as u16), holding);
                 worker.link.lease_bound = worker.link.lease_bound.max(lease_end);
             } else {
-                self.release_member(now, &key, index, ReleaseEvidence::IncarnationChanged);
-                self.stop_group(now, key);
+                self.unlisted_members.push((key, index, lease_end));
             }
         }
     }
--- a/crates/domain/src/process/planner/worker.rs
+++ b/crates/domain/src/process/planner/worker.rs
@@ -235,8 +235,8 @@
         self.lease_until
     }
 
-    /// Raises the lease bound for a run that was just listed and whose lease this planner
-    /// may not have granted: a worker grants no longer lease than `lease`.
+    /// Raises the lease bound for a run that may be there now on a lease that the orders to
+    /// this incarnation do not bound: a worker grants no longer lease than `lease`.
     pub fn bound_foreign_lease(&mut self, now: MonotonicTime, lease: Duration) {
         self.lease_bound = self.lease_bound.max(now + with_drift(lease));
     }
