Planner: a removal within a worker's remaining time does not show that the worker has left

A unit ran twice. The removal of a draining worker's entry shortly after its last report counted as its departure, also within the time for which that report says that the worker certainly stays. Whatever removed the entry then, it was not the departure.

Evidence, removal_of_draining_worker_within_remaining_time_waits_for_lease before:

The silence is measured from the earliest time at which the report can have been written, so it is never shorter than the report's age. A worker that has left was silent for at least its remaining time, and still counts as left at once.

Ruled out by the bounds, without a test of their own: failed reads between the report and the removal, which only lengthen the measured silence; and an entry that expires for silence beside a store outage, which takes three intervals of 1.5 s, against 2.5 s. Only suspected: a report that is accepted seconds after it was made, if the platform counts the silence from its making.

--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -433,6 +433,27 @@
     check_all_done(world);
 }
 
+/// Guards against taking the removal of a draining worker's entry for its departure within
+/// the time that the worker reported to stay at least.
+#[test]
+fn removal_of_draining_worker_within_remaining_time_waits_for_lease() {
+    let mut world = ready_world(53, 3, 2);
+    world.run_for(Duration::from_secs(6));
+    let work = Duration::from_secs(8);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(5));
+    let name = busy_worker(&world);
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.report.remaining = Some(Duration::from_secs(5));
+    }
+    world.drain_worker(&name);
+    world.run_for(Duration::from_millis(500));
+    disconnect_busy_worker(&mut world);
+    world.run_for(Duration::from_millis(500));
+    world.log.put_worker(&name, None);
+    check_all_done(world);
+}
+
 /// Disconnects the first worker that has runs from the hosts and the log.
 fn disconnect_busy_worker(world: &mut SimWorld) -> WorkerName {
     let name = busy_worker(world);
--- a/crates/domain/src/process/planner/report.rs
+++ b/crates/domain/src/process/planner/report.rs
@@ -62,8 +62,10 @@
         };
         worker.is_listed = false;
         let silence = worker.reported_after.map(|at| context.now.since(at));
-        let has_left =
-            worker.is_draining && silence.is_some_and(|silence| silence < MAX_DEPARTURE_SILENCE);
+        let remaining = worker.report.remaining.unwrap_or_default();
+        let has_left = worker.is_draining
+            && silence
+                .is_some_and(|silence| silence < MAX_DEPARTURE_SILENCE && silence >= remaining);
         log::info!(
             target: "worker", worker = name.as_str(), silence_ms = silence.map_or(-1, |silence| silence.as_millis() as i64),
             left = has_left;
