Test: a worker whose runs were presumed lost starts nothing before it has listed its runs

The suspicion was that a worker whose lease has expired is open again after any answer. It passes on the unchanged planner, so no code changes: a run can outlast the bound only on a next incarnation, and that is closed until its first listing. The test plays a late start on a next incarnation that cannot be reached, the end of the bound, and polls that the worker then refuses as unhealthy. The simulated worker can refuse polls.

--- a/crates/domain-sim/src/sim_worker.rs
+++ b/crates/domain-sim/src/sim_worker.rs
@@ -62,6 +62,8 @@
     /// If set, the next order to start is carried out this much later, and its host gets
     /// no answer.
     pub next_start_delay: Option<Duration>,
+    /// Number of next polls that it refuses as unhealthy.
+    pub polls_to_refuse: u32,
     /// Runs by unit.
     pub running: BTreeMap<UnitKey, SimRun>,
     /// Ends of runs that were not acknowledged.
@@ -88,6 +90,7 @@
             fails_all: false,
             speed: 1.0,
             next_start_delay: None,
+            polls_to_refuse: 0,
             running: BTreeMap::new(),
             ended: Vec::new(),
             finished: BTreeMap::new(),
@@ -143,6 +146,10 @@
             return refusal(RefusalCause::Fenced, clock);
         }
         self.highest_epoch = epoch;
+        if matches!(order, WorkerOrder::Poll(_)) && self.polls_to_refuse > 0 {
+            self.polls_to_refuse -= 1;
+            return refusal(RefusalCause::Unhealthy, clock);
+        }
         let longest_lease = WorkerClock(clock.0 + lease_limit.as_millis() as u64);
         match order {
             WorkerOrder::Start(start) => self.start(now, start, longest_lease, make_run),
--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -454,6 +454,45 @@
     check_all_done(world);
 }
 
+/// Guards against starts on a worker whose runs were presumed lost, before it has listed its
+/// runs again: it answered a poll with a refusal while a late start ran there.
+#[test]
+fn lease_expired_worker_closed_until_listing() {
+    let mut world = ready_world(58, 3, 1);
+    let name = WorkerName::from("worker-000");
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.next_start_delay = Some(Duration::from_secs(4));
+    }
+    let work = Duration::from_secs(20);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    let is_sent = |world: &SimWorld| world.workers[&name].next_start_delay.is_none();
+    assert!(world.run_until(Duration::from_secs(1), is_sent));
+    world.crash_worker(&name);
+    world.restart_worker(&name);
+    set_reachable(&mut world, &name, false);
+    world.run_for(Duration::from_secs(2));
+    world.cancel(0, BATCH, JobKey(1));
+    let rest = Duration::from_secs(1);
+    world.submit(0, BATCH, JobKey(2), &job(vec![step(1, 8)]), rest);
+    world.run_for(Duration::from_millis(1_985));
+    set_reachable(&mut world, &name, true);
+    let is_running = |world: &SimWorld| world.starts == 1;
+    assert!(world.run_until(Duration::from_millis(30), is_running));
+    set_reachable(&mut world, &name, false);
+    let is_given_up = |world: &SimWorld| {
+        let host = world.hosts[planner_of(world)].host.as_ref();
+        let planner = host.and_then(|host| host.planner());
+        let worker = planner.and_then(|planner| planner.workers().get(&name));
+        worker.is_some_and(|worker| worker.holdings.is_empty())
+    };
+    assert!(world.run_until(world.limits.lease_limit, is_given_up));
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.is_reachable = true;
+        worker.polls_to_refuse = 3;
+    }
+    check_all_done(world);
+}
+
 /// Disconnects the first worker that has runs from the hosts and the log.
 fn disconnect_busy_worker(world: &mut SimWorld) -> WorkerName {
     let name = busy_worker(world);
