Planner: a unit is not started while a worker lists an unrecorded run of it

A unit ran twice. A run that the planner has no record of closes its worker until it has ended, but its unit was started elsewhere meanwhile. The run may be a late start of an earlier run number, carried out by a next incarnation after its stop was answered.

Evidence, start_of_unit_with_unrecorded_run_waits before:

A pass now skips groups with such a run. It ends by its stop, or its lease bound passes.

Not covered by a test, and unchanged: a start that is being recorded when the listing with the run arrives is still sent.

--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -493,6 +493,42 @@
     check_all_done(world);
 }
 
+/// Guards against starting a unit of which a worker still lists another run: a late start
+/// came after its stop was answered, and the run was being stopped.
+#[test]
+fn start_of_unit_with_unrecorded_run_waits() {
+    let mut world = ready_world(59, 3, 2);
+    let long = Duration::from_secs(20);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), long);
+    world.run_for(Duration::from_secs(1));
+    let other = busy_worker(&world);
+    let mut names = world.workers.keys().cloned();
+    let name = names.find(|name| *name != other).expect("two workers");
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.next_start_delay = Some(Duration::from_millis(2_500));
+    }
+    let work = Duration::from_secs(4);
+    world.submit(0, BATCH, JobKey(2), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(1));
+    world.crash_worker(&name);
+    world.run_for(Duration::from_millis(1_400));
+    world.restart_worker(&name);
+    let lists_run = |world: &SimWorld| {
+        let host = world.hosts[planner_of(world)].host.as_ref();
+        let planner = host.and_then(|host| host.planner());
+        let worker = planner.and_then(|planner| planner.workers().get(&name));
+        worker.is_some_and(|worker| !worker.unrecorded.is_empty())
+    };
+    assert!(world.run_until(Duration::from_secs(3), lists_run));
+    let now = world.now();
+    if let Some(worker) = world.workers.get_mut(&other) {
+        for run in worker.running.values_mut() {
+            run.work = now.since(run.arrived_at) + Duration::from_millis(100);
+        }
+    }
+    check_all_done(world);
+}
+
 /// Disconnects the first worker that has runs from the hosts and the log.
 fn disconnect_busy_worker(world: &mut SimWorld) -> WorkerName {
     let name = busy_worker(world);
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -112,6 +112,9 @@
             let Some(group) = self.jobs.get(&key.job).and_then(|job| job.group(&key)) else {
                 continue;
             };
+            if self.has_unrecorded_run(&key) {
+                continue;
+            }
             let failed_on = group.failed_on.clone();
             // A group that has run before waits for locality again, since slow units cost it
             // more.
@@ -148,6 +151,18 @@
         }
     }
 
+    /// Whether a worker lists a run of the group's units that is being stopped since the
+    /// planner has no record of it.
+    fn has_unrecorded_run(&self, key: &GroupKey) -> bool {
+        let units = self.workers.values().map(|worker| &worker.unrecorded);
+        let mut units = units.flat_map(BTreeMap::keys);
+        units.any(|unit| {
+            let job = self.jobs.get(&unit.job).filter(|_| unit.job == key.job);
+            let located = job.and_then(|job| job.locate(unit));
+            located.is_some_and(|(group, _)| group == *key)
+        })
+    }
+
     /// Handles a group that found no placement: an urgent group reclaims capacity from
     /// less urgent runs, and a large group reserves the capacity that becomes free.
     fn reclaim_or_reserve(
