--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -8,6 +8,7 @@
 use flamingowalk_domain::prelude::*;
 use flamingowalk_domain::process::election::ElectionStage;
 use flamingowalk_domain::process::host::DomainHost;
+use flamingowalk_domain::process::planner::limits::LEADER_LEASE_DURATION;
 use flamingowalk_domain_sim::SimWorld;
 use rstest::rstest;
 
@@ -267,6 +268,267 @@
     }
 }
 
+/// Guards against starts on a worker whose foreign run counts as expired once it is listed:
+/// no poll had renewed a lease there, since the log confirmed nothing.
+#[test]
+fn lease_unrecorded_run_of_listed_worker_awaited() {
+    let mut world = ready_world(51, 3, 1);
+    let name = WorkerName::from("worker-000");
+    let work = Duration::from_secs(30);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(1));
+    world.workers.get_mut(&name).unwrap().reaches_log = false;
+    world.run_for(Duration::from_secs(6));
+    set_reachable(&mut world, &name, false);
+    world.cancel(0, BATCH, JobKey(1));
+    let rest = Duration::from_secs(1);
+    world.submit(0, BATCH, JobKey(2), &job(vec![step(1, 8)]), rest);
+    world.run_for(Duration::from_millis(100));
+    let first = planner_of(&world);
+    world.drain_host(first);
+    world.run_for(Duration::from_millis(400));
+    assert_ne!(world.planner(), Some(first), "the planner has not resigned");
+    world.refuses_appends = true;
+    world.run_for(LEADER_LEASE_DURATION);
+    set_reachable(&mut world, &name, true);
+    world.workers.get_mut(&name).unwrap().reaches_log = true;
+    let lists_run = |world: &SimWorld| {
+        let host = world.hosts[planner_of(world)].host.as_ref();
+        let planner = host.and_then(|host| host.planner());
+        let worker = planner.and_then(|planner| planner.workers().get(&name));
+        worker.is_some_and(|worker| !worker.unrecorded.is_empty())
+    };
+    assert!(world.run_until(Duration::from_secs(3), lists_run));
+    world.refuses_appends = false;
+    check_all_done(world);
+}
+
+/// Guards against a start that is carried out late by the next incarnation of its worker,
+/// which has seen no stop, while the unit runs elsewhere.
+#[test]
+fn restart_late_start_on_next_incarnation_stopped_there() {
+    let mut world = ready_world(54, 3, 2);
+    for worker in world.workers.values_mut() {
+        worker.next_start_delay = Some(Duration::from_millis(2_500));
+    }
+    let work = Duration::from_secs(4);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    let is_sent = |world: &SimWorld| {
+        let mut workers = world.workers.values();
+        workers.any(|worker| worker.next_start_delay.is_none())
+    };
+    assert!(world.run_until(Duration::from_secs(1), is_sent));
+    let mut workers = world.workers.iter_mut();
+    let found = workers.find(|(_, worker)| worker.next_start_delay.is_none());
+    let (name, worker) = found.expect("a worker received the start");
+    let name = name.clone();
+    worker.is_reachable = false;
+    for worker in world.workers.values_mut() {
+        worker.next_start_delay = None;
+    }
+    world.run_for(Duration::from_millis(700));
+    world.crash_worker(&name);
+    world.restart_worker(&name);
+    set_reachable(&mut world, &name, false);
+    world.run_for(Duration::from_millis(1_750));
+    set_reachable(&mut world, &name, true);
+    check_all_done(world);
+}
+
+/// Guards against counting a run as lost with the incarnation that its start was sent to:
+/// the worker had restarted unnoticed, and its next incarnation accepted the start.
+#[rstest]
+fn restart_unnoticed_before_start_run_not_lost(#[values(0, 300, 600, 900, 1_200)] millis: u64) {
+    let mut world = ready_world(55, 3, 2);
+    let names: Vec<_> = world.workers.keys().cloned().collect();
+    world.run_for(Duration::from_millis(millis));
+    for name in &names {
+        world.crash_worker(name);
+        world.restart_worker(name);
+    }
+    let work = Duration::from_secs(4);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    assert!(world.run_until(Duration::from_secs(1), |world| world.starts == 1));
+    check_all_done(world);
+}
+
+/// Guards against counting a recorded run as lost at a takeover since its worker has
+/// restarted: the start of the previous planner had reached the next incarnation.
+#[rstest]
+#[case::answers(true)]
+#[case::disconnected(false)]
+fn takeover_run_on_next_incarnation_not_lost(#[case] is_reachable: bool) {
+    let mut world = ready_world(56, 3, 2);
+    let names: Vec<_> = world.workers.keys().cloned().collect();
+    for name in &names {
+        world.crash_worker(name);
+        world.restart_worker(name);
+        if let Some(worker) = world.workers.get_mut(name) {
+            worker.reaches_log = false;
+        }
+    }
+    let work = Duration::from_secs(6);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    assert!(world.run_until(Duration::from_secs(1), |world| world.starts == 1));
+    let name = busy_worker(&world);
+    let first = planner_of(&world);
+    world.kill_host(first);
+    for worker in world.workers.values_mut() {
+        worker.reaches_log = true;
+    }
+    set_reachable(&mut world, &name, is_reachable);
+    check_all_done(world);
+}
+
+/// Guards against waiting for the leases of a worker whose address another worker has: the
+/// refusal of its orders shows that its runs have ended.
+#[test]
+fn replaced_worker_restarts_runs_at_once() {
+    let mut world = ready_world(57, 3, 2);
+    let work = Duration::from_secs(4);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(1));
+    let name = busy_worker(&world);
+    world.replace_worker(&name);
+    let is_restarted = world.run_until(Duration::from_secs(4), |world| world.starts == 2);
+    assert!(is_restarted, "the unit was not started elsewhere");
+    check_all_done(world);
+}
+
+/// Guards against taking a report of an earlier incarnation, written late, for the end of
+/// the recorded one: the run went on while its unit was started elsewhere.
+#[rstest]
+#[case::disconnected(false, false)]
+#[case::listed_again(true, false)]
+#[case::answers(false, true)]
+fn takeover_with_report_of_earlier_incarnation_waits_for_lease(
+    #[case] reaches_log: bool,
+    #[case] is_reachable: bool,
+) {
+    let mut world = ready_world(52, 3, 2);
+    let old_reports: BTreeMap<_, _> = world
+        .workers
+        .iter()
+        .map(|(name, worker)| (name.clone(), Arc::new(worker.report.clone())))
+        .collect();
+    for name in old_reports.keys() {
+        world.crash_worker(name);
+        world.restart_worker(name);
+    }
+    world.run_for(Duration::from_secs(3));
+    let work = Duration::from_secs(8);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(1));
+    let name = disconnect_busy_worker(&mut world);
+    let old_report = Arc::clone(&old_reports[&name]);
+    world.log.put_worker(&name, Some(old_report));
+    let first = planner_of(&world);
+    world.kill_host(first);
+    let has_next = |world: &SimWorld| world.planner().is_some();
+    assert!(world.run_until(Duration::from_secs(4), has_next));
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.reaches_log = reaches_log;
+        worker.is_reachable = is_reachable;
+    }
+    check_all_done(world);
+}
+
+/// Guards against taking the removal of a draining worker's entry for its departure within
+/// the time that the worker reported to stay at least.
+#[test]
+fn removal_of_draining_worker_within_remaining_time_waits_for_lease() {
+    let mut world = ready_world(53, 3, 2);
+    world.run_for(Duration::from_secs(6));
+    let work = Duration::from_secs(8);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(5));
+    let name = busy_worker(&world);
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.report.remaining = Some(Duration::from_secs(5));
+    }
+    world.drain_worker(&name);
+    world.run_for(Duration::from_millis(500));
+    disconnect_busy_worker(&mut world);
+    world.run_for(Duration::from_millis(500));
+    world.log.put_worker(&name, None);
+    check_all_done(world);
+}
+
+/// Guards against starts on a worker whose runs were presumed lost, before it has listed its
+/// runs again: it answered a poll with a refusal while a late start ran there.
+#[test]
+fn lease_expired_worker_closed_until_listing() {
+    let mut world = ready_world(58, 3, 1);
+    let name = WorkerName::from("worker-000");
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.next_start_delay = Some(Duration::from_secs(4));
+    }
+    let work = Duration::from_secs(20);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    let is_sent = |world: &SimWorld| world.workers[&name].next_start_delay.is_none();
+    assert!(world.run_until(Duration::from_secs(1), is_sent));
+    world.crash_worker(&name);
+    world.restart_worker(&name);
+    set_reachable(&mut world, &name, false);
+    world.run_for(Duration::from_secs(2));
+    world.cancel(0, BATCH, JobKey(1));
+    let rest = Duration::from_secs(1);
+    world.submit(0, BATCH, JobKey(2), &job(vec![step(1, 8)]), rest);
+    world.run_for(Duration::from_millis(1_985));
+    set_reachable(&mut world, &name, true);
+    let is_running = |world: &SimWorld| world.starts == 1;
+    assert!(world.run_until(Duration::from_millis(30), is_running));
+    set_reachable(&mut world, &name, false);
+    let is_given_up = |world: &SimWorld| {
+        let host = world.hosts[planner_of(world)].host.as_ref();
+        let planner = host.and_then(|host| host.planner());
+        let worker = planner.and_then(|planner| planner.workers().get(&name));
+        worker.is_some_and(|worker| worker.holdings.is_empty())
+    };
+    assert!(world.run_until(world.limits.lease_limit, is_given_up));
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.is_reachable = true;
+        worker.polls_to_refuse = 3;
+    }
+    check_all_done(world);
+}
+
+/// Guards against starting a unit of which a worker still lists another run: a late start
+/// came after its stop was answered, and the run was being stopped.
+#[test]
+fn start_of_unit_with_unrecorded_run_waits() {
+    let mut world = ready_world(59, 3, 2);
+    let long = Duration::from_secs(20);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), long);
+    world.run_for(Duration::from_secs(1));
+    let other = busy_worker(&world);
+    let mut names = world.workers.keys().cloned();
+    let name = names.find(|name| *name != other).expect("two workers");
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.next_start_delay = Some(Duration::from_millis(2_500));
+    }
+    let work = Duration::from_secs(4);
+    world.submit(0, BATCH, JobKey(2), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(1));
+    world.crash_worker(&name);
+    world.run_for(Duration::from_millis(1_400));
+    world.restart_worker(&name);
+    let lists_run = |world: &SimWorld| {
+        let host = world.hosts[planner_of(world)].host.as_ref();
+        let planner = host.and_then(|host| host.planner());
+        let worker = planner.and_then(|planner| planner.workers().get(&name));
+        worker.is_some_and(|worker| !worker.unrecorded.is_empty())
+    };
+    assert!(world.run_until(Duration::from_secs(3), lists_run));
+    let now = world.now();
+    if let Some(worker) = world.workers.get_mut(&other) {
+        for run in worker.running.values_mut() {
+            run.work = now.since(run.arrived_at) + Duration::from_millis(100);
+        }
+    }
+    check_all_done(world);
+}
+
 /// Disconnects the first worker that has runs from the hosts and the log.
 fn disconnect_busy_worker(world: &mut SimWorld) -> WorkerName {
     let name = busy_worker(world);
--- a/crates/domain/src/process/planner/listing.rs
+++ b/crates/domain/src/process/planner/listing.rs
@@ -11,6 +11,7 @@
 use crate::process::planner::poll::RETRY_DELAY;
 use crate::process::planner::state::{PendingCall, PlanContext, PlannerState, StopOrder};
 use crate::process::planner::worker::Holding;
+use crate::process::worker_report::WorkerReport;
 use crate::request::submission::UnitDemand;
 
 /// Counter of listed runs of which the unit has a later run on another worker.
@@ -24,6 +25,8 @@
 /// The runs of a listing.
 #[derive(Debug)]
 struct ListedRuns<'a> {
+    /// Incarnation that made the listing, if the listing names it.
+    incarnation: Option<WorkerIncarnation>,
     /// When the listing was requested.
     sent_at: MonotonicTime,
     /// Whether its ends are not truncated, so that a run in neither list is no longer on
@@ -54,19 +57,9 @@
         listing: &WorkerListing,
     ) {
         let name = &call.worker;
-        let is_other_incarnation = listing
-            .incarnation
-            .is_some_and(|incarnation| incarnation != call.incarnation);
-        if is_other_incarnation {
-            self.release_lost_units(
-                context,
-                name,
-                ReleaseEvidence::IncarnationChanged,
-                "the worker's incarnation has changed",
-            );
-            if let Some(worker) = self.workers.get_mut(name) {
-                worker.is_listed = false;
-            }
+        let incarnation = listing.incarnation.unwrap_or(call.incarnation);
+        if incarnation != call.incarnation {
+            self.handle_other_incarnation(context, name, incarnation, listing.clock);
             return;
         }
         let is_complete = listing.ended.len() < MAX_LISTED_ENDS;
@@ -76,6 +69,7 @@
         }
         let runs = listing.running.iter();
         let listed = ListedRuns {
+            incarnation: listing.incarnation,
             sent_at: call.sent_at,
             is_complete,
             running: runs.map(|run| (run.unit, run)).collect(),
@@ -91,6 +85,31 @@
         }
     }
 
+    /// Replaces a worker of which another incarnation than the reported one has answered.
+    /// The workers stream reports that incarnation within a heartbeat.
+    fn handle_other_incarnation(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        name: &WorkerName,
+        incarnation: WorkerIncarnation,
+        clock: WorkerClock,
+    ) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let report = WorkerReport {
+            incarnation,
+            clock,
+            is_draining: false,
+            remaining: None,
+            ..(*worker.report).clone()
+        };
+        self.replace_worker(context, name, Arc::new(report), None);
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.is_listed = false;
+        }
+    }
+
     /// Whether no later listing of the worker was handled already: answers on two
     /// connections may arrive out of order.
     fn is_newest_listing(&mut self, name: &WorkerName, clock: WorkerClock) -> bool {
@@ -160,8 +179,12 @@
         };
         let run = listed.running.get(unit);
         let run = run.filter(|run| run.run == group.run);
+        let (stage, is_listed) = (member.stage, run.is_some());
+        if is_listed && let Some(member) = self.member_mut(key, holding.member) {
+            member.listed_by = listed.incarnation;
+        }
         let is_conclusive = |since: MonotonicTime| listed.is_complete && listed.sent_at >= since;
-        match (member.stage, run) {
+        match (stage, run) {
             (MemberStage::Starting, Some(run)) => {
                 self.set_stage(key, holding.member, |_| MemberStage::Running(now));
                 self.update_progress(now, key, holding.member, listed.clock, run);
@@ -197,9 +220,13 @@
                 unrecorded.insert(*unit, listed.run);
             }
         }
+        let lease = self.limits.lease_limit;
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
+        if !unrecorded.is_empty() {
+            worker.link.bound_foreign_lease(context.now, lease);
+        }
         let had_unrecorded = !worker.unrecorded.is_empty();
         worker.unrecorded.clone_from(&unrecorded);
         if had_unrecorded || !unrecorded.is_empty() {
