Pass: unrecorded groups are collected once, not for each waiting group

A pass looked through the unrecorded runs of all workers for each waiting group. The set is now part of the pass's view.

--- a/crates/domain-sim/tests/reread.rs
+++ b/crates/domain-sim/tests/reread.rs
@@ -190,6 +190,7 @@
                 let record = GroupRecord {
                     run: RunNumber(run),
                     failures: 0,
+                    failed_runs: BTreeSet::new(),
                     stage: GroupStage::Waiting,
                     places: Vec::new(),
                     saved: None,
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -40,7 +40,8 @@
         waiting_steps(now, &self.jobs, &self.run_times)
     }
 
-    /// Returns the free capacity of the workers on which units may be started.
+    /// Returns the free capacity of the workers on which units may be started, and the groups
+    /// that may not start.
     pub(super) fn capacity_view(&self, now: MonotonicTime) -> CapacityView {
         let open = self
             .workers
@@ -51,7 +52,19 @@
         for row in &mut rows {
             row.limited = self.limited_units(&row.worker);
         }
-        CapacityView { rows }
+        CapacityView {
+            rows,
+            unrecorded: self.unrecorded_groups(),
+        }
+    }
+
+    /// Returns the groups of which a worker lists a run that the planner has no record of.
+    fn unrecorded_groups(&self) -> BTreeSet<GroupKey> {
+        let units = self.workers.values().map(|worker| &worker.unrecorded);
+        let units = units.flat_map(BTreeMap::keys);
+        units
+            .filter_map(|unit| Some(self.jobs.get(&unit.job)?.locate(unit)?.0))
+            .collect()
     }
 
     fn is_spare(&self, service: &ServiceName) -> bool {
@@ -112,7 +125,7 @@
             let Some(group) = self.jobs.get(&key.job).and_then(|job| job.group(&key)) else {
                 continue;
             };
-            if self.has_unrecorded_run(&key) {
+            if view.unrecorded.contains(&key) {
                 continue;
             }
             let failed_on = group.failed_on.clone();
@@ -151,18 +164,6 @@
         }
     }
 
-    /// Whether a worker lists a run of the group's units that is being stopped since the
-    /// planner has no record of it.
-    fn has_unrecorded_run(&self, key: &GroupKey) -> bool {
-        let units = self.workers.values().map(|worker| &worker.unrecorded);
-        let mut units = units.flat_map(BTreeMap::keys);
-        units.any(|unit| {
-            let job = self.jobs.get(&unit.job).filter(|_| unit.job == key.job);
-            let located = job.and_then(|job| job.locate(unit));
-            located.is_some_and(|(group, _)| group == *key)
-        })
-    }
-
     /// Handles a group that found no placement: an urgent group reclaims capacity from
     /// less urgent runs, and a large group reserves the capacity that becomes free.
     fn reclaim_or_reserve(
--- a/crates/domain/src/process/planner/place.rs
+++ b/crates/domain/src/process/planner/place.rs
@@ -79,6 +79,8 @@
 pub struct CapacityView {
     /// Rows in order of the workers' names.
     pub rows: Vec<CapacityRow>,
+    /// Groups that wait until runs of them that the planner has no record of have ended.
+    pub unrecorded: BTreeSet<GroupKey>,
 }
 
 impl CapacityRow {
