Placement: a gang that needs every worker starts again after a failure

Shown in the simulation only: a gang of two units of 8 accelerators on two workers of 8 is never started again once a run has failed.

Cause: the workers on which members of a group failed, or did not answer its starts, are avoided for as long as the job is open. They were left out whenever any other worker was eligible, even if the others together are too small for the group. Each failed run and each start without an answer adds a worker, so that a large gang can run out of workers.

They are now left out only if the group fits on the others while nothing runs there. Free capacity is not the measure: in a full pool a worker on which every run fails always has some, and a unit would use up its attempts there.

attempts_gang_needs_every_worker fails on the code before: "the gang was not started again".

Not covered: an avoiding unit waits while the only other eligible workers are full.

--- a/crates/domain-sim/tests/attempts.rs
+++ b/crates/domain-sim/tests/attempts.rs
@@ -1,7 +1,9 @@
 //! Attempts: a job fails after `max_attempts` failed runs of one unit or gang, whatever
 //! order their ends arrive in and however many planners handle them.
 
-use crate::support::{BATCH, busy_worker, gang, job, planner_of, ready_world, step};
+use crate::support::{
+    BATCH, busy_worker, check_all_done, gang, job, planner_of, ready_world, step,
+};
 use flamingowalk_domain::prelude::*;
 use flamingowalk_domain::request::caller_request::{CallerResponse, JobPhase};
 use flamingowalk_domain_sim::SimWorld;
@@ -97,6 +99,22 @@
     assert!(workers.all(|worker| worker.running.is_empty()));
 }
 
+/// Guards against a gang that waits for ever after a failure: workers on which a member failed
+/// were left out although the others together are too small for the gang.
+#[test]
+fn attempts_gang_needs_every_worker() {
+    let mut world = world_of_failing_workers(95, 2);
+    let work = Duration::from_millis(500);
+    world.submit(0, BATCH, JobKey(1), &job(vec![gang(2, 8)]), work);
+    assert!(world.run_until(RESTART_TIMEOUT, |world| world.starts == 2));
+    for worker in world.workers.values_mut() {
+        worker.fails_all = false;
+    }
+    let is_restarted = world.run_until(RESTART_TIMEOUT, |world| world.starts == 4);
+    assert!(is_restarted, "the gang was not started again");
+    check_all_done(world);
+}
+
 /// Returns a world in which every run fails.
 fn world_of_failing_workers(seed: u64, count: usize) -> SimWorld {
     let mut world = ready_world(seed, 3, count);
--- a/crates/domain/src/process/planner/job.rs
+++ b/crates/domain/src/process/planner/job.rs
@@ -69,7 +69,7 @@
     /// Whether this planner started the newest run, and without a checkpoint, so that its
     /// duration is a sample for the estimates.
     pub is_full_run: bool,
-    /// Workers that the group avoids after failures, while others have free capacity.
+    /// Workers that the group avoids after failures, unless the others are too few for it.
     pub failed_on: Vec<WorkerName>,
 }
 
--- a/crates/domain/src/process/planner/place.rs
+++ b/crates/domain/src/process/planner/place.rs
@@ -60,7 +60,7 @@
     pub shape: &'a StepShape,
     /// Members to place.
     pub count: u16,
-    /// Workers that are used only if no other is eligible.
+    /// Workers that are used only if the others are too few for the group.
     pub avoided: &'a [WorkerName],
     /// Workers that may run the step, where its queue needs approvals.
     pub approved: Option<&'a BTreeSet<WorkerName>>,
@@ -136,6 +136,16 @@
         fitting.min(u32::from(limit.saturating_sub(used)))
     }
 
+    /// Returns how many members of the group would fit if nothing ran on the worker.
+    fn max_slots(&self, request: &PlaceRequest<'_>) -> u32 {
+        let limit = request
+            .shape
+            .worker_limit
+            .map_or(request.count, |limit| limit.min(request.count));
+        let demand = request.shape.reserved_demand();
+        demand.count_fitting(&self.capacity, u32::from(limit))
+    }
+
     /// Returns the sort key by which workers are filled, lowest first: the free share of
     /// the worker, so that the fullest are filled first. Fillers prefer workers with idle
     /// processors, so for them it is the idle processor time, negated.
@@ -192,19 +202,25 @@
     }
 
     /// Returns the rows of the workers that may run the group; those to be avoided are
-    /// included only if no other worker is eligible.
+    /// included only if the others are too few for the group even when nothing runs there.
     pub fn eligible_rows(&self, request: &PlaceRequest<'_>) -> Vec<usize> {
         let eligible: Vec<usize> = (0..self.rows.len())
             .filter(|index| self.rows[*index].is_eligible(request))
             .collect();
         let is_avoided = |index: &usize| request.avoided.contains(&self.rows[*index].worker);
-        if request.avoided.is_empty() || eligible.iter().all(is_avoided) {
+        let preferred: Vec<usize> = eligible
+            .iter()
+            .copied()
+            .filter(|index| !is_avoided(index))
+            .collect();
+        let slots: u32 = preferred
+            .iter()
+            .map(|index| self.rows[*index].max_slots(request))
+            .sum();
+        if slots < u32::from(request.count) {
             return eligible;
         }
-        eligible
-            .into_iter()
-            .filter(|index| !is_avoided(index))
-            .collect()
+        preferred
     }
 
     /// Searches for a placement on workers of similar speed, since a gang is as slow as its
