Planner: a listed run of a released gang member is stopped

A worker got more than its capacity. A member of a gang is released while others are held, and its run is then listed after all, such as a late start on a next incarnation. The planner took the run for a known one, since it is the newest of its gang and on the member's worker. It was neither held nor stopped, and its capacity was handed out.

Evidence, listing_run_of_released_gang_member_stopped before:

A listed run is known if the worker holds capacity for it. Any other is stopped and keeps its worker closed. The answer of such a stop leaves a released member released.

--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -3,7 +3,7 @@
 //! expired that any planner may have granted.
 
 use crate::support::{
-    BATCH, all_done, busy_worker, check_all_done, job, planner_of, ready_world, step,
+    BATCH, all_done, busy_worker, check_all_done, gang, job, planner_of, ready_world, step,
 };
 use flamingowalk_domain::prelude::*;
 use flamingowalk_domain::process::election::ElectionStage;
@@ -529,6 +529,43 @@
     check_all_done(world);
 }
 
+/// Guards against taking the run of a released gang member for a known one while another
+/// member is still held: it was not stopped, and its worker was filled over its capacity.
+#[test]
+fn listing_run_of_released_gang_member_stopped() {
+    let mut world = ready_world(60, 3, 3);
+    let name = WorkerName::from("worker-000");
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.next_start_delay = Some(Duration::from_millis(2_500));
+    }
+    let work = Duration::from_secs(4);
+    world.submit(0, BATCH, JobKey(1), &job(vec![gang(2, 8)]), work);
+    let is_sent = |world: &SimWorld| world.workers[&name].next_start_delay.is_none();
+    assert!(world.run_until(Duration::from_secs(1), is_sent));
+    world.run_for(Duration::from_millis(100));
+    set_reachable(&mut world, &"worker-001".into(), false);
+    world.run_for(Duration::from_millis(900));
+    world.crash_worker(&name);
+    world.run_for(Duration::from_millis(1_400));
+    world.restart_worker(&name);
+    let incarnation = world.workers[&name].report.incarnation;
+    let is_known = |world: &SimWorld| {
+        let host = world.hosts[planner_of(world)].host.as_ref();
+        let planner = host.and_then(|host| host.planner());
+        let worker = planner.and_then(|planner| planner.workers().get(&name));
+        worker.is_some_and(|worker| {
+            worker.incarnation() == incarnation && worker.link.has_complete_listing
+        })
+    };
+    assert!(world.run_until(Duration::from_secs(2), is_known));
+    assert!(!world.workers[&name].running.is_empty());
+    let rest = Duration::from_secs(1);
+    world.submit(0, BATCH, JobKey(2), &job(vec![step(2, 8)]), rest);
+    world.run_for(Duration::from_secs(3));
+    set_reachable(&mut world, &"worker-001".into(), true);
+    check_all_done(world);
+}
+
 /// Disconnects the first worker that has runs from the hosts and the log.
 fn disconnect_busy_worker(world: &mut SimWorld) -> WorkerName {
     let name = busy_worker(world);
--- a/crates/domain/src/process/planner/listing.rs
+++ b/crates/domain/src/process/planner/listing.rs
@@ -203,20 +203,21 @@
         HoldingState::Held
     }
 
-    /// Stops runs that the planner has no record of: an earlier planner started and then
-    /// abandoned them, or their start was executed late.
+    /// Stops runs that the planner has no record of, or that it has released: an earlier
+    /// planner started and then abandoned them, or their start was executed late.
     fn stop_unrecorded_runs(
         &mut self,
         context: &mut PlanContext<'_>,
         name: &WorkerName,
         running: &BTreeMap<UnitKey, &RunningUnit>,
     ) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
         let mut unrecorded = BTreeMap::new();
         for (unit, listed) in running {
-            let is_known = self
-                .locate_run(unit, listed.run)
-                .is_some_and(|(key, index)| self.member_worker(&key, index).as_ref() == Some(name));
-            if !is_known {
+            let is_newest = self.locate_run(unit, listed.run).is_some();
+            if !is_newest || !worker.holdings.contains_key(unit) {
                 unrecorded.insert(*unit, listed.run);
             }
         }
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -361,7 +361,10 @@
                     worker.link.short_poll_at.get_or_insert(context.now);
                 }
                 if let Some((key, index)) = self.locate_run(&unit, run) {
-                    self.set_stage(&key, index, |_| MemberStage::Stopped(context.now));
+                    self.set_stage(&key, index, |stage| match stage {
+                        MemberStage::Released => stage,
+                        _ => MemberStage::Stopped(context.now),
+                    });
                 }
             }
             Ok(WorkerAnswer::Refused {
