Daemon: decide by a clock that counts suspensions

What callers saw: nothing yet that is traced to this; a unit that runs twice at once is what the simulation shows. The machines of the platform may be suspended for seconds, and the monotonic clock does not count that time.

Cause: the loop of the domain daemon decided by the clock of the runtime, which is `CLOCK_MONOTONIC`. A planner whose machine was suspended still believes in its leader lease, takes the worker's clock from fresh answers and renews leases, although its successor has counted the 4 s.

Why the fix works: `BootClock` reads `CLOCK_BOOTTIME`, so a suspension is to the host what a freeze is. Every deadline of the state machine is derived from the time of the event that it handles. Ticks are timers of the runtime: one that was pending has at most its interval left when the machine resumes. The delay of ticks is measured by the same clock, so a suspension appears in the log and in the histogram.

Ruled out: an order that was decided on before the suspension and is sent after it. Its lease is a time on the worker's clock and does not move. Call timeouts on the runtime's clock last longer by the suspension; an answer that is late by that sets the reading of a worker's clock too low, not too high. `HostClock` stays on the runtime's clock for the product's own path, whose tests control it; no test shows a fault there.

--- a/crates/domain-node/src/lib.rs
+++ b/crates/domain-node/src/lib.rs
@@ -3,6 +3,7 @@
 //! in separate tasks, through the closures of [`ports::DomainPorts`]. This crate does not
 //! depend on the protocols of the log, the workers and the callers.
 
+pub mod boot_clock;
 pub mod log_output;
 pub mod log_pipe;
 pub mod log_rate;
--- a/crates/domain-node/src/run_loop.rs
+++ b/crates/domain-node/src/run_loop.rs
@@ -13,8 +13,8 @@
 use flamingowalk_node::process::host_clock::HostClock;
 use metrics::histogram;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::Instant;
 
+use crate::boot_clock::BootClock;
 use crate::ports::DomainPorts;
 
 /// Time between two ticks; bounds how late an expired timeout of the host is noticed.
@@ -129,13 +129,13 @@
     events: mpsc::UnboundedSender<LoopEvent>,
     replies: BTreeMap<RequestTicket, oneshot::Sender<CallerResponse>>,
     next_request: u64,
-    clock: HostClock,
+    clock: BootClock,
 }
 
 /// Starts the loop of a host. Must run inside a `LocalSet`.
 pub fn start_domain(identity: HostIdentity, ports: DomainPorts) -> DomainHandle {
     let (events, arrivals) = mpsc::unbounded_channel();
-    let clock = HostClock::start();
+    let clock = BootClock::start();
     let state = HostLoop {
         host: DomainHost::new(identity, clock.now()),
         ports: Rc::new(ports),
@@ -151,7 +151,7 @@
 async fn run_loop(mut state: HostLoop, mut arrivals: mpsc::UnboundedReceiver<LoopEvent>) {
     let mut ticks = tokio::time::interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut last_tick = Instant::now();
+    let mut last_tick = state.clock.now();
     loop {
         tokio::select! {
             event = arrivals.recv() => match event {
@@ -159,8 +159,9 @@
                 None => return,
             },
             _ = ticks.tick() => {
-                record_tick_delay(last_tick.elapsed());
-                last_tick = Instant::now();
+                let now = state.clock.now();
+                record_tick_delay(now.since(last_tick));
+                last_tick = now;
                 state.handle(HostEvent::Ticked);
             }
         }
--- a/crates/domain-sim/src/sim_world.rs
+++ b/crates/domain-sim/src/sim_world.rs
@@ -63,8 +63,12 @@
     pub frozen_until: MonotonicTime,
     /// Offset of its wall clock from the true time, in milliseconds.
     pub wall_skew_ms: i64,
+    /// Whether its monotonic clock counts the time for which its machine is suspended.
+    pub counts_suspension: bool,
     /// When its process was started. Its monotonic clock counts from there.
     started_at: MonotonicTime,
+    /// Time since then that its monotonic clock did not count.
+    uncounted: Duration,
 }
 
 /// Progress of a submitted job, as seen by callers and workers.
@@ -237,7 +241,9 @@
                 reaches_workers: true,
                 frozen_until: MonotonicTime(0),
                 wall_skew_ms: 0,
+                counts_suspension: true,
                 started_at: MonotonicTime(0),
+                uncounted: Duration::ZERO,
             });
             world.start_host(index);
         }
@@ -268,6 +274,7 @@
             limits,
         };
         host.started_at = now;
+        host.uncounted = Duration::ZERO;
         host.host = Some(DomainHost::new(identity, MonotonicTime(0)));
     }
 
@@ -278,6 +285,15 @@
         host.incarnation += 1;
     }
 
+    /// Suspends the machine of a host for a time span.
+    pub fn suspend_host(&mut self, index: usize, span: Duration) {
+        let host = &mut self.hosts[index];
+        host.frozen_until = self.now + span;
+        if !host.counts_suspension {
+            host.uncounted += span;
+        }
+    }
+
     /// Requests the process of a host to drain.
     pub fn drain_host(&mut self, index: usize) {
         let incarnation = self.hosts[index].incarnation;
@@ -359,7 +375,7 @@
         let Some(state) = &mut host.host else {
             return;
         };
-        let local = MonotonicTime(now.0 - host.started_at.0);
+        let local = MonotonicTime(now.0 - host.started_at.0) - host.uncounted;
         let actions = state.handle(local, wall, event);
         if self.verifies_planner
             && let Some(planner) = state.planner()
--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -184,6 +184,38 @@
     check_all_done(world);
 }
 
+/// Guards the choice of the decision clock: with one that stands still during a suspension,
+/// a planner renews leases after its successor has counted them as expired.
+#[rstest]
+#[case::counted(true)]
+#[case::uncounted(false)]
+fn suspension_counted_by_clock_extends_no_lease(
+    #[case] counts_suspension: bool,
+    #[values(6_000, 6_500, 7_000)] suspended_ms: u64,
+    #[values(81, 82)] seed: u64,
+) {
+    let mut world = ready_world(seed, 3, 2);
+    let work = Duration::from_secs(21);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(2));
+    let suspended = planner_of(&world);
+    let name = busy_worker(&world);
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.only_host = Some(suspended);
+    }
+    world.hosts[suspended].reaches_log = false;
+    world.hosts[suspended].counts_suspension = counts_suspension;
+    world.suspend_host(suspended, Duration::from_millis(suspended_ms));
+    if counts_suspension {
+        check_all_done(world);
+        return;
+    }
+    world.run_for(Duration::from_secs(20));
+    let violation = world.violations.first().expect("the unit runs twice");
+    let expected = format!("while it runs on {}", name.as_str());
+    assert!(violation.ends_with(&expected), "{violation}");
+}
+
 /// Guards against a run that stays on a draining worker until the worker is removed,
 /// although it has a checkpoint and another worker has free capacity.
 #[test]
--- a/crates/node/src/process/host_clock.rs
+++ b/crates/node/src/process/host_clock.rs
@@ -1,5 +1,6 @@
 //! The clocks of an entry host. The monotonic clock follows that of the runtime, so
-//! tests with a paused clock control every lease and timeout.
+//! tests with a paused clock control every lease and timeout. It does not count the time
+//! for which the machine is suspended.
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
