Planner: a worker's clock is never estimated ahead

What callers saw: nothing yet that is traced to this; a unit that runs twice at once is what the simulation shows. It takes a worker that has been idle for a minute or more and whose clock runs 2% slow, a start that is carried out late, and a successor that cannot reach the worker.

Cause: `WorkerLink::clock_now` added the time since the newest reading in full, so the estimate was ahead of a slow clock by 2% of the reading's age. Idle workers are not polled and the clock in their reports was not used, so the age had no limit. `extend_lease` allowed for this in the planner's own bound; a successor's `max_inherited_lease` does not. A worker shortens a lease that is too long from when the order arrives, so one that arrives late is not shortened to the longest lease from when it was sent.

Workers of the simulation now have a clock rate.

Why the fix works: the estimate adds the elapsed time less 2%, so it is not ahead of the clock, and a lease ends at most the longest lease after the order was sent, by the worker's clock. Both bounds follow from that. Reports renew the reading, or else an exact clock would be underestimated by 2% of the idle time. With the lower estimate but without the reports, `start_on_long_idle_worker_accepted` fails:

assertion `left == right` failed: a start was refused left: 3 right: 1

Ruled out: a report that is read after a newer answer does not set the estimate back, since it counts only if it gives a later time. Answers of another incarnation are dropped before they are used.

--- a/crates/domain-sim/src/sim_worker.rs
+++ b/crates/domain-sim/src/sim_worker.rs
@@ -43,6 +43,8 @@
     pub report: WorkerReport,
     /// When its current incarnation started.
     pub born_at: MonotonicTime,
+    /// Rate of its clock: 1 is exact, and the platform allows 0.98.
+    pub clock_rate: f64,
     /// Whether its process is up.
     pub is_up: bool,
     /// Whether a worker of another name has its address and refuses the orders for it.
@@ -81,6 +83,7 @@
         Self {
             report,
             born_at,
+            clock_rate: 1.0,
             is_up: true,
             is_replaced: false,
             is_reachable: true,
@@ -107,7 +110,8 @@
 
     /// Returns the time of its clock, which counts from the start of the incarnation.
     pub fn clock(&self, now: MonotonicTime) -> WorkerClock {
-        WorkerClock(now.since(self.born_at).as_millis() as u64)
+        let elapsed = now.since(self.born_at).mul_f64(self.clock_rate);
+        WorkerClock(elapsed.as_millis() as u64)
     }
 
     /// Restarts with a new incarnation, without any state of the previous one.
@@ -116,6 +120,7 @@
         report.incarnation = WorkerIncarnation(report.incarnation.0 + 1 + now.0 / 1_000);
         *self = Self {
             speed: self.speed,
+            clock_rate: self.clock_rate,
             ..Self::new(report, now)
         };
     }
--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -3,7 +3,8 @@
 //! expired that any planner may have granted.
 
 use crate::support::{
-    BATCH, all_done, busy_worker, check_all_done, gang, job, planner_of, ready_world, step,
+    BATCH, all_done, busy_worker, check_all_done, gang, job, manifest, planner_of, ready_world,
+    step, workers,
 };
 use flamingowalk_domain::prelude::*;
 use flamingowalk_domain::process::election::ElectionStage;
@@ -216,6 +217,69 @@
     assert!(violation.ends_with(&expected), "{violation}");
 }
 
+/// Guards against an old reading of a slow worker's clock: a start that is carried out late
+/// got a lease that outlasted the bound of a successor that cannot reach the worker.
+#[rstest]
+fn start_late_on_idle_slow_clock_outlasts_no_bound(
+    #[values(60, 120, 240)] idle_secs: u64,
+    #[values(91, 92)] seed: u64,
+) {
+    let (mut world, first) = idle_world(seed, 0.98, Duration::from_secs(idle_secs));
+    let work = Duration::from_secs(20);
+    world.submit(first, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    for worker in world.workers.values_mut() {
+        worker.next_start_delay = Some(Duration::from_secs(5));
+    }
+    let started = await_late_start(&mut world);
+    for (name, worker) in &mut world.workers {
+        worker.next_start_delay = None;
+        worker.only_host = (*name == started).then_some(first);
+    }
+    world.drain_host(first);
+    check_all_done(world);
+}
+
+/// Guards against an estimate of a worker's clock that falls behind without limit while the
+/// worker is idle: its next start would get a short lease, or none.
+#[test]
+fn start_on_long_idle_worker_accepted() {
+    let (mut world, first) = idle_world(93, 1.0, Duration::from_secs(700));
+    let work = Duration::from_secs(2);
+    world.submit(first, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    let is_done = |world: &SimWorld| world.jobs.values().all(|job| job.done_at.is_some());
+    assert!(world.run_until(Duration::from_secs(3), is_done));
+    assert_eq!(world.starts, 1, "a start was refused");
+}
+
+/// Returns a world whose workers have been idle since it started, and the index of the host
+/// that plans. The workers' clocks run at this rate.
+fn idle_world(seed: u64, clock_rate: f64, idle: Duration) -> (SimWorld, usize) {
+    let _ = env_logger::builder().is_test(true).try_init();
+    let mut world = SimWorld::new(seed, manifest(1), 3, workers(2));
+    for worker in world.workers.values_mut() {
+        worker.clock_rate = clock_rate;
+    }
+    world.run_for(idle);
+    let planner = world.planner().expect("a planner");
+    (world, planner)
+}
+
+/// Advances the clock until a start has reached a worker that will carry it out late, and
+/// returns the name of the worker.
+#[track_caller]
+fn await_late_start(world: &mut SimWorld) -> WorkerName {
+    let end = world.now() + Duration::from_secs(2);
+    loop {
+        let mut workers = world.workers.iter();
+        let started = workers.find(|(_, worker)| worker.next_start_delay.is_none());
+        if let Some((name, _)) = started {
+            return name.clone();
+        }
+        assert!(world.now() < end, "nothing starts");
+        world.run_for(Duration::from_micros(100));
+    }
+}
+
 /// Guards against a run that stays on a draining worker until the worker is removed,
 /// although it has a checkpoint and another worker has free capacity.
 #[test]
--- a/crates/domain/src/process/planner/limits.rs
+++ b/crates/domain/src/process/planner/limits.rs
@@ -67,3 +67,9 @@
     let parts = crate::keys::CLOCK_DRIFT_PARTS as u32;
     duration + duration / (parts - 1)
 }
+
+/// Returns the shortest time that a duration on this host's clock may take by a worker's
+/// clock.
+pub fn without_drift(duration: Duration) -> Duration {
+    duration.saturating_sub(duration / crate::keys::CLOCK_DRIFT_PARTS as u32)
+}
--- a/crates/domain/src/process/planner/report.rs
+++ b/crates/domain/src/process/planner/report.rs
@@ -50,7 +50,7 @@
                 self.replace_worker(context, name, report, written_after);
             }
             Some(incarnation) if incarnation > report.incarnation => {}
-            Some(_) => self.refresh_worker(name, report, written_after),
+            Some(_) => self.refresh_worker(context.now, name, report, written_after),
         }
     }
 
@@ -83,6 +83,7 @@
 
     fn refresh_worker(
         &mut self,
+        now: MonotonicTime,
         name: &WorkerName,
         report: Arc<WorkerReport>,
         written_after: Option<MonotonicTime>,
@@ -96,6 +97,7 @@
         }
         worker.is_listed = true;
         worker.is_draining |= report.is_draining;
+        worker.link.refresh_clock(now, report.clock);
         worker.report = report;
         worker.reported_after = worker.reported_after.max(written_after);
         worker.recount();
--- a/crates/domain/src/process/planner/worker.rs
+++ b/crates/domain/src/process/planner/worker.rs
@@ -6,7 +6,7 @@
 use crate::prelude::*;
 use crate::process::action::CallTicket;
 use crate::process::planner::health::WorkerHealth;
-use crate::process::planner::limits::with_drift;
+use crate::process::planner::limits::{with_drift, without_drift};
 use crate::process::planner::sharing::UnitShare;
 use crate::process::planner::speed::WorkerSpeed;
 use crate::process::worker_report::WorkerReport;
@@ -82,7 +82,7 @@
     pub recorded_end: u64,
     /// Highest number of an end that an answered poll has acknowledged.
     pub acknowledged_end: u64,
-    /// Worker's clock at the newest answer, and when that answer came.
+    /// Reading of the worker's clock, from an answer or from a report.
     pub clock: Option<ClockReading>,
     /// Worker's time of the newest listing that was applied.
     pub listed_clock: WorkerClock,
@@ -213,10 +213,11 @@
 }
 
 impl WorkerLink {
-    /// Returns the worker's current time, or slightly less.
+    /// Returns a lower bound of the worker's current time: its clock may have run slow since
+    /// the newest reading.
     pub fn clock_now(&self, now: MonotonicTime) -> WorkerClock {
         self.clock.map_or(WorkerClock(0), |reading| {
-            let passed = now.since(reading.read_at).as_millis() as u64;
+            let passed = without_drift(now.since(reading.read_at)).as_millis() as u64;
             WorkerClock(reading.clock.0 + passed)
         })
     }
@@ -226,12 +227,7 @@
     pub fn extend_lease(&mut self, now: MonotonicTime, lease: Duration) -> WorkerClock {
         let until = WorkerClock(self.clock_now(now).0 + lease.as_millis() as u64);
         self.lease_until = self.lease_until.max(until);
-        // The worker's clock may have run slow since it was read, and may continue to do so.
-        let age = self
-            .clock
-            .map_or(Duration::ZERO, |reading| now.since(reading.read_at));
-        let bound = now + with_drift(lease + age).saturating_sub(age);
-        self.lease_bound = self.lease_bound.max(bound);
+        self.lease_bound = self.lease_bound.max(now + with_drift(lease));
         self.lease_until
     }
 
@@ -241,8 +237,16 @@
         self.lease_bound = self.lease_bound.max(now + with_drift(lease));
     }
 
+    /// Updates the worker's time from a report that was read now, unless a newer reading
+    /// gives a later time.
+    pub fn refresh_clock(&mut self, now: MonotonicTime, reported: WorkerClock) {
+        if reported > self.clock_now(now) {
+            self.update_clock(now, reported);
+        }
+    }
+
     /// Updates the worker's time from an answer that arrived now. The clock was read before
-    /// that, so the worker's current time is never overestimated, except by drift.
+    /// that, so the worker's current time is never overestimated.
     pub const fn update_clock(&mut self, now: MonotonicTime, clock: WorkerClock) {
         self.clock = Some(ClockReading {
             clock,
