Test: removals within several remaining times of a draining worker

The review suspected that the silence, an upper bound of the report's age, lets a removal within the remaining time count as a departure.

--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -531,8 +531,10 @@
 
 /// Guards against taking the removal of a draining worker's entry for its departure within
 /// the time that the worker reported to stay at least.
-#[test]
-fn removal_of_draining_worker_within_remaining_time_waits_for_lease() {
+#[rstest]
+fn removal_of_draining_worker_within_remaining_time_waits_for_lease(
+    #[values(1_100, 1_300, 1_600, 1_900, 5_000)] remaining_ms: u64,
+) {
     let mut world = ready_world(53, 3, 2);
     world.run_for(Duration::from_secs(6));
     let work = Duration::from_secs(8);
@@ -540,7 +542,7 @@
     world.run_for(Duration::from_secs(5));
     let name = busy_worker(&world);
     if let Some(worker) = world.workers.get_mut(&name) {
-        worker.report.remaining = Some(Duration::from_secs(5));
+        worker.report.remaining = Some(Duration::from_millis(remaining_ms));
     }
     world.drain_worker(&name);
     world.run_for(Duration::from_millis(500));
