--- a/crates/domain/src/process/planner/listing.rs
+++ b/crates/domain/src/process/planner/listing.rs
@@ -249,8 +249,14 @@
         }
     }
 
-    /// Reports a listed run of a unit of which another run may be active on another worker.
+    /// Reports a listed run of a unit of which a later run may be active on another worker.
+    /// A listed run that is the later one was started by a planner of a higher epoch.
     fn report_duplicate_run(&self, name: &WorkerName, unit: &UnitKey, run: RunNumber) {
+        let job = self.jobs.get(&unit.job);
+        let located = job.and_then(|job| job.group(&job.locate(unit)?.0));
+        if located.is_none_or(|group| group.run <= run) {
+            return;
+        }
         let holders = self.workers.iter().filter(|(other, worker)| {
             let holding = worker.holdings.get(unit);
             *other != name && holding.is_some_and(|holding| holding.is_sent)
