--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -711,6 +711,57 @@
         self.machines[name]["state"] = "up"
 
 
+class ServiceWorld(MachineWorld):
+    """Judges the rule AVAIL for one lasting step on each stop and each upkeep that the workers
+    and the machines' service see."""
+
+    NOTICE_S = 4.5
+    may_miss = 1
+
+    def __init__(self, case):
+        super().__init__(case)
+        self.away = {}  # unit -> (since, whether an order of the system ended it)
+
+    def work_of(self, task):
+        return (3600.0, True)
+
+    def others_away(self, task):
+        """Returns the other units of the step that are away as the rule AVAIL says."""
+        now = time.monotonic()
+        at_work = {run.task for worker in self.workers.values() if worker.alive
+                   for run in worker.running.values() if run.at_work(now) and run.stopping is None}
+        away = []
+        for unit, (since, by_order) in list(self.away.items()):
+            if unit in at_work:
+                del self.away[unit]
+            elif unit != task and (by_order or now - since > self.NOTICE_S):
+                away.append(unit)
+        return away
+
+    def judge(self, worker, run, what):
+        """A stop or an upkeep is about to end a run."""
+        now = time.monotonic()
+        if worker.draining or not run.at_work(now):
+            self.away.setdefault(run.task, (now, True))
+            return
+        away = self.others_away(run.task)
+        self.away[run.task] = (now, True)
+        if len(away) >= self.may_miss:
+            self.breaks(f"AVAIL: {what} ends {run.task} at work on {worker.name}, while "
+                        f"{len(away)} others of its step are away (may-miss {self.may_miss}): {away}")
+
+    def note_stop(self, worker, run, fence):
+        super().note_stop(worker, run, fence)
+        self.judge(worker, run, f"a stop with fence {fence}")
+
+    def note_end(self, worker, run, how):
+        super().note_end(worker, run, how)
+        self.away.setdefault(run.task, (time.monotonic(), False))
+
+    def judge_upkeep(self, worker, run, said):
+        self.judge(worker, run, said)
+
+
 class CannotRun(Exception):
     """The case could not be set up."""
 
