--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -366,7 +366,7 @@
             self.refused_runs[task] = max(self.refused_runs.get(task, 0), number)
             run = self.running.get(task)
             if run and run.run <= number and run.stopping is None:
-                run.stopping = time.monotonic() + 0.1
+                run.stopping = time.monotonic() + self.world.stop_s(run)
                 self.world.note_stop(self, run, fence)
             return (200, {"clock-ms": self.clock()})
         if path == "/api/hold":
@@ -514,6 +514,9 @@
     def work_of(self, task):
         return (2.0, False)
 
+    def stop_s(self, run):
+        return 0.1
+
     def note_start(self, worker, run, fence):
         self.record.line(f"worker {worker.name}: start {run.task} run {run.run} fence {fence}")
 
