--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,8 @@
-"""A worker crashes for good during a wave of upkeep, and its lasting unit counts as in service.
+"""A gang that has to wait for work that lasts keeps all other work off the idle workers.
 
-More than `notice-ms` after the crash the planner still takes the lost unit for one at work, and
-stops another unit of the same step for the upkeep of its machine (may-miss 1).
+Three of eight workers run lasting units. A gang that needs six workers waits; the capacity of the
+lasting units counts as free in half a second, so the gang's reservation on the five idle workers
+binds everything that comes after it, until the gang counts as too late.
 """
 
 import asyncio
@@ -11,64 +12,69 @@
 
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent / "lib"))
-from standin import CannotRun, ServiceWorld, main  # noqa: E402
+from standin import CannotRun, World, main  # noqa: E402
 
-MACHINES = 8
-UNITS = 4
-CAP = 2
-MAY_MISS = 1
-DURATION_S = 40  # a machine's share is 10 s; its runs are moved after half of it
-SILENCE_S = 4.5  # three ping intervals
-JOB = "5c0e7a21d94b36f8"
-# The last idle machine is back 2 s after its upkeep and is listed within a second; the next
-# machines then drain for 5 s. The crash is to be 5 to 6.5 s before the first stop.
-CRASH_AFTER_S = 1.6
+WORKERS = 8
+LASTING = "1a1a1a1a1a1a1a1a"
+GANG = "2b2b2b2b2b2b2b2b"
+SMALL = "5c0e7a21d94b36f8"
+IDLE_LIMIT_S = 3.0  # rule LOST
+WATCH_S = 45.0
 
 
-class Case(ServiceWorld):
-    may_miss = MAY_MISS
+class Case(World):
+    def __init__(self, case):
+        super().__init__(case)
+        self.started = set()
 
-    async def crash(self, worker):
-        """The worker's process dies, and nothing follows it."""
-        self.record.line(f"worker {worker.name} on {worker.machine} crashes for good")
-        self.machines[worker.machine]["state"] = "down"
-        worker.alive = False
-        worker.server.stop()
-        for loop in worker.loops:
-            loop.cancel()
-        for run in list(worker.running.values()):
-            self.note_end(worker, run, "lost with its worker")
-        worker.running = {}
-        await asyncio.sleep(SILENCE_S)
-        self.record.line(f"store: the entry of {worker.name} is removed for its silence")
-        await self.store.put("keyed.servers", worker.name, None)
+    def work_of(self, task):
+        return (3600.0, True) if task.startswith(LASTING) else (2.0, False)
+
+    def note_start(self, worker, run, fence):
+        super().note_start(worker, run, fence)
+        self.started.add(run.task)
+
+    def two_queues(self):
+        manifest = self.manifest()
+        later = dict(manifest["routes"][0], **{"name": "r-later", "path-prefix": "/later/",
+                                               "priority": 2, "target-latency-ms": 3000})
+        manifest["routes"].append(later)
+        return manifest
+
+    async def submit(self, path, step):
+        status, _ = await self.call("front-1", "POST", path, {"spec": "work", "steps": [step]})
+        if status != 200:
+            raise CannotRun(f"{path} was not accepted")
 
     async def play(self):
-        await self.store.put("keyed.op", "config", self.manifest())
-        await self.start_machines(MACHINES)
+        await self.store.put("keyed.op", "config", self.two_queues())
+        for index in range(WORKERS):
+            await self.add_worker(f"i-{index:04d}")
         await self.start_hosts(3)
         if not await self.until(lambda: len(self.store.writers) > 3, 15, "a planner"):
             raise CannotRun("no planner")
-        await asyncio.sleep(4.0)
-        step = {"count": UNITS, "cpu": 4000, "mem-mb": 8000, "gpu": 8, "estimate-ms": 1000,
-                "long-running": True, "may-miss": MAY_MISS}
-        body = {"spec": "serve", "steps": [step]}
-        status, _ = await self.call("front-1", "POST", f"{self.prefix}{JOB}", body)
-        if status != 200:
-            raise CannotRun("the job was not accepted")
-        busy = lambda: [worker for worker in self.workers.values() if worker.running]
-        if not await self.until(lambda: len(busy()) == UNITS, 5, "all units"):
-            raise CannotRun("the job does not run")
-        await asyncio.sleep(2.5)
-        await self.publish_wave(DURATION_S, CAP)
-        idle = MACHINES - UNITS
-        done = lambda: sum(machine["done"] for machine in self.machines.values())
-        if not await self.until(lambda: done() >= idle, 20, "upkeep of the idle machines"):
-            raise CannotRun("no upkeep")
-        await asyncio.sleep(CRASH_AFTER_S)
+        await asyncio.sleep(3.0)
+        whole = {"cpu": 4000, "mem-mb": 8000, "gpu": 8}
+        await self.submit(f"{self.prefix}{LASTING}", {"count": 3, "long-running": True, **whole})
+        if not await self.until(lambda: len(self.started) == 3, 5, "the lasting units"):
+            raise CannotRun("the lasting units do not run")
+        await asyncio.sleep(3.0)
         if self.trouble:
-            await self.crash(busy()[-1])
-        await asyncio.sleep(20.0)
+            await self.submit(f"{self.prefix}{GANG}",
+                              {"count": 6, "gang": True, "estimate-ms": 11000, **whole})
+            await asyncio.sleep(1.0)
+        await self.submit(f"/later/{SMALL}", {"count": 1, "cpu": 2800, "mem-mb": 7400, "gpu": 1,
+                                              "estimate-ms": 2000})
+        accepted_at = time.monotonic()
+        unit = f"{SMALL}.0.0.0"
+        await self.until(lambda: unit in self.started, WATCH_S, f"the start of {unit}")
+        waited = time.monotonic() - accepted_at
+        idle = [worker.name for worker in self.workers.values() if not worker.running]
+        await self.call("front-2", "GET", f"/later/{SMALL}")
+        self.record.line(f"{unit} waited {waited:.1f} s; idle workers: {idle}")
+        if waited > IDLE_LIMIT_S and unit not in self.started:
+            self.breaks(f"LOST: nothing of {SMALL}, which needs 1 GPU, has run for {waited:.0f} s, "
+                        f"while {len(idle)} of {WORKERS} workers are wholly idle")
 
 
 main(Case, CASE)
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -354,13 +354,15 @@
             return (421, {})
         body = json.loads(body or b"{}")
         await self.world.deliver(self, path, body)
-        refuse = lambda reason: (409, {"clock-ms": self.clock(), "reason": reason})
-        fence = body.get("fence", 0)
-        if fence < self.fence:
-            return refuse("fence")
-        self.fence = fence
+        if await self.world.answer(self, path, body):
+            # No answer, and nothing more on this connection.
+            await asyncio.sleep(30)
+            return None
         if path == "/api/run-start":
-            return self.start_run(body, refuse)
+            return self.execute_start(body)
+        if not self.admit(body):
+            return self.refuse("fence")
+        fence = body.get("fence", 0)
         if path == "/api/run-stop":
             task, number = body["task"], body["run"]
             self.refused_runs[task] = max(self.refused_runs.get(task, 0), number)
@@ -387,7 +389,18 @@
                           "ended": self.ended[:500]})
         return (404, {})
 
-    def start_run(self, body, refuse):
+    def refuse(self, reason):
+        return (409, {"clock-ms": self.clock(), "reason": reason})
+
+    def admit(self, body):
+        """Keeps the highest fence; a lower one does nothing."""
+        self.fence = max(self.fence, body.get("fence", 0))
+        return body.get("fence", 0) >= self.fence
+
+    def execute_start(self, body):
+        refuse = self.refuse
+        if not self.admit(body):
+            return refuse("fence")
         task, number = body["task"], body["run"]
         if body["until-ms"] <= self.clock():
             return refuse("late")
@@ -509,7 +522,11 @@
 
     # Hooks that a case may replace.
     async def deliver(self, worker, path, body):
-        pass
+        """An order has arrived at a worker."""
+
+    async def answer(self, worker, path, body):
+        """Returns whether the order is left unanswered; the case then carries it out."""
+        return False
 
     def work_of(self, task):
         return (2.0, False)
