--- a/review/2/case.py
+++ b/review/2/case.py
@@ -77,8 +77,8 @@
         gang = {"count": GANG, "cpu": 4000, "mem-mb": 8000, "gpu": 8, "estimate-ms": 1000,
                 "gang": True}
         body = {"spec": "plan", "steps": [gang]}
-        status, _ = await self.call("front-1", "POST", f"{self.prefix}{FIRST}", body)
-        if status != 200 or not await self.until(lambda: len(self.done) == GANG, 8, "the gang"):
+        is_accepted = await self.submit(f"{self.prefix}{FIRST}", body)
+        if not is_accepted or not await self.until(lambda: len(self.done) == GANG, 8, "the gang"):
             raise CannotRun("the first gang did not run")
         self.done.clear()
         await self.publish_wave(60, CAP)
@@ -91,8 +91,7 @@
             raise CannotRun("the wave is not completed")
         self.record.line("the wave is completed")
         await asyncio.sleep(4.0)
-        status, _ = await self.call("front-2", "POST", f"{self.prefix}{SECOND}", body)
-        if status != 200:
+        if not await self.submit(f"{self.prefix}{SECOND}", body, "front-2"):
             raise CannotRun("the second gang was not accepted")
         await self.watch()
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -71,16 +71,14 @@
         await asyncio.sleep(3.0)
         lasting = {"count": WORKERS - 1, "cpu": 4000, "mem-mb": 8000, "gpu": 5,
                    "long-running": True}
-        status, _ = await self.call("front-1", "POST", f"{self.prefix}{LASTING}",
-                                    {"spec": "serve", "steps": [lasting]})
-        if status != 200 or not await self.until(lambda: len(self.started) == WORKERS - 1, 5,
-                                                 "the lasting units"):
+        body = {"spec": "serve", "steps": [lasting]}
+        is_accepted = await self.submit(f"{self.prefix}{LASTING}", body)
+        if not is_accepted or not await self.until(lambda: len(self.started) == WORKERS - 1, 5,
+                                                   "the lasting units"):
             raise CannotRun("the lasting units do not run")
         await asyncio.sleep(3.0)
         step = {"count": 1, "cpu": 2800, "mem-mb": 7400, "gpu": 4, "estimate-ms": 2000}
-        status, _ = await self.call("front-1", "POST", f"{self.prefix}{JOB}",
-                                    {"spec": "plan", "steps": [step]})
-        if status != 200:
+        if not await self.submit(f"{self.prefix}{JOB}", {"spec": "plan", "steps": [step]}):
             raise CannotRun("the job was not accepted")
         unit = f"{JOB}.0.0.0"
         accepted_at = time.monotonic()
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -41,9 +41,8 @@
         manifest["routes"].append(later)
         return manifest
 
-    async def submit(self, path, step):
-        status, _ = await self.call("front-1", "POST", path, {"spec": "work", "steps": [step]})
-        if status != 200:
+    async def hand_in(self, path, step):
+        if not await self.submit(path, {"spec": "work", "steps": [step]}):
             raise CannotRun(f"{path} was not accepted")
 
     async def play(self):
@@ -55,15 +54,15 @@
             raise CannotRun("no planner")
         await asyncio.sleep(3.0)
         whole = {"cpu": 4000, "mem-mb": 8000, "gpu": 8}
-        await self.submit(f"{self.prefix}{LASTING}", {"count": 3, "long-running": True, **whole})
+        await self.hand_in(f"{self.prefix}{LASTING}", {"count": 3, "long-running": True, **whole})
         if not await self.until(lambda: len(self.started) == 3, 5, "the lasting units"):
             raise CannotRun("the lasting units do not run")
         await asyncio.sleep(3.0)
         if self.trouble:
-            await self.submit(f"{self.prefix}{GANG}",
-                              {"count": 6, "gang": True, "estimate-ms": 11000, **whole})
+            await self.hand_in(f"{self.prefix}{GANG}",
+                               {"count": 6, "gang": True, "estimate-ms": 11000, **whole})
             await asyncio.sleep(1.0)
-        await self.submit(f"/later/{SMALL}", {"count": 1, "cpu": 2800, "mem-mb": 7400, "gpu": 1,
+        await self.hand_in(f"/later/{SMALL}", {"count": 1, "cpu": 2800, "mem-mb": 7400, "gpu": 1,
                                               "estimate-ms": 2000})
         accepted_at = time.monotonic()
         unit = f"{SMALL}.0.0.0"
