--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,8 +1,8 @@
-"""A gang that has to wait for work that lasts keeps all other work off the idle workers.
+"""One submission with an estimate that cannot be meant takes the planner down on every host.
 
-Three of eight workers run lasting units. A gang that needs six workers waits; the capacity of the
-lasting units counts as free in half a second, so the gang's reservation on the five idle workers
-binds everything that comes after it, until the gang counts as too late.
+A tenant hands in a chain of 120 steps whose `estimate-ms` is the greatest 64-bit number, as a
+client may write for "unknown". It is accepted. From then on each planner panics in its first pass,
+on whichever host it runs, and no accepted job is started any more.
 """
 
 import asyncio
@@ -14,12 +14,13 @@
 sys.path.insert(0, str(CASE.parent / "lib"))
 from standin import CannotRun, World, main  # noqa: E402
 
-WORKERS = 8
-LASTING = "1a1a1a1a1a1a1a1a"
-GANG = "2b2b2b2b2b2b2b2b"
-SMALL = "5c0e7a21d94b36f8"
+WORKERS = 4
+CHAIN = "1a1a1a1a1a1a1a1a"
+JOB = "5c0e7a21d94b36f8"
+STEPS = 120
+UNKNOWN_MS = 2**64 - 1
 IDLE_LIMIT_S = 3.0  # rule LOST
-WATCH_S = 45.0
+WATCH_S = 25.0
 
 
 class Case(World):
@@ -28,52 +29,41 @@
         self.started = set()
 
     def work_of(self, task):
-        return (3600.0, True) if task.startswith(LASTING) else (2.0, False)
+        return (0.2, False) if task.startswith(CHAIN) else (2.0, False)
 
     def note_start(self, worker, run, fence):
         super().note_start(worker, run, fence)
         self.started.add(run.task)
 
-    def two_queues(self):
-        manifest = self.manifest()
-        later = dict(manifest["routes"][0], **{"name": "r-later", "path-prefix": "/later/",
-                                               "priority": 2, "target-latency-ms": 3000})
-        manifest["routes"].append(later)
-        return manifest
-
-    async def hand_in(self, path, step):
-        if not await self.submit(path, {"spec": "work", "steps": [step]}):
-            raise CannotRun(f"{path} was not accepted")
-
     async def play(self):
-        await self.store.put("keyed.op", "config", self.two_queues())
+        await self.store.put("keyed.op", "config", self.manifest())
         for index in range(WORKERS):
             await self.add_worker(f"i-{index:04d}")
         await self.start_hosts(3)
         if not await self.until(lambda: len(self.store.writers) > 3, 15, "a planner"):
             raise CannotRun("no planner")
         await asyncio.sleep(3.0)
-        whole = {"cpu": 4000, "mem-mb": 8000, "gpu": 8}
-        await self.hand_in(f"{self.prefix}{LASTING}", {"count": 3, "long-running": True, **whole})
-        if not await self.until(lambda: len(self.started) == 3, 5, "the lasting units"):
-            raise CannotRun("the lasting units do not run")
-        await asyncio.sleep(3.0)
-        if self.trouble:
-            await self.hand_in(f"{self.prefix}{GANG}",
-                               {"count": 6, "gang": True, "estimate-ms": 11000, **whole})
-            await asyncio.sleep(1.0)
-        await self.hand_in(f"/later/{SMALL}", {"count": 1, "cpu": 2800, "mem-mb": 7400, "gpu": 1,
-                                              "estimate-ms": 2000})
+        estimate = UNKNOWN_MS if self.trouble else 1000
+        step = {"count": 1, "cpu": 1000, "mem-mb": 100, "estimate-ms": estimate}
+        chain = [dict(step, **({"after": [number - 1]} if number else {}))
+                 for number in range(STEPS)]
+        if not await self.submit(f"{self.prefix}{CHAIN}", {"spec": "chain", "steps": chain}):
+            self.record.line("the chain was refused")
+        await asyncio.sleep(2.0)
+        step = {"count": 1, "cpu": 2800, "mem-mb": 7400, "gpu": 1, "estimate-ms": 2000}
+        if not await self.submit(f"{self.prefix}{JOB}", {"spec": "plan", "steps": [step]}):
+            raise CannotRun("the job was not accepted")
         accepted_at = time.monotonic()
-        unit = f"{SMALL}.0.0.0"
-        await self.until(lambda: unit in self.started, WATCH_S, f"the start of {unit}")
+        claims = len(self.store.claims)
+        unit = f"{JOB}.0.0.0"
+        is_started = await self.until(lambda: unit in self.started, WATCH_S, f"start of {unit}")
         waited = time.monotonic() - accepted_at
-        idle = [worker.name for worker in self.workers.values() if not worker.running]
-        await self.call("front-2", "GET", f"/later/{SMALL}")
-        self.record.line(f"{unit} waited {waited:.1f} s; idle workers: {idle}")
-        if waited > IDLE_LIMIT_S and unit not in self.started:
-            self.breaks(f"LOST: nothing of {SMALL}, which needs 1 GPU, has run for {waited:.0f} s, "
-                        f"while {len(idle)} of {WORKERS} workers are wholly idle")
+        claims = len(self.store.claims) - claims
+        await self.call("front-2", "GET", f"{self.prefix}{JOB}")
+        self.record.line(f"waited {waited:.1f} s; claims of leadership meanwhile: {claims}")
+        if not is_started and waited > IDLE_LIMIT_S:
+            self.breaks(f"LOST: nothing of {JOB} has run for {waited:.0f} s, while {WORKERS} of "
+                        f"{WORKERS} workers are idle; the planner was replaced {claims} times")
 
 
 main(Case, CASE)
