--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -44,10 +44,6 @@
         self.file.flush()
 
 
-class HttpError(Exception):
-    pass
-
-
 async def read_message(reader):
     """Returns (first line, headers, body) or None at the end of the connection."""
     head = await reader.readuntil(b"\r\n\r\n")
