--- a/crates/domain-sim/tests/faults.rs
+++ b/crates/domain-sim/tests/faults.rs
@@ -8,7 +8,7 @@
 use flamingowalk_domain::prelude::*;
 use flamingowalk_domain::request::caller_request::{CallerError, CallerResponse, JobPhase};
 use flamingowalk_domain::request::submission::OccurrenceSchedule;
-use flamingowalk_domain_sim::SimWorld;
+use flamingowalk_domain_sim::{SimWorker, SimWorld};
 use rstest::rstest;
 
 /// Submits a mixed load for ten seconds while `fault` acts on the world each second.
@@ -562,3 +562,71 @@
         );
     }
 }
+
+/// Returns a world of which all workers but the last run a long-running unit that leaves too
+/// little room for a unit with 4 accelerators.
+fn world_with_one_open_worker(seed: u64) -> (SimWorld, WorkerName) {
+    let mut world = ready_world(seed, 3, 4);
+    let mut lasting = step(3, 5);
+    lasting.is_long_running = true;
+    let work = Duration::from_mins(10);
+    world.submit(0, BATCH, JobKey(1), &job(vec![lasting]), work);
+    world.run_for(Duration::from_secs(3));
+    let idle = |worker: &SimWorker| worker.running.is_empty();
+    let mut open = world.workers.iter().filter(|(_, worker)| idle(worker));
+    let name = open.next().expect("a worker is idle").0.clone();
+    (world, name)
+}
+
+/// Guards against a unit that is never started again, since it avoids the only worker with
+/// room for good.
+#[rstest]
+#[case::start_not_answered(Some(Duration::from_secs(3)), Duration::from_secs(8))]
+#[case::run_failed(None, Duration::from_millis(3_300))]
+fn avoided_worker_used_if_no_other_has_room(
+    #[case] start_delay: Option<Duration>,
+    #[case] limit: Duration,
+) {
+    let (mut world, name) = world_with_one_open_worker(89);
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.next_start_delay = start_delay;
+        worker.fails_all = start_delay.is_none();
+    }
+    let work = Duration::from_millis(500);
+    world.submit(1, BATCH, JobKey(2), &job(vec![step(1, 4)]), work);
+    world.run_for(Duration::from_millis(700));
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.fails_all = false;
+    }
+    let is_done = |world: &SimWorld| world.jobs[&JobKey(2)].done_at.is_some();
+    assert!(world.run_until(limit, is_done), "the unit is not done");
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Guards against units that wait for one before them in their step, which avoids the only
+/// worker with room.
+#[test]
+fn avoided_worker_open_to_other_units_of_the_step() {
+    let (mut world, name) = world_with_one_open_worker(90);
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.fails_all = true;
+    }
+    let work = Duration::from_millis(500);
+    world.submit(1, BATCH, JobKey(2), &job(vec![step(5, 4)]), work);
+    let have_started = |world: &SimWorld| world.starts == 5;
+    assert!(world.run_until(Duration::from_secs(2), have_started));
+    world.run_for(Duration::from_millis(100));
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.fails_all = false;
+    }
+    world.run_for(Duration::from_millis(400));
+    // The first two units have failed, and the next two run.
+    let last = |world: &SimWorld| {
+        let mut running = world.workers[&name].running.keys();
+        running.any(|unit| unit.job == JobKey(2) && unit.index == 4)
+    };
+    assert!(
+        world.run_until(Duration::from_secs(1), last),
+        "the last unit was not started"
+    );
+}
--- a/crates/domain/src/process/planner/advice.rs
+++ b/crates/domain/src/process/planner/advice.rs
@@ -297,6 +297,7 @@
             shape,
             count: shape.group_size(),
             avoided: &[],
+            allows_avoided: false,
             approved: None,
             allows_remote: true,
             is_urgent: false,
--- a/crates/domain/src/process/planner/end.rs
+++ b/crates/domain/src/process/planner/end.rs
@@ -131,7 +131,7 @@
         if is_quarantined {
             log::info!(target: "worker", worker = name.as_str(); "worker quarantined after repeated failures");
         }
-        self.avoid_member_worker(&key, index);
+        self.avoid_member_worker(now, &key, index);
         let is_exhausted = self.record_failure(&key, run);
         self.release_member(now, &key, index, ReleaseEvidence::Ended);
         self.stop_group(now, key);
--- a/crates/domain/src/process/planner/job.rs
+++ b/crates/domain/src/process/planner/job.rs
@@ -69,8 +69,11 @@
     /// Whether this planner started the newest run, and without a checkpoint, so that its
     /// duration is a sample for the estimates.
     pub is_full_run: bool,
-    /// Workers that the group avoids after failures, unless the others are too few for it.
+    /// Workers that the group avoids after failures. A preference only once `avoids_until` has
+    /// passed, or if the others are too few for the group.
     pub failed_on: Vec<WorkerName>,
+    /// Time before which the group rather waits than starts on a worker that it avoids.
+    pub avoids_until: MonotonicTime,
 }
 
 /// Phase of a group.
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -140,6 +140,7 @@
             // more.
             let waited = now.since(step.ready_at.max(group.not_before));
             let failed_on = group.failed_on.clone();
+            let allows_avoided = now >= group.avoids_until;
             if view.unrecorded.contains(&key) || self.awaits_late_start(&key, &view.uncertain) {
                 continue;
             }
@@ -149,6 +150,7 @@
                 shape,
                 count: shape.group_size(),
                 avoided: &failed_on,
+                allows_avoided,
                 approved: approved.as_ref(),
                 allows_remote: false,
                 is_urgent,
@@ -162,7 +164,14 @@
                 if let Some(settings) = settings {
                     self.request_advice(context, settings, &request, view);
                 }
+                if allows_avoided {
+                    request = request.without_avoided();
+                }
                 self.reclaim_or_reserve(context, key, step, &request, view, reserved);
+                // The next group may fit on a worker that this one avoids.
+                if !request.avoided.is_empty() {
+                    continue;
+                }
                 break;
             };
             if !self.respects_headroom(now, step, shape, run_time, view, &placement) {
--- a/crates/domain/src/process/planner/place.rs
+++ b/crates/domain/src/process/planner/place.rs
@@ -55,8 +55,11 @@
     pub shape: &'a StepShape,
     /// Members to place.
     pub count: u16,
-    /// Workers that are used only if the others are too few for the group.
+    /// Workers that are used only if the others are too few for the group, or if it does not
+    /// fit on them and `allows_avoided` is set.
     pub avoided: &'a [WorkerName],
+    /// Whether the group starts on a worker to be avoided rather than waits for another one.
+    pub allows_avoided: bool,
     /// Workers that may run the step, where its queue needs approvals.
     pub approved: Option<&'a BTreeSet<WorkerName>>,
     /// Whether workers on which the units are slower, away from their data or from each
@@ -69,6 +72,17 @@
     pub ends_at: MonotonicTime,
 }
 
+impl PlaceRequest<'_> {
+    /// Returns the request without workers to be avoided.
+    #[must_use]
+    pub const fn without_avoided(&self) -> Self {
+        Self {
+            avoided: &[],
+            ..*self
+        }
+    }
+}
+
 /// Capacity of all workers on which units may be started.
 #[derive(Clone, Debug, Default)]
 pub struct CapacityView {
@@ -232,8 +246,11 @@
         if self.failed.iter().any(|failed| failed.covers(request)) {
             return None;
         }
-        let placement = self.search(request);
-        let is_general = request.avoided.is_empty()
+        let mut placement = self.search(request);
+        if placement.is_none() && request.allows_avoided && !request.avoided.is_empty() {
+            placement = self.search(&request.without_avoided());
+        }
+        let is_general = (request.avoided.is_empty() || request.allows_avoided)
             && request.approved.is_none()
             && request.shape.worker_limit.is_none();
         if placement.is_none() && is_general {
--- a/crates/domain/src/process/planner/progress.rs
+++ b/crates/domain/src/process/planner/progress.rs
@@ -160,7 +160,7 @@
             worker = name.as_ref().map_or("none", WorkerName::as_str), cause = order.cause;
             "run is moved"
         );
-        self.avoid_member_worker(&order.key, order.member);
+        self.avoid_member_worker(now, &order.key, order.member);
         if let Some(name) = name {
             self.mark_worker_slowed(now, &name, order.cause);
         }
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -22,6 +22,9 @@
 
 /// Delay before a group whose run was stopped or refused is planned again.
 const REPLAN_DELAY: Duration = Duration::from_millis(100);
+/// Maximum time for which a group waits for another worker after a failure; a second less
+/// than the three seconds for which a job may have nothing running while there is room.
+const MAX_AVOIDANCE_WAIT: Duration = Duration::from_secs(2);
 /// Delay before a stop without an answer is repeated.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -184,7 +187,7 @@
             Ok(WorkerAnswer::Listed(_))
             | Err(WorkerError::NoAnswer | WorkerError::Malformed { .. }) => {
                 log::info!(target: "start", unit = unit.to_string().as_str(), run = run.0; "start not answered; stopping the run");
-                self.avoid_member_worker(&key, index);
+                self.avoid_member_worker(context.now, &key, index);
                 self.stop_group(context.now, key);
             }
             Err(WorkerError::Unreachable) => {
@@ -256,21 +259,22 @@
         evidence: ReleaseEvidence,
         why: &str,
     ) {
-        self.avoid_member_worker(&key, index);
+        self.avoid_member_worker(now, &key, index);
         self.release_member(now, &key, index, evidence);
         self.stop_group(now, key);
         log::debug!(target: "start", group = key.to_string().as_str(), member = index, why; "member removed");
     }
 
     /// Adds the worker of a member to those that its group avoids.
-    pub(super) fn avoid_member_worker(&mut self, key: &GroupKey, index: usize) {
+    pub(super) fn avoid_member_worker(&mut self, now: MonotonicTime, key: &GroupKey, index: usize) {
         let Some(name) = self.member_worker(key, index) else {
             return;
         };
-        if let Some(group) = self.group_mut(key)
-            && !group.failed_on.contains(&name)
-        {
-            group.failed_on.push(name);
+        if let Some(group) = self.group_mut(key) {
+            group.avoids_until = now + MAX_AVOIDANCE_WAIT;
+            if !group.failed_on.contains(&name) {
+                group.failed_on.push(name);
+            }
         }
     }
 
