--- a/crates/domain-sim/tests/upkeep.rs
+++ b/crates/domain-sim/tests/upkeep.rs
@@ -157,3 +157,74 @@
     assert_eq!(world.machines.upkeeps, 3);
     assert!(!is_completed(&world), "a listed machine has had no upkeep");
 }
+
+/// Checks that a unit for each worker is started within the time for which a job may have
+/// nothing running while there is room.
+#[track_caller]
+fn check_all_workers_open(world: &mut SimWorld, count: u16) {
+    let work = Duration::from_mins(1);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(count, 8)]), work);
+    world.run_for(Duration::from_secs(3));
+    let running = world.workers.values().map(|worker| worker.running.len());
+    let running: usize = running.sum();
+    assert_eq!(running, usize::from(count), "a worker is closed");
+}
+
+/// Guards against workers that stay closed to runs after the wave, since their upkeep was
+/// ordered again after a lost answer, when it was done already.
+#[test]
+fn wave_lost_answers_workers_accept_runs() {
+    let mut world = world_with_wave(100, 8, 5);
+    world.machines.answers_to_lose = 5;
+    check_completed(&mut world, 8, 5);
+    check_all_workers_open(&mut world, 8);
+}
+
+/// Guards against the same after a planner that was lost between an upkeep and its record.
+#[test]
+fn wave_unrecorded_upkeep_workers_accept_runs() {
+    let mut world = world_with_wave(101, 4, 4);
+    let is_ordered = |world: &SimWorld| world.machines.upkeeps > 0;
+    assert!(world.run_until(WAVE_TIMEOUT, is_ordered));
+    let index = planner_of(&world);
+    world.kill_host(index);
+    world.start_host(index);
+    check_completed(&mut world, 4, 4);
+    check_all_workers_open(&mut world, 4);
+}
+
+/// Guards against workers that stay closed to runs after their wave was withdrawn, while
+/// another wave is open.
+#[test]
+fn wave_withdrawn_beside_another_workers_accept_runs() {
+    let mut world = ready_world(102, 3, 3);
+    let workers: Vec<_> = world.workers.keys().cloned().collect();
+    world.machines.add_workers(workers.into_iter());
+    let names: Vec<_> = world.machines.machines.keys().cloned().collect();
+    // The first machine is never up, so that the first wave stays open.
+    if let Some(machine) = world.machines.machines.get_mut(&names[0]) {
+        machine.is_down = true;
+    }
+    let mut long_running = step(3, 8);
+    long_running.is_long_running = true;
+    long_running.may_miss = Some(0);
+    let work = Duration::from_mins(10);
+    world.submit(0, BATCH, JobKey(2), &job(vec![long_running]), work);
+    world.run_for(Duration::from_secs(1));
+    for (number, machines) in [(WAVE, &names[..1]), (WaveNumber(8), &names[1..])] {
+        let order = WaveOrder {
+            number,
+            machines: machines.iter().cloned().collect(),
+            duration: Duration::from_secs(30),
+            cap: 2,
+        };
+        world.log.put_wave(number, Some(order));
+    }
+    world.run_for(Duration::from_secs(5));
+    world.log.put_wave(WaveNumber(8), None);
+    world.run_for(Duration::from_secs(1));
+    world.cancel(0, BATCH, JobKey(2));
+    world.run_for(Duration::from_secs(2));
+    assert_eq!(world.machines.upkeeps, 0);
+    check_all_workers_open(&mut world, 3);
+}
--- a/crates/domain/src/process/planner/upkeep.rs
+++ b/crates/domain/src/process/planner/upkeep.rs
@@ -20,6 +20,9 @@
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Timeout of requests to the machine service, and of status appends.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which a worker stays cordoned after an order for its machine if no listing shows
+/// what became of the machine. Outlasts outages of the machine service of a few seconds.
+const MAX_UNLISTED_CORDON: Duration = Duration::from_secs(10);
 /// Maximum time for which a worker may go on with its runs before they are moved.
 const MAX_DRAIN_WAIT: Duration = Duration::from_secs(10);
 
@@ -67,13 +70,17 @@
     has_list: bool,
     list: Option<PendingMachineList>,
     next_list_at: MonotonicTime,
-    /// Machines whose worker is being drained, and since when.
+    /// Machines whose worker is being drained, and since when. Chosen anew by each step of the
+    /// waves.
     draining: BTreeMap<MachineName, MonotonicTime>,
-    /// Machines that may be unavailable for their upkeep, and since when.
+    /// Machines that may be unavailable for their upkeep, and since when. A listing that is
+    /// requested after that and shows them in another state removes them.
     unavailable: BTreeMap<MachineName, MonotonicTime>,
-    /// Earliest time of the next order for a machine.
+    /// Earliest time of the next order for a machine whose order failed.
     not_before: BTreeMap<MachineName, MonotonicTime>,
     orders: Vec<PendingUpkeep>,
+    /// Workers that the newest step of the waves cordoned.
+    cordoned: BTreeSet<WorkerName>,
     statuses: Vec<PendingStatus>,
     /// Earliest time of the next status append.
     next_status_at: MonotonicTime,
@@ -89,6 +96,11 @@
         machines.filter(move |name| !self.record.is_completed && !done.contains(*name))
     }
 
+    /// Whether a machine still needs its upkeep.
+    fn needs_upkeep(&self, machine: &MachineName) -> bool {
+        self.open_machines().any(|name| name == machine)
+    }
+
     /// Returns the time that a worker may take to drain, so that all machines get their
     /// upkeep within the duration of the wave.
     fn max_drain_wait(&self) -> Duration {
@@ -122,8 +134,31 @@
         known.order = order;
     }
 
-    fn has_open_wave(&self) -> bool {
-        self.waves.values().any(|wave| !wave.record.is_completed)
+    /// Whether a wave is open, or an order for a machine of one that was not confirmed yet.
+    fn has_work(&self) -> bool {
+        let mut waves = self.waves.values();
+        waves.any(|wave| !wave.record.is_completed)
+            || !self.orders.is_empty()
+            || !self.unavailable.is_empty()
+    }
+
+    /// Returns the workers on which nothing may be started: those being drained, and those
+    /// that end with an upkeep that was ordered or is about to be ordered again.
+    fn cordoned_workers(&self, now: MonotonicTime) -> BTreeSet<WorkerName> {
+        let draining = self.draining.keys();
+        let ordered = self.orders.iter().map(|order| &order.machine);
+        let unlisted = self.unavailable.iter();
+        let unlisted = unlisted.filter(|(_, since)| now < **since + MAX_UNLISTED_CORDON);
+        let mut waves = self.waves.values();
+        let mut is_open = |name: &MachineName| waves.any(|wave| wave.needs_upkeep(name));
+        let delayed = self.not_before.iter();
+        let delayed = delayed.filter(|(name, until)| now < **until && is_open(name));
+        draining
+            .chain(ordered)
+            .chain(unlisted.map(|(name, _)| name))
+            .chain(delayed.map(|(name, _)| name))
+            .filter_map(|name| self.machines.get(name)?.worker.clone())
+            .collect()
     }
 
     /// Returns the number of machines of a wave that are or may be down for it.
@@ -161,26 +196,24 @@
     /// Advances all waves: lists the machines, drains workers, orders upkeep and reports the
     /// progress.
     pub(super) fn advance_waves(&mut self, context: &mut PlanContext<'_>) {
-        if !self.upkeep.has_open_wave() || self.upkeep.is_fenced {
-            if !self.upkeep.draining.is_empty() {
-                self.upkeep.draining.clear();
-                self.uncordon_workers();
-            }
-            self.publish_wave_states(context);
-            return;
-        }
+        let is_active = self.upkeep.has_work() && !self.upkeep.is_fenced;
         // The previous planner may have sent an order just now, and orders of two planners
         // for one machine must be `machine_lease` apart.
-        if context.now < self.started_at + self.limits.machine_lease {
+        if is_active && context.now < self.started_at + self.limits.machine_lease {
             return;
         }
-        self.request_machine_list(context);
-        if self.upkeep.has_list {
-            let numbers: Vec<_> = self.upkeep.waves.keys().copied().collect();
-            for number in numbers {
-                self.advance_wave(context, number);
+        let mut draining = BTreeMap::new();
+        if is_active {
+            self.request_machine_list(context);
+            if self.upkeep.has_list {
+                let numbers: Vec<_> = self.upkeep.waves.keys().copied().collect();
+                for number in numbers {
+                    self.advance_wave(context, number, &mut draining);
+                }
             }
         }
+        self.upkeep.draining = draining;
+        self.update_cordons(context.now);
         self.publish_wave_states(context);
     }
 
@@ -227,8 +260,14 @@
     }
 
     /// Orders the upkeep of machines of a wave whose workers are empty, drains the next
-    /// workers, and completes the wave once no machine is left.
-    fn advance_wave(&mut self, context: &mut PlanContext<'_>, number: WaveNumber) {
+    /// workers, and completes the wave once no machine is left. Adds the machines whose
+    /// workers are drained to `draining`.
+    fn advance_wave(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        number: WaveNumber,
+        draining: &mut BTreeMap<MachineName, MonotonicTime>,
+    ) {
         let now = context.now;
         let Some(wave) = self.upkeep.waves.get(&number) else {
             return;
@@ -267,13 +306,13 @@
         }
         candidates.sort();
         for (_, held, machine, worker) in candidates.into_iter().take(available) {
-            let since = *self.upkeep.draining.entry(machine.clone()).or_insert(now);
-            if let Some(worker) = self.workers.get_mut(&worker) {
-                worker.is_cordoned = true;
-            }
             if held == 0 {
                 self.order_upkeep(context, number, machine);
-            } else if now >= since + max_wait {
+                continue;
+            }
+            let since = self.upkeep.draining.get(&machine).copied().unwrap_or(now);
+            draining.insert(machine, since);
+            if now >= since + max_wait {
                 self.move_runs_off(now, &worker);
             }
         }
@@ -295,7 +334,6 @@
             epoch: self.epoch,
             timeout: REQUEST_TIMEOUT,
         }));
-        self.upkeep.draining.remove(&machine);
         self.upkeep.orders.push(PendingUpkeep {
             ticket,
             wave,
@@ -375,11 +413,18 @@
         self.writer.push(&JobRecord::Wave(number, record), None);
     }
 
-    fn uncordon_workers(&mut self) {
-        for worker in self.workers.values_mut() {
-            worker.is_cordoned = false;
+    /// Cordons exactly the workers whose machines are due for upkeep.
+    fn update_cordons(&mut self, now: MonotonicTime) {
+        let cordoned = self.upkeep.cordoned_workers(now);
+        if cordoned.is_empty() && self.upkeep.cordoned.is_empty() {
+            return;
+        }
+        for (name, worker) in &mut self.workers {
+            let is_cordoned = cordoned.contains(name);
+            self.is_dirty |= worker.is_cordoned && !is_cordoned;
+            worker.is_cordoned = is_cordoned;
         }
-        self.is_dirty = true;
+        self.upkeep.cordoned = cordoned;
     }
 
     /// Reports the state of the waves to the operator.
--- a/crates/domain/src/process/planner/worker.rs
+++ b/crates/domain/src/process/planner/worker.rs
@@ -38,7 +38,8 @@
     pub reported_after: Option<MonotonicTime>,
     /// Whether its entry is still in the workers stream.
     pub is_listed: bool,
-    /// Whether nothing may be started on it, since its machine is due for upkeep.
+    /// Whether nothing may be started on it, since its machine is due for upkeep. Set anew by
+    /// each step of the waves.
     pub is_cordoned: bool,
     /// Whether any source reported that it is draining. Stays set for its incarnation.
     pub is_draining: bool,
