--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -27,6 +27,11 @@
     }
 }
 
+/// Returns a duration times a factor that is not negative, at most [`Duration::MAX`].
+pub fn saturating_scale(duration: Duration, factor: f64) -> Duration {
+    Duration::try_from_secs_f64(duration.as_secs_f64() * factor).unwrap_or(Duration::MAX)
+}
+
 impl Add<Duration> for MonotonicTime {
     type Output = Self;
 
--- a/crates/domain-sim/tests/faults.rs
+++ b/crates/domain-sim/tests/faults.rs
@@ -531,6 +531,7 @@
 #[case::accelerators(1_000, 1, u32::MAX, None)]
 #[case::interval(1_000, 1, 1, Some((0, u64::MAX, u32::MAX)))]
 #[case::first_time(1_000, 1, 1, Some((u64::MAX, 1, 2)))]
+#[case::second_time(1_000, 1, 1, Some((1, u64::MAX, 3)))]
 fn submission_with_extreme_numbers_stops_nothing(
     #[case] estimate_ms: u64,
     #[case] cpu_millis: u64,
@@ -563,6 +564,39 @@
     }
 }
 
+/// Guards against a chain of steps with extreme estimates, whose sum stopped every planner.
+#[rstest]
+fn submission_with_extreme_chain_stops_nothing(
+    #[values(u64::MAX, u64::MAX / 1_000, 1 << 53)] estimate_ms: u64,
+    #[values(URGENT, BATCH)] path: &str,
+    #[values(3.0, 1e300, f64::INFINITY, f64::NAN)] stretch: f64,
+) {
+    let mut settings = manifest(2);
+    for queue in settings.queues.values_mut() {
+        queue.stretch = stretch;
+        queue.target_latency = Duration::from_millis(u64::MAX);
+    }
+    let mut world = ready_world(91, 3, 4);
+    world.log.put_manifest(settings);
+    world.run_for(Duration::from_secs(1));
+    let chain = (0..1_000_u16).map(|number| {
+        let mut shape = step(1, 1);
+        shape.estimate_ms = estimate_ms;
+        shape.after = number.checked_sub(1).into_iter().collect();
+        shape
+    });
+    let work = Duration::from_millis(500);
+    world.submit(0, path, JobKey(1), &job(chain.collect()), work);
+    world.run_for(Duration::from_secs(2));
+    world.submit(1, URGENT, JobKey(2), &job(vec![gang(2, 4)]), work);
+    world.submit(1, BATCH, JobKey(3), &job(vec![step(4, 1)]), work);
+    world.run_for(Duration::from_secs(3));
+    for number in [2, 3] {
+        let report = &world.jobs[&JobKey(number)];
+        assert!(report.done_at.is_some(), "job {number}");
+    }
+}
+
 /// Returns a world of which all workers but the last run a long-running unit that leaves too
 /// little room for a unit with 4 accelerators.
 fn world_with_one_open_worker(seed: u64) -> (SimWorld, WorkerName) {
--- a/crates/domain/src/process/planner/order.rs
+++ b/crates/domain/src/process/planner/order.rs
@@ -4,6 +4,8 @@
 //! objective: it gains nothing from an earlier start, and others would miss theirs meanwhile.
 //! Steps that can no longer meet even that come last.
 
+use flamingowalk_core::clock::saturating_scale;
+
 use crate::prelude::*;
 use crate::process::planner::estimate::RunTimes;
 use crate::process::planner::job::{GroupPhase, PlanGroup, PlanJob, PlanOccurrence};
@@ -69,7 +71,7 @@
         } else {
             Duration::ZERO
         };
-        ends.push(start + run);
+        ends.push(start.saturating_add(run));
     }
     ends.into_iter().max().unwrap_or_default()
 }
@@ -78,7 +80,8 @@
 /// done.
 pub fn objective(job: &PlanJob, times: &RunTimes) -> Duration {
     let target = Duration::from_millis(job.accepted.target_latency_ms);
-    critical_path_time(job, times).mul_f64(job.accepted.stretch.max(0.0)) + target
+    let stretch = job.accepted.stretch.max(0.0);
+    saturating_scale(critical_path_time(job, times), stretch).saturating_add(target)
 }
 
 /// Returns all steps with groups that may start now, in the order of planning.
@@ -94,7 +97,7 @@
         for (number, occurrence) in &job.occurrences {
             let remaining = remaining_time(job, occurrence, times);
             let due_by = occurrence.due_at + objective;
-            let late_by = occurrence.due_at + objective * LATE_FACTOR;
+            let late_by = occurrence.due_at + objective.saturating_mul(LATE_FACTOR);
             let template = WaitingStep {
                 key: StepKey {
                     job: job.key,
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -203,7 +203,8 @@
         if step.is_guaranteed && waited >= LOCALITY_TIMEOUT {
             return true;
         }
-        let remote_time = request.ends_at.since(now) * self.limits.remote_factor;
+        let run_time = request.ends_at.since(now);
+        let remote_time = run_time.saturating_mul(self.limits.remote_factor);
         let remote_end = now + remote_time;
         let is_last_chance =
             remote_end <= step.late_by && remote_end + REMOTE_MARGIN >= step.late_by;
--- a/crates/domain/src/request/submission.rs
+++ b/crates/domain/src/request/submission.rs
@@ -39,7 +39,8 @@
 impl OccurrenceSchedule {
     /// Returns the due time of an occurrence.
     pub const fn due_at(&self, occurrence: u32) -> WallTime {
-        WallTime(self.first_at + self.interval_ms * occurrence as u64)
+        let offset = self.interval_ms.saturating_mul(occurrence as u64);
+        WallTime(self.first_at.saturating_add(offset))
     }
 }
 
@@ -115,9 +116,9 @@
     #[must_use]
     pub const fn plus(&self, other: &Self) -> Self {
         Self {
-            cpu_millis: self.cpu_millis + other.cpu_millis,
-            memory_mb: self.memory_mb + other.memory_mb,
-            accelerators: self.accelerators + other.accelerators,
+            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
