--- a/crates/domain-sim/src/sim_worker.rs
+++ b/crates/domain-sim/src/sim_worker.rs
@@ -64,6 +64,8 @@
     /// If set, the next order to start is carried out this much later, and its host gets
     /// no answer.
     pub next_start_delay: Option<Duration>,
+    /// Times that the next stops take, the last one first; the usual time once it is empty.
+    pub stop_delays: Vec<Duration>,
     /// Number of next polls that it refuses as unhealthy.
     pub polls_to_refuse: u32,
     /// Runs by unit.
@@ -93,6 +95,7 @@
             fails_all: false,
             speed: 1.0,
             next_start_delay: None,
+            stop_delays: Vec::new(),
             polls_to_refuse: 0,
             running: BTreeMap::new(),
             ended: Vec::new(),
@@ -197,8 +200,10 @@
         *newest = (*newest).max(run);
         if let Some(known) = self.running.get_mut(&unit)
             && known.run <= run
+            && known.stops_at.is_none()
         {
-            known.stops_at.get_or_insert(now + STOP_DELAY);
+            let delay = self.stop_delays.pop().unwrap_or(STOP_DELAY);
+            known.stops_at = Some(now + delay);
         }
         WorkerAnswer::Done { clock }
     }
--- a/crates/domain-sim/tests/sharing.rs
+++ b/crates/domain-sim/tests/sharing.rs
@@ -110,3 +110,25 @@
     }
     assert_eq!(running(&world, 2), 1);
 }
+
+/// Guards against fillers that return to a worker before the last of them has stopped there, so
+/// that the serving unit which they were stopped for never starts.
+#[test]
+fn serving_starts_although_stops_of_fillers_differ() {
+    let mut world = ready_world(55, 3, 4);
+    let mut shape = filler(16, 8_000);
+    shape.is_long_running = true;
+    world.submit(0, BATCH, JobKey(1), &job(vec![shape]), LONG_WORK);
+    world.run_for(Duration::from_secs(2));
+    assert_eq!(running(&world, 1), 16);
+    for worker in world.workers.values_mut() {
+        let delays = [850, 550, 300, 50].map(Duration::from_millis);
+        worker.stop_delays = delays.repeat(20);
+    }
+    world.submit(0, BATCH, JobKey(2), &job(vec![serving(2)]), LONG_WORK);
+    let are_serving = |world: &SimWorld| running(world, 2) == 2;
+    assert!(
+        world.run_until(Duration::from_secs(3), are_serving),
+        "no worker is emptied for the serving units"
+    );
+}
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -94,7 +94,8 @@
         settings.is_some_and(|settings| settings.is_spare)
     }
 
-    /// Counts the units on a worker by step, for steps that limit their units per worker.
+    /// Counts the units on a worker and those that claims will bring, by step, for steps that
+    /// limit their units per worker.
     fn limited_units(&self, name: &WorkerName) -> BTreeMap<StepKey, u16> {
         let mut limited = BTreeMap::new();
         let Some(worker) = self.workers.get(name) else {
@@ -104,6 +105,9 @@
             let key = StepKey::of(&holding.group);
             *limited.entry(key).or_default() += 1;
         }
+        for (group, claimed) in worker.claimed.iter().filter(|(_, claim)| claim.is_limited) {
+            *limited.entry(StepKey::of(group)).or_default() += claimed.count;
+        }
         limited
     }
 
@@ -260,7 +264,8 @@
                     .shape
                     .reserved_demand()
                     .count_fitting(&available, u32::from(*count));
-                let is_admitted = SharedUse::of(worker).admits(UnitShare::of(request.shape));
+                let shared = SharedUse::of(worker, Some(&key));
+                let is_admitted = shared.admits(UnitShare::of(request.shape));
                 let is_certain = !view.uncertain.contains(*name);
                 worker.is_open(context.now)
                     && is_certain
@@ -285,7 +290,7 @@
                 let limited = self.limited_units(name);
                 let row = &mut view.rows[index];
                 row.free = worker.free_capacity_for(None);
-                row.shared = SharedUse::of(worker);
+                row.shared = SharedUse::of(worker, None);
                 row.limited = limited;
             }
         }
--- a/crates/domain/src/process/planner/place.rs
+++ b/crates/domain/src/process/planner/place.rs
@@ -20,7 +20,7 @@
     pub limited: BTreeMap<StepKey, u16>,
     /// Capacity reserved for large groups that do not fit yet.
     pub reservations: Vec<CapacityReservation>,
-    /// Units on the worker that other kinds of units may not share it with.
+    /// Units on the worker, now or by a claim, that other kinds of units may not share it with.
     pub shared: SharedUse,
 }
 
@@ -164,7 +164,7 @@
             tier: worker.speed.tier(),
             limited: BTreeMap::new(),
             reservations: Vec::new(),
-            shared: SharedUse::of(worker),
+            shared: SharedUse::of(worker, None),
         }
     }
 
--- a/crates/domain/src/process/planner/reclaim.rs
+++ b/crates/domain/src/process/planner/reclaim.rs
@@ -216,8 +216,7 @@
     ) {
         for name in &placement.workers {
             if let Some(worker) = self.workers.get_mut(name) {
-                let reserved = worker.reserved.entry(key).or_default();
-                *reserved = reserved.plus(&request.shape.reserved_demand());
+                worker.claim(key, request.shape);
             }
         }
         view.allocate(request, &placement);
@@ -225,7 +224,7 @@
         self.claims.insert(key, CapacityClaim { placement, until });
     }
 
-    /// Reserves the capacity that is claimed on a worker, whose state was created anew.
+    /// Restores the claims on a worker, whose state was created anew.
     pub(super) fn restore_claims(&mut self, name: &WorkerName) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
@@ -237,8 +236,7 @@
             };
             let placed = claim.placement.workers.iter();
             for _ in placed.filter(|claimed| *claimed == name) {
-                let reserved = worker.reserved.entry(*key).or_default();
-                *reserved = reserved.plus(&shape.reserved_demand());
+                worker.claim(*key, shape);
             }
         }
     }
@@ -248,7 +246,7 @@
         if let Some(claim) = self.claims.remove(key) {
             for name in &claim.placement.workers {
                 if let Some(worker) = self.workers.get_mut(name) {
-                    worker.reserved.remove(key);
+                    worker.claimed.remove(key);
                 }
             }
         }
@@ -368,7 +366,13 @@
     ) -> Option<Vec<ReclaimVictim>> {
         let share = UnitShare::of(reclaim.place.shape);
         let is_serving = share == UnitShare::Serving;
-        if !is_serving && !SharedUse::of(worker).admits(share) {
+        // Fillers on the worker can be stopped for a serving group; claims cannot.
+        let shared = if is_serving {
+            SharedUse::claimed(worker, None)
+        } else {
+            SharedUse::of(worker, None)
+        };
+        if !shared.admits(share) {
             return None;
         }
         let mut victims: Vec<ReclaimVictim> = Vec::new();
--- a/crates/domain/src/process/planner/sharing.rs
+++ b/crates/domain/src/process/planner/sharing.rs
@@ -52,15 +52,27 @@
 }
 
 impl SharedUse {
-    /// Counts the units on a worker.
-    pub fn of(worker: &PlanWorker) -> Self {
-        let mut shared = Self::default();
+    /// Counts the units on a worker, and those that the claims of groups other than `group`
+    /// will bring.
+    pub fn of(worker: &PlanWorker, group: Option<&GroupKey>) -> Self {
+        let mut shared = Self::claimed(worker, group);
         for holding in worker.holdings.values() {
             shared.add(holding.share);
         }
         shared
     }
 
+    /// Counts the units that the claims of groups other than `group` will bring.
+    pub fn claimed(worker: &PlanWorker, group: Option<&GroupKey>) -> Self {
+        let mut shared = Self::default();
+        for (_, claimed) in worker.claimed_except(group) {
+            for _ in 0..claimed.count {
+                shared.add(claimed.share);
+            }
+        }
+        shared
+    }
+
     /// Counts one more unit.
     pub const fn add(&mut self, share: UnitShare) {
         match share {
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -56,7 +56,7 @@
             let Some(worker) = self.workers.get_mut(name) else {
                 continue;
             };
-            worker.reserved.remove(&key);
+            worker.claimed.remove(&key);
             let holding = Holding { member, ..holding };
             worker.hold(key.unit(member as u16), holding);
             group.members.push(PlanMember {
@@ -487,7 +487,7 @@
             self.jobs.remove(&key);
             self.advice.remove_job(key);
             for worker in self.workers.values_mut() {
-                worker.reserved.retain(|group, _| group.job != key);
+                worker.claimed.retain(|group, _| group.job != key);
             }
             self.is_dirty = true;
         }
--- a/crates/domain/src/process/planner/worker.rs
+++ b/crates/domain/src/process/planner/worker.rs
@@ -29,6 +29,19 @@
     pub is_sent: bool,
 }
 
+/// Units of a group that a worker is claimed for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClaimedUnits {
+    /// Number of units.
+    pub count: u16,
+    /// Capacity that they will occupy together.
+    pub demand: UnitDemand,
+    /// How each of them will share the worker.
+    pub share: UnitShare,
+    /// Whether their step limits the number of its units on a worker.
+    pub is_limited: bool,
+}
+
 /// A worker, as the planner knows it.
 #[derive(Clone, Debug)]
 pub struct PlanWorker {
@@ -49,8 +62,9 @@
     pub unrecorded: BTreeMap<UnitKey, RunNumber>,
     /// Capacity less the holdings. Kept up to date by [`Self::hold`] and [`Self::release`].
     pub free: UnitDemand,
-    /// Capacity claimed for groups that other runs were stopped for.
-    pub reserved: BTreeMap<GroupKey, UnitDemand>,
+    /// Units that claims will bring, by the groups that other runs were stopped for. Ends with
+    /// the claim of the group.
+    pub claimed: BTreeMap<GroupKey, ClaimedUnits>,
     /// State of the exchange.
     pub link: WorkerLink,
     /// Health by the results of its runs.
@@ -142,7 +156,7 @@
             holdings: BTreeMap::new(),
             unrecorded: BTreeMap::new(),
             free: report.capacity,
-            reserved: BTreeMap::new(),
+            claimed: BTreeMap::new(),
             link: WorkerLink {
                 clock: Some(clock),
                 ..WorkerLink::default()
@@ -190,14 +204,33 @@
     /// groups.
     pub fn free_capacity_for(&self, group: Option<&GroupKey>) -> UnitDemand {
         let mut available = self.free;
-        for (owner, demand) in &self.reserved {
-            if Some(owner) != group {
-                available = available.minus(demand);
-            }
+        for (_, claimed) in self.claimed_except(group) {
+            available = available.minus(&claimed.demand);
         }
         available
     }
 
+    /// Returns the units that the claims of other groups will bring.
+    pub fn claimed_except(
+        &self,
+        group: Option<&GroupKey>,
+    ) -> impl Iterator<Item = (&GroupKey, &ClaimedUnits)> {
+        let claimed = self.claimed.iter();
+        claimed.filter(move |(owner, _)| Some(*owner) != group)
+    }
+
+    /// Claims the worker for one more unit of a group.
+    pub fn claim(&mut self, group: GroupKey, shape: &StepShape) {
+        let claimed = self.claimed.entry(group).or_insert(ClaimedUnits {
+            count: 0,
+            demand: UnitDemand::default(),
+            share: UnitShare::of(shape),
+            is_limited: shape.worker_limit.is_some(),
+        });
+        claimed.count += 1;
+        claimed.demand = claimed.demand.plus(&shape.reserved_demand());
+    }
+
     /// Whether units may be started on it now.
     pub fn is_open(&self, now: MonotonicTime) -> bool {
         self.is_listed
