--- a/crates/domain-sim/tests/sharing.rs
+++ b/crates/domain-sim/tests/sharing.rs
@@ -132,3 +132,28 @@
         "no worker is emptied for the serving units"
     );
 }
+
+/// Guards against a long-running job that is given up, since an end of its objective has
+/// passed that means nothing for it.
+#[test]
+fn serving_starts_late_in_pool_of_fillers() {
+    let mut world = ready_world(56, 3, 2);
+    let mut occupied = long_running(2, 8);
+    occupied.tail_target_ms = None;
+    world.submit(0, BATCH, JobKey(1), &job(vec![occupied]), LONG_WORK);
+    world.run_for(Duration::from_secs(1));
+    let mut shape = filler(8, 8_000);
+    shape.is_long_running = true;
+    world.submit(0, BATCH, JobKey(2), &job(vec![shape]), LONG_WORK);
+    world.run_for(Duration::from_secs(1));
+    assert_eq!(running(&world, 2), 8);
+    world.submit(0, BATCH, JobKey(3), &job(vec![serving(1)]), LONG_WORK);
+    world.run_for(Duration::from_mins(2));
+    assert_eq!(running(&world, 3), 0);
+    world.cancel(0, BATCH, JobKey(1));
+    let is_serving = |world: &SimWorld| running(world, 3) == 1;
+    assert!(
+        world.run_until(Duration::from_secs(3), is_serving),
+        "the serving unit is not started"
+    );
+}
--- a/crates/domain/src/process/planner/order.rs
+++ b/crates/domain/src/process/planner/order.rs
@@ -21,9 +21,11 @@
     pub priority: u8,
     /// Whether the job is within its customer's guarantee.
     pub is_guaranteed: bool,
-    /// Whether the objective cannot be met any more.
+    /// Whether the objective cannot be met any more. Never set for a long-running job, which
+    /// has no end.
     pub is_late: bool,
-    /// Whether even the late objective cannot be met any more.
+    /// Whether even the late objective cannot be met any more. Never set for a long-running
+    /// job either.
     pub is_too_late: bool,
     /// End of the objective of the occurrence.
     pub due_by: MonotonicTime,
@@ -94,6 +96,7 @@
     let mut waiting = Vec::new();
     for job in jobs.values().filter(|job| !job.is_closing) {
         let objective = objective(job, times);
+        let has_end = !job.accepted.submission.is_long_running();
         for (number, occurrence) in &job.occurrences {
             let remaining = remaining_time(job, occurrence, times);
             let due_by = occurrence.due_at + objective;
@@ -107,8 +110,8 @@
                 groups: Vec::new(),
                 priority: job.accepted.priority,
                 is_guaranteed: guaranteed.contains(&job.key),
-                is_late: now + remaining > due_by,
-                is_too_late: now + remaining.mul_f64(LEAST_TIME_SHARE) > late_by,
+                is_late: has_end && now + remaining > due_by,
+                is_too_late: has_end && now + remaining.mul_f64(LEAST_TIME_SHARE) > late_by,
                 due_by,
                 late_by,
                 ready_at: occurrence.due_at,
