--- a/crates/domain-sim/src/sim_machines.rs
+++ b/crates/domain-sim/src/sim_machines.rs
@@ -36,6 +36,8 @@
     pub max_unavailable: usize,
     /// Number of upkeeps started.
     pub upkeeps: usize,
+    /// When the newest order for upkeep of each epoch arrived.
+    pub last_orders: BTreeMap<LeaderEpoch, MonotonicTime>,
     /// Number of next orders for upkeep whose answers are lost.
     pub answers_to_lose: usize,
 }
@@ -95,6 +97,7 @@
         now: MonotonicTime,
         order: &UpkeepOrder,
     ) -> Result<Option<WorkerName>, MachineError> {
+        self.last_orders.insert(order.epoch, now);
         let machine = self.machines.get_mut(&order.machine);
         let machine = machine.ok_or(MachineError::NotOfWave)?;
         if order.epoch < machine.highest_epoch {
--- a/crates/domain-sim/tests/upkeep.rs
+++ b/crates/domain-sim/tests/upkeep.rs
@@ -3,8 +3,10 @@
 
 use crate::support::{BATCH, all_done, job, planner_of, ready_world, step};
 use flamingowalk_domain::prelude::*;
+use flamingowalk_domain::process::election::HEARTBEAT_TIMEOUT;
 use flamingowalk_domain::version::wave::WaveOrder;
 use flamingowalk_domain_sim::SimWorld;
+use rstest::rstest;
 
 const WAVE: WaveNumber = WaveNumber(7);
 /// Time within which the waves of these tests must be completed.
@@ -228,3 +230,40 @@
     assert_eq!(world.machines.upkeeps, 0);
     check_all_workers_open(&mut world, 3);
 }
+
+/// Guards against a planner that goes on with a wave while the log turns it away, and so ends
+/// the units that its successor starts on workers that it takes for empty.
+#[rstest]
+#[case::turned_away(false, HEARTBEAT_TIMEOUT)]
+#[case::resigning(true, Duration::ZERO)]
+fn wave_upkeep_not_ordered_beside_successor(
+    #[case] is_resigning: bool,
+    #[case] grace: Duration,
+    #[values(0, 150, 290)] offset_ms: u64,
+) {
+    let mut world = world_with_wave(103, 12, 2);
+    let is_ordered = |world: &SimWorld| world.machines.upkeeps > 0;
+    assert!(world.run_until(WAVE_TIMEOUT, is_ordered));
+    world.run_for(Duration::from_millis(offset_ms));
+    let index = planner_of(&world);
+    let first = *world.machines.last_orders.keys().next().expect("an epoch");
+    let fault_at = world.now();
+    if is_resigning {
+        // The resignation is not answered, so the planner does not know that it has resigned.
+        world.hosts[index].receives_log_answers = false;
+        world.drain_host(index);
+    } else {
+        world.hosts[index].reaches_log = false;
+    }
+    world.run_for(Duration::from_secs(12));
+    let last = world.machines.last_orders[&first];
+    assert!(
+        last.since(fault_at) <= grace,
+        "upkeep is ordered {:?} after the fault",
+        last.since(fault_at)
+    );
+    assert!(
+        world.machines.upkeeps > 2,
+        "no successor goes on with the wave"
+    );
+}
--- a/crates/domain/src/process/election.rs
+++ b/crates/domain/src/process/election.rs
@@ -19,7 +19,7 @@
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Silence of the planner after which the most eligible host claims leadership. It allows
 /// for four heartbeats and for the interval at which hosts read.
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_300);
+pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// Additional delay of the least eligible host, so that hosts with more processor time
 /// claim first.
 const MAX_ELIGIBILITY_DELAY: Duration = Duration::from_millis(600);
--- a/crates/domain/src/process/planner/poll.rs
+++ b/crates/domain/src/process/planner/poll.rs
@@ -5,6 +5,7 @@
 
 use crate::prelude::*;
 use crate::process::action::{PollOrder, WorkerOrder};
+use crate::process::election::HEARTBEAT_TIMEOUT;
 use crate::process::event::{RefusalCause, WorkerAnswer, WorkerError};
 use crate::process::planner::evidence::ReleaseEvidence;
 use crate::process::planner::limits::LEADER_LEASE_DURATION;
@@ -53,6 +54,13 @@
         !self.is_resigning && now.since(self.writer.confirmed_at) < LEADER_LEASE_DURATION
     }
 
+    /// Whether no successor can have begun to plan: the log confirmed the epoch less than a
+    /// heartbeat timeout ago, and the planner has not begun to resign. Orders that no worker's
+    /// fence guards, such as those for machines, need this.
+    pub(super) fn is_sole_planner(&self, now: MonotonicTime) -> bool {
+        !self.is_resigning && now.since(self.writer.confirmed_at) < HEARTBEAT_TIMEOUT
+    }
+
     fn send_poll(
         &mut self,
         context: &mut PlanContext<'_>,
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -350,7 +350,9 @@
         self.expire_claims(context.now);
         self.check_progress(context);
         self.move_from_draining(context);
-        self.advance_waves(context);
+        if self.is_sole_planner(context.now) {
+            self.advance_waves(context);
+        }
         self.check_late_starts(context.now);
         self.remove_lost_workers(context);
     }
