Planner: runs are stopped by choice only with the leader lease

What callers saw: while the log was away for longer than the leader lease, a run on a stalled worker was stopped to be moved, and could not be started again before the log was back.

Starts ask for the leader lease when they are sent; passes, which choose runs to stop, and moves off slow and draining workers did not.

Change: passes and moves need the leader lease. Stops that were decided before, and those of cancelled jobs, are still sent: the fences of the workers guard them.

--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -765,3 +765,21 @@
         world.run_for(Duration::from_micros(100));
     }
 }
+
+/// Guards against a planner that stops a run to move it while it could not start it again.
+#[test]
+fn leader_lease_expired_stalled_run_not_moved() {
+    let mut world = ready_world(140, 3, 4);
+    let work = Duration::from_secs(30);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(1, 8)]), work);
+    world.run_for(Duration::from_secs(2));
+    let name = busy_worker(&world);
+    world.is_log_up = false;
+    world.run_for(LEADER_LEASE_DURATION);
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.is_stalled = true;
+    }
+    world.run_for(Duration::from_secs(7));
+    let worker = &world.workers[&name];
+    assert_eq!(worker.ended.len(), 0, "the run was stopped");
+}
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -348,8 +348,11 @@
         self.expire_leases(context);
         self.expire_unlisted_members(context.now);
         self.expire_claims(context.now);
-        self.check_progress(context);
-        self.move_from_draining(context);
+        // Work that a successor may have planned anew is neither stopped nor moved.
+        if self.has_leader_lease(context.now) {
+            self.check_progress(context);
+            self.move_from_draining(context);
+        }
         if self.is_sole_planner(context.now) {
             self.advance_waves(context);
         }
@@ -365,7 +368,7 @@
         }
         let now = context.now;
         let workers = self.workers.len() as u32;
-        let may_plan = !self.is_resigning && !self.writer.is_busy();
+        let may_plan = self.has_leader_lease(now) && !self.writer.is_busy();
         if may_plan && self.is_dirty && now >= self.next_pass_at {
             self.is_dirty = false;
             self.next_pass_at = now + PASS_INTERVAL_PER_WORKER * workers;
