Planner: workers that are set aside are used if the others are too few

Cause: workers in quarantine or slowed down were left out of placement whatever else was free.

Change: they are a last resort. A group that has waited for 2 s without a placement, while half of the capacity of all workers is free, may use them. Under a higher load a group waits for sound workers as before, since a failing worker costs it attempts.

That slowed workers are used in the same way is by reading only.

--- a/crates/domain-sim/tests/attempts.rs
+++ b/crates/domain-sim/tests/attempts.rs
@@ -129,3 +129,25 @@
         worker.is_reachable = is_reachable;
     }
 }
+
+/// Guards against a job that waits beside idle workers which are all in quarantine, for up to
+/// half a minute after what they failed for is over.
+#[test]
+fn attempts_quarantined_workers_used_if_others_are_too_few() {
+    let mut world = world_of_failing_workers(93, 2);
+    let work = Duration::from_millis(200);
+    for number in 1..=8 {
+        world.submit(0, BATCH, JobKey(number), &job(vec![step(1, 8)]), work);
+        world.run_for(Duration::from_secs(2));
+    }
+    for worker in world.workers.values_mut() {
+        worker.fails_all = false;
+    }
+    let starts = world.starts;
+    world.submit(0, BATCH, JobKey(9), &job(vec![step(1, 8)]), work);
+    let is_started = |world: &SimWorld| world.jobs[&JobKey(9)].began_at.is_some();
+    assert!(
+        world.run_until(Duration::from_secs(3), is_started),
+        "no start beside idle workers after {starts} failed ones"
+    );
+}
--- a/crates/domain/src/process/planner/advice.rs
+++ b/crates/domain/src/process/planner/advice.rs
@@ -298,6 +298,7 @@
             count: shape.group_size(),
             avoided: &[],
             allows_avoided: false,
+            allows_set_aside: false,
             approved: None,
             allows_remote: true,
             is_urgent: false,
--- a/crates/domain/src/process/planner/headroom.rs
+++ b/crates/domain/src/process/planner/headroom.rs
@@ -39,7 +39,7 @@
         }
         let headroom = self.headroom(view);
         let workers: BTreeSet<&WorkerName> = placement.workers.iter().collect();
-        let exceeds_pool = workers.len() + headroom > view.rows.len();
+        let exceeds_pool = workers.len() + headroom > view.in_use;
         exceeds_pool || view.free_workers_after(placement) >= headroom
     }
 
@@ -48,7 +48,7 @@
     fn headroom(&self, view: &CapacityView) -> usize {
         let mut queues = self.manifest.queues.values();
         if queues.any(|queue| queue.priority == 0) {
-            view.rows.len() * HEADROOM_PERCENT / 100
+            view.in_use * HEADROOM_PERCENT / 100
         } else {
             0
         }
--- a/crates/domain/src/process/planner/job.rs
+++ b/crates/domain/src/process/planner/job.rs
@@ -62,7 +62,7 @@
     /// Members of the newest run in order of their units. Empty before the first run
     /// and once a stopped run was released.
     pub members: Vec<PlanMember>,
-    /// The group is not started again before this time.
+    /// The group is not started again before this time, a moment after its newest stop.
     pub not_before: MonotonicTime,
     /// When the start of the newest run was sent.
     pub started_at: MonotonicTime,
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -6,6 +6,7 @@
 use crate::process::planner::order::{WaitingStep, waiting_steps};
 use crate::process::planner::place::{CapacityRow, CapacityView, PlaceRequest, Placement};
 use crate::process::planner::sharing::{SharedUse, UnitShare};
+use crate::process::planner::start::MAX_PREFERENCE_WAIT;
 use crate::process::planner::state::{PlanContext, PlannerState};
 
 /// Time for which a group within a guarantee waits for capacity near its data or in one rack;
@@ -62,9 +63,9 @@
         let open = self
             .workers
             .values()
-            .filter(|worker| worker.is_open(now) && !uncertain.contains(&worker.report.name))
+            .filter(|worker| worker.accepts_starts() && !uncertain.contains(&worker.report.name))
             .filter(|worker| !self.is_spare(&worker.report.service));
-        let mut rows: Vec<CapacityRow> = open.map(CapacityRow::new).collect();
+        let mut rows: Vec<CapacityRow> = open.map(|worker| CapacityRow::new(now, worker)).collect();
         for row in &mut rows {
             row.limited = self.limited_units(&row.report.name);
         }
@@ -75,7 +76,7 @@
             guaranteed,
             ..CapacityView::default()
         };
-        view.count_wholly_free();
+        view.count_workers();
         view.measure_free_share();
         view
     }
@@ -155,6 +156,7 @@
                 count: shape.group_size(),
                 avoided: &failed_on,
                 allows_avoided,
+                allows_set_aside: false,
                 approved: approved.as_ref(),
                 allows_remote: false,
                 is_urgent,
@@ -164,7 +166,9 @@
             if self.start_claimed(context, key, &request, view) {
                 continue;
             }
-            let Some(placement) = view.find_placement(&request) else {
+            let usual = view.find_placement(&request);
+            let is_usual = usual.is_some();
+            let Some(placement) = usual.or_else(|| find_last_resort(&request, waited, view)) else {
                 if let Some(settings) = settings {
                     self.request_advice(context, settings, &request, view);
                 }
@@ -178,7 +182,7 @@
                 }
                 break;
             };
-            if !self.respects_headroom(now, step, shape, run_time, view, &placement) {
+            if is_usual && !self.respects_headroom(now, step, shape, run_time, view, &placement) {
                 break;
             }
             view.allocate(&request, &placement);
@@ -294,7 +298,7 @@
                 row.limited = limited;
             }
         }
-        view.count_wholly_free();
+        view.count_workers();
     }
 
     /// Opens the occurrences that are due.
@@ -325,3 +329,19 @@
         self.is_dirty |= is_opened;
     }
 }
+
+/// Searches also on workers that are set aside, for a group that has waited for others while
+/// at least half of the capacity is free.
+fn find_last_resort(
+    request: &PlaceRequest<'_>,
+    waited: Duration,
+    view: &mut CapacityView,
+) -> Option<Placement> {
+    if waited < MAX_PREFERENCE_WAIT || !view.is_half_free_in_all {
+        return None;
+    }
+    view.find_placement(&PlaceRequest {
+        allows_set_aside: true,
+        ..*request
+    })
+}
--- a/crates/domain/src/process/planner/place.rs
+++ b/crates/domain/src/process/planner/place.rs
@@ -16,6 +16,8 @@
     pub free: UnitDemand,
     /// Speed tier of the worker; higher is faster.
     pub tier: i32,
+    /// Whether only requests that allow it may use the worker.
+    pub is_set_aside: bool,
     /// Number of units on the worker by step, for steps that limit their units per worker.
     pub limited: BTreeMap<StepKey, u16>,
     /// Capacity reserved for large groups that do not fit yet.
@@ -60,6 +62,8 @@
     pub avoided: &'a [WorkerName],
     /// Whether the group starts on a worker to be avoided rather than waits for another one.
     pub allows_avoided: bool,
+    /// Whether workers that are set aside after failures or for their speed may be used.
+    pub allows_set_aside: bool,
     /// Workers that may run the step, where its queue needs approvals.
     pub approved: Option<&'a BTreeSet<WorkerName>>,
     /// Whether workers on which the units are slower, away from their data or from each
@@ -92,10 +96,15 @@
     pub unrecorded: BTreeSet<GroupKey>,
     /// Workers on which a late start may have been carried out.
     pub uncertain: BTreeSet<WorkerName>,
-    /// Number of workers that are wholly free.
+    /// Number of workers that are wholly free and not set aside.
     pub wholly_free: usize,
-    /// Whether at least half of the capacity was free when the pass began.
+    /// Number of workers that are not set aside.
+    pub in_use: usize,
+    /// Whether at least half of the capacity was free when the pass began, that of workers
+    /// that are set aside left out.
     pub is_half_free: bool,
+    /// The same with these workers.
+    pub is_half_free_in_all: bool,
     /// Jobs that the guarantees of their customers cover.
     pub guaranteed: BTreeSet<JobKey>,
     /// Searches of this pass for runs to stop that failed.
@@ -114,6 +123,7 @@
     shape: StepShape,
     is_urgent: bool,
     allows_remote: bool,
+    allows_set_aside: bool,
     count: u16,
     ends_at: MonotonicTime,
 }
@@ -126,6 +136,7 @@
             shape: request.shape.clone(),
             is_urgent: request.is_urgent,
             allows_remote: request.allows_remote,
+            allows_set_aside: request.allows_set_aside,
             count: request.count,
             ends_at: request.ends_at,
         }
@@ -137,6 +148,7 @@
         self.service == *request.service
             && self.is_urgent == request.is_urgent
             && (self.allows_remote || !request.allows_remote)
+            && (self.allows_set_aside || !request.allows_set_aside)
             && self.count <= request.count
             && self.ends_at <= request.ends_at
             && failed.demand == shape.demand
@@ -157,11 +169,12 @@
 
 impl CapacityRow {
     /// Creates the row of a worker, without limits per step and reservations.
-    pub fn new(worker: &PlanWorker) -> Self {
+    pub fn new(now: MonotonicTime, worker: &PlanWorker) -> Self {
         Self {
             report: Arc::clone(&worker.report),
             free: worker.free_capacity_for(None),
             tier: worker.speed.tier(),
+            is_set_aside: worker.is_set_aside(now),
             limited: BTreeMap::new(),
             reservations: Vec::new(),
             shared: SharedUse::of(worker, None),
@@ -173,6 +186,7 @@
         let shape = request.shape;
         let is_approved = |names: &BTreeSet<WorkerName>| names.contains(&self.report.name);
         self.report.service == *request.service
+            && (request.allows_set_aside || !self.is_set_aside)
             && request.approved.is_none_or(is_approved)
             && shape
                 .label
@@ -220,9 +234,9 @@
         demand.count_fitting(&self.report.capacity, u32::from(limit))
     }
 
-    /// Whether nothing occupies the worker or claims its capacity.
+    /// Whether nothing occupies the worker or claims its capacity, and it is not set aside.
     pub fn is_wholly_free(&self) -> bool {
-        self.free == self.report.capacity
+        !self.is_set_aside && self.free == self.report.capacity
     }
 
     /// Returns the sort key by which workers are filled, lowest first: the free share of
@@ -423,18 +437,14 @@
 
     /// Notes whether at least half of the accelerators and processors are free.
     pub fn measure_free_share(&mut self) {
-        let (mut free, mut total) = (UnitDemand::default(), UnitDemand::default());
-        for row in &self.rows {
-            free = free.plus(&row.free);
-            total = total.plus(&row.report.capacity);
-        }
-        let used = total.minus(&free);
-        self.is_half_free = used.share_of(&total) <= 0.5;
+        self.is_half_free = is_half_free(self.rows.iter().filter(|row| !row.is_set_aside));
+        self.is_half_free_in_all = is_half_free(self.rows.iter());
     }
 
-    /// Counts the workers that are wholly free.
-    pub fn count_wholly_free(&mut self) {
+    /// Counts the workers that are wholly free and those that are not set aside.
+    pub fn count_workers(&mut self) {
         self.wholly_free = self.rows.iter().filter(|row| row.is_wholly_free()).count();
+        self.in_use = self.rows.iter().filter(|row| !row.is_set_aside).count();
     }
 
     /// Returns the index of a worker's row, or `None` if nothing may be started there.
@@ -460,3 +470,13 @@
         }
     }
 }
+
+/// Whether at least half of the capacity of workers is free.
+fn is_half_free<'a>(rows: impl Iterator<Item = &'a CapacityRow>) -> bool {
+    let (mut free, mut total) = (UnitDemand::default(), UnitDemand::default());
+    for row in rows {
+        free = free.plus(&row.free);
+        total = total.plus(&row.report.capacity);
+    }
+    total.minus(&free).share_of(&total) <= 0.5
+}
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -22,9 +22,10 @@
 
 /// Delay before a group whose run was stopped or refused is planned again.
 const REPLAN_DELAY: Duration = Duration::from_millis(100);
-/// Maximum time for which a group waits for another worker after a failure; a second less
-/// than the three seconds for which a job may have nothing running while there is room.
-const MAX_AVOIDANCE_WAIT: Duration = Duration::from_secs(2);
+/// Maximum time for which a group waits for other workers than those on which it failed or
+/// that are set aside; a second less than the three seconds for which a job may have nothing
+/// running while there is room.
+pub(super) const MAX_PREFERENCE_WAIT: Duration = Duration::from_secs(2);
 /// Delay before a stop without an answer is repeated.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -271,7 +272,7 @@
             return;
         };
         if let Some(group) = self.group_mut(key) {
-            group.avoids_until = now + MAX_AVOIDANCE_WAIT;
+            group.avoids_until = now + MAX_PREFERENCE_WAIT;
             if !group.failed_on.contains(&name) {
                 group.failed_on.push(name);
             }
--- a/crates/domain/src/process/planner/upkeep.rs
+++ b/crates/domain/src/process/planner/upkeep.rs
@@ -84,7 +84,8 @@
     statuses: Vec<PendingStatus>,
     /// Earliest time of the next status append.
     next_status_at: MonotonicTime,
-    /// Whether an order was refused because a later planner has sent one.
+    /// Whether an order was refused because a later planner has sent one. Stays set for this
+    /// planner, which the log stops soon.
     is_fenced: bool,
 }
 
--- a/crates/domain/src/process/planner/worker.rs
+++ b/crates/domain/src/process/planner/worker.rs
@@ -58,7 +58,8 @@
     pub is_draining: bool,
     /// Holdings by unit. A unit has at most one holding in the domain.
     pub holdings: BTreeMap<UnitKey, Holding>,
-    /// Runs that it lists but of which the planner has no record; they are being stopped.
+    /// Runs that it lists but of which the planner has no record; they are being stopped. Each
+    /// listing replaces them.
     pub unrecorded: BTreeMap<UnitKey, RunNumber>,
     /// Capacity less the holdings. Kept up to date by [`Self::hold`] and [`Self::release`].
     pub free: UnitDemand,
@@ -233,14 +234,23 @@
 
     /// Whether units may be started on it now.
     pub fn is_open(&self, now: MonotonicTime) -> bool {
+        self.accepts_starts() && !self.is_set_aside(now)
+    }
+
+    /// Whether a unit that is started on it now would run there, well or badly.
+    pub fn accepts_starts(&self) -> bool {
         self.is_listed
             && !self.is_draining
             && !self.is_cordoned
             && self.unrecorded.is_empty()
             && self.link.has_complete_listing
             && self.link.failures == 0
-            && self.health.is_available(now)
-            && !self.speed.is_slowed(now)
+    }
+
+    /// Whether it is used only if the others are too few, since runs failed or slowed down
+    /// there. Ends by time alone.
+    pub fn is_set_aside(&self, now: MonotonicTime) -> bool {
+        !self.health.is_available(now) || self.speed.is_slowed(now)
     }
 
     /// Whether units may run on it, or runs without a record are being stopped.
