Planner: a schedule in the past opens a bounded number of occurrences

Cause: `open_occurrences` had no bound but the submission's own count.

Change: no further occurrence is opened while 5,000 groups of the job are open and not done; one occurrence may always be open. The others follow as these are done.

Evidence: submission_with_many_due_occurrences_stops_nothing failed before (more than 5,000 waiting steps in the planner) and passes now, as do the other tests of the simulated domain.

--- a/crates/domain-sim/tests/faults.rs
+++ b/crates/domain-sim/tests/faults.rs
@@ -564,6 +564,32 @@
     }
 }
 
+/// Guards against a schedule in the past with so many occurrences that opening them all takes
+/// the planner's time and memory.
+#[test]
+fn submission_with_many_due_occurrences_stops_nothing() {
+    let mut world = ready_world(92, 3, 4);
+    let mut overdue = job(vec![step(1, 1)]);
+    overdue.schedule = Some(OccurrenceSchedule {
+        first_at: 0,
+        interval_ms: 0,
+        count: 10_000,
+    });
+    let work = Duration::from_millis(500);
+    world.submit(0, BATCH, JobKey(1), &overdue, work);
+    world.run_for(Duration::from_millis(500));
+    world.submit(1, URGENT, JobKey(2), &job(vec![gang(2, 4)]), work);
+    world.run_for(Duration::from_secs(3));
+    assert!(world.jobs[&JobKey(2)].done_at.is_some());
+    let host = world.hosts[planner_of(&world)].host.as_ref();
+    let planner = host.and_then(|host| host.planner()).expect("a planner");
+    let waiting = planner.waiting(world.now()).len();
+    assert!(
+        waiting <= 5_000,
+        "{waiting} occurrences wait in the planner"
+    );
+}
+
 /// Guards against a chain of steps with extreme estimates, whose sum stopped every planner.
 #[rstest]
 fn submission_with_extreme_chain_stops_nothing(
--- a/crates/domain/src/process/planner/job.rs
+++ b/crates/domain/src/process/planner/job.rs
@@ -6,6 +6,10 @@
 use crate::process::record::{AcceptedJob, GroupRecord, GroupStage, MemberPlace};
 use crate::request::submission::StepShape;
 
+/// Number of groups of a job from which no further occurrence is opened before one is done;
+/// bounds the memory and the time of passes that a schedule in the past costs.
+const MAX_OPEN_GROUPS_PER_JOB: usize = 5_000;
+
 /// A job that has not ended, or whose units still occupy workers.
 #[derive(Clone, Debug)]
 pub struct PlanJob {
@@ -162,9 +166,8 @@
 
 impl PlanStep {
     fn new(shape: &StepShape) -> Self {
-        let groups = if shape.is_gang { 1 } else { shape.count };
         Self {
-            groups: vec![PlanGroup::default(); usize::from(groups)],
+            groups: vec![PlanGroup::default(); group_count(shape)],
             done: 0,
         }
     }
@@ -295,9 +298,22 @@
         })
     }
 
+    /// Whether another occurrence may be opened, besides those that are open and not done.
+    pub fn may_open_occurrence(&self) -> bool {
+        let open = self.next_occurrence.saturating_sub(self.done_occurrences);
+        let groups: usize = self.accepted.submission.steps.iter().map(group_count).sum();
+        open == 0 || (open as usize).saturating_mul(groups) < MAX_OPEN_GROUPS_PER_JOB
+    }
+
     /// Whether every occurrence is done; never true for a long-running job.
     pub fn is_done(&self) -> bool {
         !self.accepted.submission.is_long_running()
             && self.done_occurrences == self.accepted.submission.occurrences()
     }
 }
+
+/// Returns the number of groups of a step in each occurrence.
+fn group_count(shape: &StepShape) -> usize {
+    let groups = if shape.is_gang { 1 } else { shape.count };
+    usize::from(groups)
+}
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -307,7 +307,7 @@
         let mut is_opened = false;
         for job in self.jobs.values_mut().filter(|job| !job.is_closing) {
             let submission = &job.accepted.submission;
-            while job.next_occurrence < submission.occurrences() {
+            while job.next_occurrence < submission.occurrences() && job.may_open_occurrence() {
                 let due = submission
                     .schedule
                     .map(|schedule| schedule.due_at(job.next_occurrence));
