Numbers from outside: a randomized test, and three sums that overflowed

What callers saw: nothing in the release build, where these sums wrapped round: the processor time of fillers on a worker, the gauges of accelerators, and the time of a worker's clock near 2^64.

Cause: sums over numbers that submissions and reports give.

Change: they saturate.

Evidence: numbers_of_submission_stop_nothing and numbers_of_report_stop_nothing failed before with "attempt to add with overflow" (sharing.rs, gauges.rs; the sum of clocks by reading) and pass now, as does numbers_of_wave_stop_nothing. They play the decoded values; the decoders themselves are not drawn.

--- a/crates/domain-sim/tests/domain.rs
+++ b/crates/domain-sim/tests/domain.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod leases;
 mod load;
+mod numbers;
 mod policy;
 mod reread;
 mod sharing;
--- a/crates/domain/src/process/host/gauges.rs
+++ b/crates/domain/src/process/host/gauges.rs
@@ -87,8 +87,9 @@
             &mut excluded
         };
         *count += 1;
-        free += worker.free.accelerators;
-        held += worker.report.capacity.accelerators - worker.free.accelerators;
+        let total = worker.report.capacity.accelerators;
+        free = free.saturating_add(worker.free.accelerators);
+        held = held.saturating_add(total.saturating_sub(worker.free.accelerators));
     }
     let counts = [
         ("open", open),
--- a/crates/domain/src/process/planner/sharing.rs
+++ b/crates/domain/src/process/planner/sharing.rs
@@ -80,7 +80,7 @@
             UnitShare::Serving => self.serving += 1,
             UnitShare::Filler { cpu_millis } => {
                 self.fillers += 1;
-                self.filler_cpu_millis += cpu_millis;
+                self.filler_cpu_millis = self.filler_cpu_millis.saturating_add(cpu_millis);
             }
         }
     }
--- a/crates/domain/src/process/planner/worker.rs
+++ b/crates/domain/src/process/planner/worker.rs
@@ -265,14 +265,15 @@
     pub fn clock_now(&self, now: MonotonicTime) -> WorkerClock {
         self.clock.map_or(WorkerClock(0), |reading| {
             let passed = without_drift(now.since(reading.read_at)).as_millis() as u64;
-            WorkerClock(reading.clock.0 + passed)
+            WorkerClock(reading.clock.0.saturating_add(passed))
         })
     }
 
     /// Extends the lease and returns its expiry by the worker's clock, to be sent with an
     /// order now. The lease bound is raised whether or not the order arrives.
     pub fn extend_lease(&mut self, now: MonotonicTime, lease: Duration) -> WorkerClock {
-        let until = WorkerClock(self.clock_now(now).0 + lease.as_millis() as u64);
+        let clock = self.clock_now(now).0;
+        let until = WorkerClock(clock.saturating_add(lease.as_millis() as u64));
         self.lease_until = self.lease_until.max(until);
         self.lease_bound = self.lease_bound.max(now + with_drift(lease));
         self.lease_until
