--- a/crates/domain-sim/src/sim_world/orders.rs
+++ b/crates/domain-sim/src/sim_world/orders.rs
@@ -90,7 +90,7 @@
 
     /// Returns the invariants that a start violates if the worker accepts it: a unit runs
     /// twice at once, a unit that is done starts again, a step starts before those it
-    /// depends on, or the worker's capacity is exceeded. Returns `None` for other orders
+    /// depends on, or the worker's capacity or the step's limit of units on it is exceeded. Returns `None` for other orders
     /// and for a start that the worker accepted before. Also counts the start, and records
     /// when its job began.
     pub(super) fn start_violations(&mut self, call: &WorkerCall) -> Option<Vec<String>> {
@@ -124,6 +124,19 @@
         {
             violations.push(format!("{unit} exceeds the capacity of {}", call.worker));
         }
+        let is_beside = |other: &&UnitKey| {
+            (other.job, other.occurrence, other.step) == (unit.job, unit.occurrence, unit.step)
+        };
+        let beside = worker.running.keys().filter(is_beside).count();
+        if shape
+            .worker_limit
+            .is_some_and(|limit| beside >= usize::from(limit))
+        {
+            violations.push(format!(
+                "{unit} exceeds its step's limit on {}",
+                call.worker
+            ));
+        }
         if let Some(report) = self.jobs.get(&unit.job) {
             if report.done_units.contains(&unit) {
                 violations.push(format!("{unit} starts although it is done"));
--- a/crates/domain-sim/tests/sharing.rs
+++ b/crates/domain-sim/tests/sharing.rs
@@ -157,3 +157,20 @@
         "the serving unit is not started"
     );
 }
+
+/// Guards against urgent units beyond the limit of their step on a worker where other work was
+/// stopped for them.
+#[test]
+fn worker_limit_kept_where_capacity_is_reclaimed() {
+    let mut world = ready_world(57, 3, 8);
+    world.submit(0, BATCH, JobKey(1), &job(vec![step(32, 2)]), LONG_WORK);
+    world.run_for(Duration::from_secs(2));
+    assert_eq!(running(&world, 1), 32);
+    let mut limited = step(3, 2);
+    limited.worker_limit = Some(1);
+    let work = Duration::from_secs(3);
+    world.submit(1, URGENT, JobKey(2), &job(vec![limited]), work);
+    let are_running = |world: &SimWorld| running(world, 2) == 3;
+    assert!(world.run_until(Duration::from_secs(3), are_running));
+    assert_eq!(world.violations, Vec::<String>::new());
+}
--- a/crates/domain/src/process/planner/place.rs
+++ b/crates/domain/src/process/planner/place.rs
@@ -205,11 +205,18 @@
             .shape
             .reserved_demand()
             .count_fitting(&self.unreserved(request), max_slots);
+        fitting.min(self.allowed_units(request))
+    }
+
+    /// Returns how many members of the group the limit of its step allows here, whatever the
+    /// free capacity.
+    pub fn allowed_units(&self, request: &PlaceRequest<'_>) -> u32 {
+        let count = u32::from(request.count);
         let Some(limit) = request.shape.worker_limit else {
-            return fitting;
+            return count;
         };
         let used = self.limited.get(&request.key).copied().unwrap_or(0);
-        fitting.min(u32::from(limit.saturating_sub(used)))
+        count.min(u32::from(limit.saturating_sub(used)))
     }
 
     /// Returns the free capacity less the reservations of other groups that bind the request.
--- a/crates/domain/src/process/planner/reclaim.rs
+++ b/crates/domain/src/process/planner/reclaim.rs
@@ -7,7 +7,9 @@
 use crate::prelude::*;
 use crate::process::planner::job::{GroupPhase, PlanGroup};
 use crate::process::planner::order::WaitingStep;
-use crate::process::planner::place::{CapacityView, FailedSearch, PlaceRequest, Placement};
+use crate::process::planner::place::{
+    CapacityRow, CapacityView, FailedSearch, PlaceRequest, Placement,
+};
 use crate::process::planner::sharing::{SharedUse, UnitShare};
 use crate::process::planner::state::{PlanContext, PlannerState};
 use crate::process::planner::worker::PlanWorker;
@@ -299,8 +301,7 @@
             if needs_rack && rack.is_none() {
                 continue;
             }
-            let free = row.unreserved(request);
-            let mut plans = self.reclaim_plans(reclaim, worker, &free, view);
+            let mut plans = self.reclaim_plans(reclaim, worker, row, view);
             for plan in &mut plans {
                 plan.use_cost += slowness_cost(row.tier, plan.slots);
             }
@@ -321,16 +322,16 @@
         &self,
         reclaim: &ReclaimRequest<'_>,
         worker: &PlanWorker,
-        free: &UnitDemand,
+        row: &CapacityRow,
         view: &CapacityView,
     ) -> Vec<ReclaimPlan> {
         let request = reclaim.place;
         let Some(victims) = self.victims_on(reclaim, worker, view) else {
             return Vec::new();
         };
-        let max_slots = u32::from(request.count);
+        let max_slots = row.allowed_units(request);
         let member_demand = request.shape.reserved_demand();
-        let mut available = *free;
+        let mut available = row.unreserved(request);
         let mut slots = 0;
         let mut plans = Vec::new();
         let mut pending = Vec::new();
--- a/crates/domain/src/process/planner/reservation.rs
+++ b/crates/domain/src/process/planner/reservation.rs
@@ -106,7 +106,7 @@
         index: usize,
     ) -> Vec<SlotTime> {
         let row = &view.rows[index];
-        let max_slots = u32::from(request.count);
+        let max_slots = row.allowed_units(request);
         let mut available = row.unreserved(request);
         let mut slots = request
             .shape
