--- a/crates/domain-sim/tests/sharing.rs
+++ b/crates/domain-sim/tests/sharing.rs
@@ -174,3 +174,28 @@
     assert!(world.run_until(Duration::from_secs(3), are_running));
     assert_eq!(world.violations, Vec::<String>::new());
 }
+
+/// Guards against planned work that stops a unit while another one of its step is lost with its
+/// worker, whose runs are not known to be gone yet.
+#[test]
+fn long_running_unit_on_silent_worker_counts_as_unavailable() {
+    let mut world = ready_world(58, 3, 4);
+    let mut shape = long_running(4, 8);
+    shape.may_miss = Some(1);
+    world.submit(0, BATCH, JobKey(1), &job(vec![shape]), LONG_WORK);
+    world.run_for(Duration::from_secs(3));
+    let has_last = |worker: &SimWorker| worker.running.keys().any(|unit| unit.index == 3);
+    let mut found = world.workers.iter().filter(|(_, worker)| has_last(worker));
+    let lost = found.next().expect("the last unit runs").0.clone();
+    world.crash_worker(&lost);
+    world.run_for(Duration::from_secs(3));
+    world.submit(0, URGENT, JobKey(2), &job(vec![step(1, 8)]), LONG_WORK);
+    let alive = |world: &SimWorld| {
+        let up = world.workers.values().filter(|worker| worker.is_up);
+        up.map(|worker| runs_of(worker, 1)).sum::<usize>()
+    };
+    for _ in 0..60 {
+        world.run_for(Duration::from_millis(50));
+        assert!(alive(&world) >= 3, "a second unit is stopped");
+    }
+}
--- a/crates/domain/src/process/planner/reclaim.rs
+++ b/crates/domain/src/process/planner/reclaim.rs
@@ -392,7 +392,8 @@
                 || (reclaim.priority == 0
                     && (!is_urgent
                         || (reclaim.is_guaranteed && !view.guaranteed.contains(&job.key))));
-            let is_stoppable = group.phase == GroupPhase::Active && job.may_stop(&holding.group);
+            let is_stoppable =
+                group.phase == GroupPhase::Active && job.may_stop(&holding.group, &self.workers);
             if must_stop && !is_stoppable {
                 return None;
             }
--- a/crates/domain/src/process/planner/sharing.rs
+++ b/crates/domain/src/process/planner/sharing.rs
@@ -5,7 +5,7 @@
 
 use crate::prelude::*;
 use crate::process::planner::job::{GroupPhase, MemberStage, PlanGroup, PlanJob, PlanStep};
-use crate::process::planner::worker::PlanWorker;
+use crate::process::planner::worker::{PlanWorker, PlanWorkers};
 use crate::request::submission::StepShape;
 
 /// Percentage that a worker lists for a long-running unit that is in service.
@@ -114,34 +114,35 @@
 impl PlanJob {
     /// Whether stopping the group leaves enough units of its step in service, if no other
     /// group is stopped with it.
-    pub(super) fn may_stop_alone(&self, key: &GroupKey) -> bool {
-        self.remaining_disruptions(key)
+    pub(super) fn may_stop_alone(&self, key: &GroupKey, workers: &PlanWorkers) -> bool {
+        self.remaining_disruptions(key, workers)
             .is_none_or(|remaining| remaining > 0)
     }
 
     /// Whether stopping the group leaves enough units of its step in service. This holds
     /// only for the first groups in service, as many as may still become unavailable, so
     /// that any number of them can be chosen at once.
-    pub(super) fn may_stop(&self, key: &GroupKey) -> bool {
-        let Some(remaining) = self.remaining_disruptions(key) else {
+    pub(super) fn may_stop(&self, key: &GroupKey, workers: &PlanWorkers) -> bool {
+        let Some(remaining) = self.remaining_disruptions(key, workers) else {
             return true;
         };
         let Some((step, index)) = self.plan_step(key).zip(key.index) else {
             return false;
         };
         let preceding = step.groups.iter().take(usize::from(index));
-        preceding.filter(|group| is_in_service(group)).count() < remaining
+        let in_service = preceding.filter(|group| is_in_service(group, workers));
+        in_service.count() < remaining
     }
 
     /// Returns how many further units of a step may become unavailable, or `None` if the
     /// step sets no limit.
-    fn remaining_disruptions(&self, key: &GroupKey) -> Option<usize> {
+    fn remaining_disruptions(&self, key: &GroupKey, workers: &PlanWorkers) -> Option<usize> {
         let limit = self.shape(key.step).and_then(|shape| shape.may_miss)?;
         let groups = self.plan_step(key).map(|step| step.groups.iter());
         let unavailable = groups
             .into_iter()
             .flatten()
-            .filter(|group| !is_in_service(group));
+            .filter(|group| !is_in_service(group, workers));
         Some(usize::from(limit).saturating_sub(unavailable.count()))
     }
 
@@ -151,11 +152,18 @@
     }
 }
 
-fn is_in_service(group: &PlanGroup) -> bool {
+/// Whether a group is at work, as far as is known. A unit on a worker that does not answer or
+/// is no longer listed may be lost already, long before its run counts as ended.
+fn is_in_service(group: &PlanGroup, workers: &PlanWorkers) -> bool {
     let is_running = |stage: MemberStage| matches!(stage, MemberStage::Running(_));
+    let is_answering = |name: &WorkerName| {
+        let worker = workers.get(name);
+        worker.is_some_and(|worker| worker.is_listed && worker.link.failures == 0)
+    };
     group.phase == GroupPhase::Active
-        && group
-            .members
-            .iter()
-            .all(|member| is_running(member.stage) && member.progress.percent >= IN_SERVICE_PERCENT)
+        && group.members.iter().all(|member| {
+            is_running(member.stage)
+                && member.progress.percent >= IN_SERVICE_PERCENT
+                && is_answering(&member.worker)
+        })
 }
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -15,7 +15,7 @@
 use crate::process::planner::limits::PlanLimits;
 use crate::process::planner::reclaim::CapacityClaim;
 use crate::process::planner::upkeep::UpkeepState;
-use crate::process::planner::worker::PlanWorker;
+use crate::process::planner::worker::PlanWorkers;
 use crate::process::planner::writer::{CommitEffect, PlanWriter, WriteOutcome};
 use crate::process::record::{AppendMark, FullQueue, JobRecord, PlannerHeartbeat, RecordKey};
 use crate::process::stream::{AppendedAt, StreamError};
@@ -90,7 +90,7 @@
     pub(super) limits: PlanLimits,
     pub(super) manifest: Arc<DomainManifest>,
     /// Workers that are listed, or on which units may still run.
-    pub(super) workers: BTreeMap<WorkerName, PlanWorker>,
+    pub(super) workers: PlanWorkers,
     /// Jobs that have not ended, or whose units still occupy workers.
     pub(super) jobs: BTreeMap<JobKey, PlanJob>,
     /// Units of which a run is being stopped.
@@ -200,7 +200,7 @@
     }
 
     /// Returns the workers by name.
-    pub const fn workers(&self) -> &BTreeMap<WorkerName, PlanWorker> {
+    pub const fn workers(&self) -> &PlanWorkers {
         &self.workers
     }
 
--- a/crates/domain/src/process/planner/upkeep.rs
+++ b/crates/domain/src/process/planner/upkeep.rs
@@ -353,7 +353,7 @@
                 let is_active = job
                     .group(&key)
                     .is_some_and(|group| group.phase == GroupPhase::Active);
-                is_active && job.may_stop_alone(&key)
+                is_active && job.may_stop_alone(&key, &self.workers)
             });
             if may_move {
                 log::info!(target: "stop", group = key.to_string().as_str(), worker = name.as_str(), cause = "upkeep"; "run is moved");
--- a/crates/domain/src/process/planner/worker.rs
+++ b/crates/domain/src/process/planner/worker.rs
@@ -74,6 +74,9 @@
     pub speed: WorkerSpeed,
 }
 
+/// Workers by name.
+pub type PlanWorkers = BTreeMap<WorkerName, PlanWorker>;
+
 /// A poll that has not been answered yet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PendingPoll {
