--- a/crates/domain-sim/tests/sharing.rs
+++ b/crates/domain-sim/tests/sharing.rs
@@ -1,7 +1,7 @@
 //! Units that share workers: fillers, units that serve users, and long-running steps of
 //! which only some units may be unavailable.
 
-use crate::support::{BATCH, URGENT, job, ready_world, step};
+use crate::support::{BATCH, URGENT, gang, job, ready_world, step};
 use flamingowalk_domain::prelude::*;
 use flamingowalk_domain::request::submission::StepShape;
 use flamingowalk_domain_sim::{SimWorker, SimWorld};
@@ -199,3 +199,22 @@
         assert!(alive(&world) >= 3, "a second unit is stopped");
     }
 }
+
+/// Guards against a gang that waits for capacity which long-running units hold, and keeps all
+/// other work off the workers that are idle.
+#[test]
+fn gang_waiting_for_long_running_work_blocks_no_other() {
+    let mut world = ready_world(59, 3, 8);
+    world.submit(0, BATCH, JobKey(1), &job(vec![long_running(3, 8)]), LONG_WORK);
+    world.run_for(Duration::from_secs(2));
+    let work = Duration::from_secs(2);
+    world.submit(0, BATCH, JobKey(2), &job(vec![gang(6, 8)]), work);
+    world.run_for(Duration::from_secs(1));
+    world.submit(0, BATCH, JobKey(3), &job(vec![step(2, 4)]), work);
+    world.run_for(Duration::from_secs(3));
+    assert_eq!(running(&world, 2), 0);
+    assert!(
+        world.jobs[&JobKey(3)].began_at.is_some(),
+        "work that fits waits behind the gang"
+    );
+}
--- a/crates/domain/src/process/planner/reservation.rs
+++ b/crates/domain/src/process/planner/reservation.rs
@@ -152,7 +152,8 @@
         releases
     }
 
-    /// Returns when a member of a run is expected to end.
+    /// Returns when a member of a run is expected to end; the greatest time for a long-running
+    /// one that is not being stopped.
     pub(super) fn expected_end(
         &self,
         now: MonotonicTime,
@@ -175,6 +176,9 @@
         ) {
             return now + self.limits.stop_grace;
         }
+        if shape.is_long_running {
+            return MonotonicTime(u64::MAX);
+        }
         let progress = &member.progress;
         let paced = progress.pace.zip(progress.listed_at);
         let end = if let Some((pace, listed_at)) = paced.filter(|(pace, _)| *pace > 0.0) {
