--- a/crates/domain-sim/tests/sharing.rs
+++ b/crates/domain-sim/tests/sharing.rs
@@ -205,7 +205,13 @@
 #[test]
 fn gang_waiting_for_long_running_work_blocks_no_other() {
     let mut world = ready_world(59, 3, 8);
-    world.submit(0, BATCH, JobKey(1), &job(vec![long_running(3, 8)]), LONG_WORK);
+    world.submit(
+        0,
+        BATCH,
+        JobKey(1),
+        &job(vec![long_running(3, 8)]),
+        LONG_WORK,
+    );
     world.run_for(Duration::from_secs(2));
     let work = Duration::from_secs(2);
     world.submit(0, BATCH, JobKey(2), &job(vec![gang(6, 8)]), work);
