--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -10,7 +10,7 @@
 use flamingowalk_domain::process::election::ElectionStage;
 use flamingowalk_domain::process::host::DomainHost;
 use flamingowalk_domain::process::planner::limits::LEADER_LEASE_DURATION;
-use flamingowalk_domain_sim::SimWorld;
+use flamingowalk_domain_sim::{SimWorker, SimWorld};
 use rstest::rstest;
 
 /// Guards against polls of a lost worker that extend its lease: if each retried poll moves
@@ -783,3 +783,39 @@
     let worker = &world.workers[&name];
     assert_eq!(worker.ended.len(), 0, "the run was stopped");
 }
+
+/// Time after which a long-running unit that was lost with its worker has to run again.
+const MAX_LONG_RUNNING_LOSS: Duration = Duration::from_secs(9);
+
+/// Guards against a long-running unit that waits for as long a lease as a worker grants after
+/// its worker was lost.
+#[rstest]
+#[case::alone(0)]
+#[case::beside_ordinary_work(1)]
+fn lease_long_running_unit_of_lost_worker_restarts_in_time(
+    #[case] beside: u16,
+    #[values(0, 700, 1_400)] offset_ms: u64,
+) {
+    let mut world = ready_world(141, 3, 3);
+    let mut shape = step(1, 4);
+    shape.is_long_running = true;
+    let work = Duration::from_mins(2);
+    world.submit(0, BATCH, JobKey(1), &job(vec![shape]), work);
+    if beside > 0 {
+        world.submit(0, BATCH, JobKey(2), &job(vec![step(2, 4)]), work);
+    }
+    world.run_for(Duration::from_millis(12_000 + offset_ms));
+    let has_unit = |worker: &SimWorker| worker.running.keys().any(|unit| unit.job == JobKey(1));
+    let mut found = world.workers.iter().filter(|(_, worker)| has_unit(worker));
+    let lost = found.next().expect("the unit runs").0.clone();
+    world.crash_worker(&lost);
+    let is_restarted = |world: &SimWorld| {
+        let mut up = world.workers.values().filter(|worker| worker.is_up);
+        up.any(has_unit)
+    };
+    assert!(
+        world.run_until(MAX_LONG_RUNNING_LOSS, is_restarted),
+        "the unit was not started elsewhere"
+    );
+    assert_eq!(world.violations, Vec::<String>::new());
+}
--- a/crates/domain/src/process/planner/poll.rs
+++ b/crates/domain/src/process/planner/poll.rs
@@ -69,7 +69,6 @@
         may_extend: bool,
     ) {
         let now = context.now;
-        let lease = self.limits.lease_limit;
         let is_urgent = self.has_unpaced_urgent_unit(name);
         let Some(worker) = self.workers.get_mut(name) else {
             return;
@@ -85,6 +84,7 @@
         // before its units may run elsewhere.
         let needs_lease = (worker.is_occupied() || !worker.link.has_complete_listing)
             && worker.link.failures == 0;
+        let lease = worker.lease(&self.limits);
         let order = PollOrder {
             acknowledged: worker.link.recorded_end,
             lease_until: (may_extend && needs_lease).then(|| worker.link.extend_lease(now, lease)),
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -125,7 +125,6 @@
             resumes = saved.is_some();
             "run starts"
         );
-        let lease = self.limits.lease_limit;
         let step = StepKey::of(&key);
         for (index, member) in members.iter().enumerate() {
             let unit = key.unit(index as u16);
@@ -135,6 +134,7 @@
             if let Some(holding) = worker.holdings.get_mut(&unit) {
                 holding.is_sent = true;
             }
+            let lease = worker.lease(&self.limits);
             let order = StartOrder {
                 unit,
                 run,
--- a/crates/domain/src/process/planner/worker.rs
+++ b/crates/domain/src/process/planner/worker.rs
@@ -6,12 +6,17 @@
 use crate::prelude::*;
 use crate::process::action::CallTicket;
 use crate::process::planner::health::WorkerHealth;
-use crate::process::planner::limits::{with_drift, without_drift};
+use crate::process::planner::limits::{PlanLimits, with_drift, without_drift};
 use crate::process::planner::sharing::UnitShare;
 use crate::process::planner::speed::WorkerSpeed;
 use crate::process::worker_report::WorkerReport;
 use crate::request::submission::{StepShape, UnitDemand};
 
+/// Longest lease of a worker with long-running units. A unit that is lost with its worker
+/// starts again once the lease has expired, and has to run within nine seconds; the rest is
+/// for the drift of clocks and the start.
+const MAX_LONG_RUNNING_LEASE: Duration = Duration::from_secs(8);
+
 /// Capacity of a worker that is held for a member of a group.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Holding {
@@ -25,6 +30,8 @@
     pub share: UnitShare,
     /// Whether its step limits the number of its units on a worker.
     pub is_limited: bool,
+    /// Whether the member runs until its job is cancelled.
+    pub is_long_running: bool,
     /// Whether an order to start the member may have been sent.
     pub is_sent: bool,
 }
@@ -136,6 +143,7 @@
             demand: shape.reserved_demand(),
             share: UnitShare::of(shape),
             is_limited: shape.worker_limit.is_some(),
+            is_long_running: shape.is_long_running,
             is_sent,
         }
     }
@@ -256,6 +264,16 @@
         !self.health.is_available(now) || self.speed.is_slowed(now)
     }
 
+    /// Returns the lease that orders to it grant.
+    pub fn lease(&self, limits: &PlanLimits) -> Duration {
+        let mut holdings = self.holdings.values();
+        if holdings.any(|holding| holding.is_long_running) {
+            limits.lease_limit.min(MAX_LONG_RUNNING_LEASE)
+        } else {
+            limits.lease_limit
+        }
+    }
+
     /// Whether units may run on it, or runs without a record are being stopped.
     pub fn is_occupied(&self) -> bool {
         !self.unrecorded.is_empty() || self.holdings.values().any(|holding| holding.is_sent)
