Planner: acknowledges ends only to the incarnation that listed them

What callers saw: a unit that had ended `done` ran a second time (TWICE), after its worker had restarted under its id while a long poll to the earlier incarnation was pending.

Cause: ends are numbered anew in each incarnation, and polls do not name it. The poll after the one that was given up acknowledged the earlier incarnation's ends, so the worker forgot its own first ends unseen, and the run counted as vanished.

Change: a poll acknowledges ends only within 0.5 s of the newest listing, the time that a worker takes to restart at least; otherwise it acknowledges none, and the next poll does.

Evidence: restart_unnoticed_ends_of_next_incarnation_kept (3 cases) failed before ("starts although it is done") and passes now, as do the other tests of the simulated domain.

--- a/crates/domain-sim/tests/leases.rs
+++ b/crates/domain-sim/tests/leases.rs
@@ -819,3 +819,32 @@
     );
     assert_eq!(world.violations, Vec::<String>::new());
 }
+
+/// Guards against an acknowledgement that the next incarnation of a worker takes for its own
+/// ends: it forgets one that no planner has seen, and the unit runs twice.
+#[rstest]
+fn restart_unnoticed_ends_of_next_incarnation_kept(#[values(700, 1_000, 1_300)] offset_ms: u64) {
+    let mut world = ready_world(142, 3, 1);
+    let work = Duration::from_millis(300);
+    for number in 1..=3 {
+        world.submit(0, BATCH, JobKey(number), &job(vec![step(2, 4)]), work);
+        world.run_for(Duration::from_secs(2));
+    }
+    let long_work = Duration::from_secs(5);
+    world.submit(0, BATCH, JobKey(4), &job(vec![step(1, 4)]), long_work);
+    world.run_for(Duration::from_millis(offset_ms));
+    let name: WorkerName = "worker-000".into();
+    world.crash_worker(&name);
+    world.run_for(Duration::from_millis(600));
+    world.restart_worker(&name);
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.reaches_log = false;
+    }
+    world.submit(0, BATCH, JobKey(5), &job(vec![step(1, 4)]), work);
+    world.run_for(Duration::from_secs(4));
+    if let Some(worker) = world.workers.get_mut(&name) {
+        worker.reaches_log = true;
+    }
+    let world = check_all_done(world);
+    assert_eq!(world.starts, 9, "a unit that was done ran again");
+}
--- a/crates/domain/src/process/planner/late_start.rs
+++ b/crates/domain/src/process/planner/late_start.rs
@@ -5,14 +5,11 @@
 
 use crate::prelude::*;
 use crate::process::planner::state::{PlannerState, StopOrder};
-use crate::process::planner::worker::PlanWorker;
+use crate::process::planner::worker::{MIN_RESTART_TIME, PlanWorker};
 
 /// Time after which an order that was not answered is presumed lost. The platform carries
 /// such orders out some seconds late.
 const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
-/// Age of a worker's newest answer up to which the incarnation that gave it counts as
-/// running; a worker takes longer to restart.
-const MAX_ANSWER_AGE: Duration = Duration::from_millis(500);
 
 /// A start of a released member that may still be carried out.
 #[derive(Clone, Debug)]
@@ -65,7 +62,7 @@
             };
             let answered_at = worker.link.answered_at;
             let is_answering = worker.link.failures == 0
-                && answered_at.is_some_and(|at| now.since(at) <= MAX_ANSWER_AGE);
+                && answered_at.is_some_and(|at| now.since(at) <= MIN_RESTART_TIME);
             if worker.incarnation() == late.refused_by && is_answering {
                 continue;
             }
--- a/crates/domain/src/process/planner/listing.rs
+++ b/crates/domain/src/process/planner/listing.rs
@@ -62,6 +62,9 @@
             self.handle_other_incarnation(context, name, incarnation, listing.clock);
             return;
         }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.link.identified_at = Some(context.now);
+        }
         let is_complete = listing.ended.len() < MAX_LISTED_ENDS;
         self.handle_ends(context, name, &listing.ended);
         if !self.is_newest_listing(name, listing.clock) {
--- a/crates/domain/src/process/planner/poll.rs
+++ b/crates/domain/src/process/planner/poll.rs
@@ -86,7 +86,7 @@
             && worker.link.failures == 0;
         let lease = worker.lease(&self.limits);
         let order = PollOrder {
-            acknowledged: worker.link.recorded_end,
+            acknowledged: worker.link.acknowledgeable_end(now),
             lease_until: (may_extend && needs_lease).then(|| worker.link.extend_lease(now, lease)),
             wait,
         };
--- a/crates/domain/src/process/planner/worker.rs
+++ b/crates/domain/src/process/planner/worker.rs
@@ -12,6 +12,9 @@
 use crate::process::worker_report::WorkerReport;
 use crate::request::submission::{StepShape, UnitDemand};
 
+/// Time that a worker takes to restart, at least. An answer by which its incarnation is known
+/// holds for as long.
+pub(super) const MIN_RESTART_TIME: Duration = Duration::from_millis(500);
 /// Longest lease of a worker with long-running units. A unit that is lost with its worker
 /// starts again once the lease has expired, and has to run within nine seconds; the rest is
 /// for the drift of clocks and the start.
@@ -123,6 +126,9 @@
     pub failures: u32,
     /// When the newest answer arrived.
     pub answered_at: Option<MonotonicTime>,
+    /// When the newest listing of this incarnation arrived; other answers do not tell which
+    /// incarnation gave them.
+    pub identified_at: Option<MonotonicTime>,
 }
 
 /// A reading of a worker's clock, with the time of this host.
@@ -290,6 +296,15 @@
         })
     }
 
+    /// Returns the number up to which a poll may acknowledge ends now; zero if another
+    /// incarnation may receive it, whose ends are numbered anew and would be forgotten unseen.
+    pub fn acknowledgeable_end(&self, now: MonotonicTime) -> u64 {
+        let is_identified = self
+            .identified_at
+            .is_some_and(|at| now.since(at) <= MIN_RESTART_TIME);
+        if is_identified { self.recorded_end } else { 0 }
+    }
+
     /// Extends the lease and returns its expiry by the worker's clock, to be sent with an
     /// order now. The lease bound is raised whether or not the order arrives.
     pub fn extend_lease(&mut self, now: MonotonicTime, lease: Duration) -> WorkerClock {
