Simulated domain: a randomized search for broken rules

Draws jobs of most kinds of step (gangs, one rack, labels, limits of units on a worker, fillers, serving and long-running units, chains, occurrences, cancels), waves of upkeep, and faults of hosts, workers, log and machine service from a seed. No start may violate an invariant of the workers; once the faults are over, no accepted job may have nothing running beside room for it twice over in a half-free pool.

The search does not draw advice, shares between customers or paused planners at each await, does not judge AVAIL, RECLAIM or ORPHAN, and does not shrink failing seeds.

--- a/crates/domain-sim/src/sim_world.rs
+++ b/crates/domain-sim/src/sim_world.rs
@@ -86,6 +86,9 @@
     pub cancelled_at: Option<MonotonicTime>,
     /// Units that are done, of all steps.
     pub done_units: BTreeSet<UnitKey>,
+    /// Those whose end was lost with its worker before any planner acknowledged it; they may
+    /// start again.
+    pub lost_ends: BTreeSet<UnitKey>,
 }
 
 #[derive(Debug)]
--- a/crates/domain-sim/src/sim_world/orders.rs
+++ b/crates/domain-sim/src/sim_world/orders.rs
@@ -3,7 +3,7 @@
 use flamingowalk_domain::prelude::*;
 use flamingowalk_domain::process::action::{CallTicket, StartOrder, WorkerCall, WorkerOrder};
 use flamingowalk_domain::process::event::{HostEvent, RefusalCause, WorkerAnswer};
-use flamingowalk_domain::request::submission::{JobSubmission, UnitDemand};
+use flamingowalk_domain::request::submission::{JobSubmission, StepShape, UnitDemand};
 
 use crate::sim_worker::{SimRun, checkpoint_work};
 use crate::sim_world::{HOP_DELAY, NO_REPLY_TICKET, SimWorld, WaitingPoll, WorldEvent};
@@ -119,7 +119,7 @@
         }
         if !worker
             .used()
-            .plus(&shape.demand)
+            .plus(&shape.reserved_demand())
             .fits(&worker.report.capacity)
         {
             violations.push(format!("{unit} exceeds the capacity of {}", call.worker));
@@ -138,7 +138,7 @@
             ));
         }
         if let Some(report) = self.jobs.get(&unit.job) {
-            if report.done_units.contains(&unit) {
+            if report.done_units.contains(&unit) && !report.lost_ends.contains(&unit) {
                 violations.push(format!("{unit} starts although it is done"));
             }
             for dependency in &shape.after {
@@ -227,7 +227,7 @@
     let is_gang = shape.is_some_and(|shape| shape.is_gang);
     SimRun {
         run: start.run,
-        demand: shape.map_or_else(UnitDemand::default, |shape| shape.demand),
+        demand: shape.map_or_else(UnitDemand::default, StepShape::reserved_demand),
         began_at: (!is_gang).then_some(now),
         arrived_at: now,
         work: total_work.saturating_sub(checkpoint_work(start.saved.as_deref())),
--- a/crates/domain-sim/src/sim_world/runs.rs
+++ b/crates/domain-sim/src/sim_world/runs.rs
@@ -202,6 +202,15 @@
         worker.is_up = false;
         let units: Vec<_> = worker.running.keys().copied().collect();
         worker.running.clear();
+        for end in worker
+            .ended
+            .iter()
+            .filter(|end| end.cause == EndCause::Done)
+        {
+            if let Some(report) = self.jobs.get_mut(&end.unit.job) {
+                report.lost_ends.insert(end.unit);
+            }
+        }
         for unit in units {
             if self.is_gang_unit(&unit) {
                 self.break_gang(&unit);
--- a/crates/domain-sim/tests/domain.rs
+++ b/crates/domain-sim/tests/domain.rs
@@ -9,6 +9,7 @@
 mod numbers;
 mod policy;
 mod reread;
+mod search;
 mod sharing;
 mod size;
 mod support;
