Dry run and pass decide by one function, also with unequal speeds

Callers saw: `flamingowalk explain` placed a job without its goal in a pool of unequal speeds, did not tell that an urgent group would wait for faster workers, and used another order than a pass where `[overload]` shares capacity.

Cause: the dry run had a copy of the group loop of `plan_step`, which had fallen behind.

Change: `decision.rs` decides about one waiting group; `plan_step` applies the result, and the dry run makes the same decisions on a copy of the planner's state that has the job. The report names waits for faster workers and reservations.

`dry_run::explain_job_as_pass` compares the dry run with a pass; without the goal it fails on three speeds.

--- a/crates/domain-sim/tests/domain.rs
+++ b/crates/domain-sim/tests/domain.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod claims;
 mod configuration;
+mod dry_run;
 mod evacuation;
 mod explain;
 mod faults;
--- a/crates/domain/src/process/planner.rs
+++ b/crates/domain/src/process/planner.rs
@@ -7,6 +7,7 @@
 pub mod advice;
 pub mod backlog;
 pub mod cost;
+pub mod decision;
 pub mod draining;
 pub mod end;
 pub mod estimate;
--- a/crates/domain/src/process/planner/explain.rs
+++ b/crates/domain/src/process/planner/explain.rs
@@ -1,44 +1,57 @@
-//! Dry run of a submission: where a job would go now and why. It repeats a pass on copies of
-//! the free capacity and of the order of the waiting steps, and changes no state.
+//! Dry run of a submission: where a job would go now and why. It makes the decisions of a pass
+//! on a copy of the planner's state that has the job, and changes no state.
 //!
 //! The load that this answers: operators of a full or partly evacuated pool who ask why jobs
-//! of a queue wait. One dry run costs about as much as one pass.
+//! of a queue wait. One dry run costs about as much as one pass and a copy of the state.
 
 pub mod report;
 
 use crate::prelude::*;
-use crate::process::planner::backlog::{choose_delayed, open_work};
+use crate::process::planner::decision::{
+    GroupCase, GroupDecision, ReservationCount, StepCase, StepCursor, decide_next, reserve_room,
+};
 use crate::process::planner::explain::report::{
     JobExplanation, StepExplanation, StopExplanation, WaitCause,
 };
 use crate::process::planner::job::{PlanJob, PlanOccurrence};
-use crate::process::planner::order::{WaitingStep, put_delayed_last, sort_waiting, waiting_steps};
-use crate::process::planner::pass::{
-    MAX_RESERVATIONS, MAX_URGENT_RESERVATIONS, ReservationCount, find_last_resort,
-};
 use crate::process::planner::place::{CapacityView, PlaceRequest, Placement};
 use crate::process::planner::state::PlannerState;
 use crate::process::record::AcceptedJob;
-use crate::request::submission::{StepShape, UnitDemand};
-
-/// Waiting groups of a step, and what their placement depends on.
-#[derive(Clone, Copy, Debug)]
-struct StepCase<'a> {
-    now: MonotonicTime,
-    planner: &'a PlannerState,
-    step: &'a WaitingStep,
-    job: &'a PlanJob,
-    shape: &'a StepShape,
-    run_time: Duration,
-}
+use crate::request::submission::UnitDemand;
 
-/// Groups of a step that would start, and whether another one does not.
+/// What a pass would decide about the groups of a step of the job.
 #[derive(Clone, Debug, Default)]
 struct StepTrial {
     placements: Vec<Placement>,
-    is_blocked: bool,
-    /// Whether it does not start because its workers are kept free for urgent work.
-    is_kept_free: bool,
+    /// The first group that would wait.
+    wait: Option<GroupWait>,
+}
+
+/// Why a group would wait, and what would be done for it.
+#[derive(Clone, Debug)]
+struct GroupWait {
+    cause: WaitCause,
+    stops: Option<StopExplanation>,
+    is_reserved: bool,
+    start: Option<ExpectedStart>,
+}
+
+impl From<WaitCause> for GroupWait {
+    fn from(cause: WaitCause) -> Self {
+        Self {
+            cause,
+            stops: None,
+            is_reserved: false,
+            start: None,
+        }
+    }
+}
+
+/// When a group would start, and on which workers if that is known.
+#[derive(Clone, Debug)]
+struct ExpectedStart {
+    at: MonotonicTime,
+    workers: Vec<WorkerName>,
 }
 
 /// Explains where a job would go if it were accepted now.
@@ -49,33 +62,37 @@
     accepted: AcceptedJob,
 ) -> JobExplanation {
     let (job, due_in) = candidate_job(planner, now, wall, accepted);
-    let guaranteed = planner.guaranteed_among(planner.jobs.values().chain([&job]));
-    let waiting = waiting_with(planner, now, &job, &guaranteed);
-    let mut view = planner.capacity_view(now, planner.uncertain_workers(now), guaranteed);
+    let (job_key, accepted) = (job.key, Arc::clone(&job.accepted));
+    let mut scratch = planner.clone();
+    scratch.jobs.insert(job_key, job);
+    let guaranteed = scratch.guaranteed_jobs();
+    let waiting = scratch.waiting_in_order(now, &guaranteed);
+    let mut view = scratch.capacity_view(now, scratch.uncertain_workers(now), guaranteed);
     let mut reserved = ReservationCount::default();
+    let mut left = waiting
+        .iter()
+        .filter(|step| step.key.job == job_key)
+        .count();
     let (mut groups_before, mut first_steps) = (0, Vec::new());
     for step in &waiting {
-        let is_candidate = step.key.job == job.key;
-        let found = if is_candidate {
-            Some(&job)
-        } else {
-            planner.jobs.get(&step.key.job)
-        };
-        let Some(case) = found.and_then(|job| step_case(planner, now, step, job)) else {
+        if left == 0 {
+            break;
+        }
+        let Some(mut case) = StepCase::new(&scratch, now, step, &view) else {
             continue;
         };
-        if is_candidate {
-            first_steps.push(explain_step(&case, groups_before, &mut view, &mut reserved));
+        if step.key.job == job_key {
+            left -= 1;
+            // Approvals are requested for submitted jobs only.
+            case.approved = None;
+            let trial = try_step(&mut scratch, &case, &mut view, &mut reserved);
+            first_steps.push(explain_step(&case, trial, groups_before, &view));
         } else {
             groups_before += step.groups.len();
-            try_step(&case, &mut view, &mut reserved);
-        }
-        if first_steps.len() == waiting_count(&waiting, job.key) {
-            break;
+            plan_earlier_step(&mut scratch, &case, &mut view, &mut reserved);
         }
     }
     first_steps.sort_by_key(|step| step.step);
-    let accepted = &job.accepted;
     let full_queues = planner.admission.full_queues();
     let mut full = full_queues.iter();
     JobExplanation {
@@ -89,7 +106,7 @@
         queue: accepted.queue.clone(),
         service: accepted.service.clone(),
         priority: accepted.priority,
-        is_guaranteed: view.guaranteed.contains(&job.key),
+        is_guaranteed: view.guaranteed.contains(&job_key),
         due_to_start_in_ms: due_in,
         later_steps: accepted.submission.steps.len() - first_steps.len(),
         first_steps,
@@ -120,181 +137,126 @@
     (job, (due > wall.0).then(|| due - wall.0))
 }
 
-/// Returns the waiting steps in the order of planning, those of the job included.
-fn waiting_with(
-    planner: &PlannerState,
-    now: MonotonicTime,
-    job: &PlanJob,
-    guaranteed: &BTreeSet<JobKey>,
-) -> Vec<WaitingStep> {
-    let times = &planner.run_times;
-    let jobs = BTreeMap::from([(job.key, job.clone())]);
-    let mut waiting = waiting_steps(now, &planner.jobs, times, guaranteed);
-    waiting.extend(waiting_steps(now, &jobs, times, guaranteed));
-    sort_waiting(&mut waiting);
-    if planner.limits.overload.orders_by_cost {
-        let pools = planner.pool_sizes();
-        let mut open = open_work(now, &planner.jobs, times, guaranteed, &pools);
-        open.extend(open_work(now, &jobs, times, guaranteed, &pools));
-        put_delayed_last(&mut waiting, &choose_delayed(now, &open));
-    }
-    waiting
-}
-
-fn waiting_count(waiting: &[WaitingStep], job: JobKey) -> usize {
-    waiting.iter().filter(|step| step.key.job == job).count()
-}
-
-fn step_case<'a>(
-    planner: &'a PlannerState,
-    now: MonotonicTime,
-    step: &'a WaitingStep,
-    job: &'a PlanJob,
-) -> Option<StepCase<'a>> {
-    let shape = job.shape(step.key.step)?;
-    let run_time = planner
-        .run_times
-        .expected(&job.accepted.queue, shape.estimate_ms);
-    Some(StepCase {
-        now,
-        planner,
-        step,
-        job,
-        shape,
-        run_time,
-    })
-}
-
-impl<'a> StepCase<'a> {
-    fn request(&self, view: &CapacityView, waited: Duration) -> PlaceRequest<'a> {
-        let goal = self.planner.end_goal(self.now, self.step, view);
-        let mut request = PlaceRequest {
-            service: &self.job.accepted.service,
-            key: self.step.key,
-            shape: self.shape,
-            count: self.shape.group_size(),
-            avoided: &[],
-            allows_avoided: true,
-            allows_set_aside: false,
-            approved: None,
-            allows_remote: false,
-            is_urgent: self.step.priority == 0,
-            ends_at: goal.map_or(self.now + self.run_time, |goal| goal.now + goal.run_time),
-            goal,
-        };
-        let planner = self.planner;
-        request.allows_remote = planner.allows_remote(self.now, self.step, &request, waited, view);
-        request
+/// Decides about the groups of another job that come before. They stop nothing: a pass that ran
+/// since they came has claimed that capacity already.
+fn plan_earlier_step(
+    scratch: &mut PlannerState,
+    case: &StepCase<'_>,
+    view: &mut CapacityView,
+    reserved: &mut ReservationCount,
+) {
+    let mut cursor = StepCursor::default();
+    while let Some((group, decision)) = decide_next(scratch, case, &mut cursor, view, reserved) {
+        if decision == GroupDecision::NoRoom {
+            let request = case.waiting_request(&group);
+            reserve_room(scratch, case, &request, view, reserved);
+        } else {
+            scratch.apply_decision(case, &group, &decision, view);
+        }
     }
 }
 
-/// Allocates capacity to the groups of a step in the same way as a pass, and reserves it for
-/// the first one that does not fit. What groups would stop is left out: a pass that ran since
-/// they came has claimed that capacity already.
+/// Decides about the groups of a step of the job.
 fn try_step(
+    scratch: &mut PlannerState,
     case: &StepCase<'_>,
     view: &mut CapacityView,
     reserved: &mut ReservationCount,
 ) -> StepTrial {
-    let (now, step, planner) = (case.now, case.step, case.planner);
     let mut trial = StepTrial::default();
-    let needs_approval = planner.advice_settings(&case.job.accepted.queue).is_some();
-    let is_candidate = !planner.jobs.contains_key(&step.key.job);
-    let approved = (needs_approval && !is_candidate)
-        .then(|| planner.advice.approved(&step.key, now, &planner.workers));
-    for index in &step.groups {
-        let key = GroupKey {
-            job: step.key.job,
-            occurrence: step.key.occurrence,
-            step: step.key.step,
-            index: (!case.shape.is_gang).then_some(*index as u16),
-        };
-        let Some(group) = case.job.group(&key) else {
-            continue;
-        };
-        let is_held_back = planner.claims.contains_key(&key)
-            || view.unrecorded.contains(&key)
-            || planner.awaits_late_start(&key, &view.uncertain);
-        if is_held_back {
-            continue;
-        }
-        let waited = now.since(step.ready_at.max(group.not_before));
-        let request = PlaceRequest {
-            avoided: &group.failed_on,
-            allows_avoided: now >= group.avoids_until,
-            approved: approved.as_ref(),
-            ..case.request(view, waited)
-        };
-        let usual = view.find_placement(&request);
-        let is_usual = usual.is_some();
-        let Some(placement) = usual.or_else(|| find_last_resort(&request, waited, view)) else {
-            trial.is_blocked = true;
-            if !is_candidate && (!step.is_too_late || step.is_guaranteed) {
-                let (count, limit) = if request.is_urgent {
-                    (&mut reserved.urgent, MAX_URGENT_RESERVATIONS)
-                } else {
-                    (&mut reserved.others, MAX_RESERVATIONS)
-                };
-                if *count < limit && planner.reserve_capacity_for(now, &request, view) {
-                    *count += 1;
-                }
-            }
-            if !request.avoided.is_empty() {
+    let mut cursor = StepCursor::default();
+    while let Some((group, decision)) = decide_next(scratch, case, &mut cursor, view, reserved) {
+        scratch.apply_decision(case, &group, &decision, view);
+        let wait = match decision {
+            GroupDecision::Start { placement } | GroupDecision::StartClaimed { placement } => {
+                trial.placements.push(placement);
                 continue;
             }
-            break;
+            GroupDecision::AwaitClaim | GroupDecision::ReleaseClaim { .. } => continue,
+            GroupDecision::AwaitFaster { workers, from } => GroupWait {
+                cause: WaitCause::FasterWorkers {
+                    workers: workers.clone(),
+                },
+                stops: None,
+                is_reserved: true,
+                start: Some(ExpectedStart { at: from, workers }),
+            },
+            GroupDecision::KeptFree => WaitCause::KeptForUrgent.into(),
+            GroupDecision::NoRoom => wait_without_room(scratch, case, &group, view, reserved),
         };
-        let (shape, run_time) = (case.shape, case.run_time);
-        if is_usual && !planner.respects_headroom(now, step, shape, run_time, view, &placement) {
-            trial.is_blocked = true;
-            trial.is_kept_free = true;
-            break;
-        }
-        view.allocate(&request, &placement);
-        trial.placements.push(placement);
+        trial.wait.get_or_insert(wait);
+    }
+    if let Some(bar) = scratch.start_gate.orders_bar(case.now) {
+        trial.placements.clear();
+        trial.wait = Some(WaitCause::Barred { bar: bar.label() }.into());
     }
     trial
 }
 
-fn explain_step(
+/// Returns why a group without room would wait, what it would stop, and whether it would get a
+/// reservation.
+fn wait_without_room(
+    scratch: &PlannerState,
     case: &StepCase<'_>,
-    groups_before: usize,
+    group: &GroupCase,
     view: &mut CapacityView,
     reserved: &mut ReservationCount,
-) -> StepExplanation {
-    let (now, step, planner) = (case.now, case.step, case.planner);
-    let trial = try_step(case, view, reserved);
-    let request = case.request(view, now.since(step.ready_at));
-    let mut starts: Vec<_> = trial
-        .placements
-        .iter()
-        .map(|placed| placed.workers.clone())
-        .collect();
-    let mut start = (!starts.is_empty()).then_some(now);
-    let (mut wait, mut stops) = (None, None);
-    if trial.is_blocked {
-        wait = Some(wait_cause(case, &trial, &request, view));
-        let is_barred = matches!(
-            wait,
-            Some(WaitCause::Barred { .. } | WaitCause::NoEligibleWorker { .. })
-        );
-        if !trial.is_kept_free && !is_barred {
-            let choice = planner.choose_stops(now, step, &request, view);
-            let free_at = choice
-                .as_ref()
-                .map(|choice| choice.awaited_until.max(now + planner.limits.stop_grace));
-            start = start
-                .or(free_at)
-                .or_else(|| planner.expected_start(now, &request, view));
-            stops = choice.map(|choice| StopExplanation {
+) -> GroupWait {
+    let (now, request) = (case.now, case.waiting_request(group));
+    let reason = wait_cause(scratch, &request, view);
+    if matches!(reason, WaitCause::NoEligibleWorker { .. }) {
+        return reason.into();
+    }
+    if let Some(choice) = scratch.choose_stops(now, case.step, &request, view) {
+        let placement = Placement {
+            workers: choice.workers.clone(),
+            is_remote: false,
+        };
+        view.allocate(&request, &placement);
+        let at = choice.awaited_until.max(now + scratch.limits.stop_grace);
+        return GroupWait {
+            stops: Some(StopExplanation {
                 groups: choice.victims.iter().map(GroupKey::to_string).collect(),
                 lost_core_seconds: choice.lost,
                 workers: choice.workers,
-            });
-        }
+            }),
+            start: Some(ExpectedStart {
+                at,
+                workers: placement.workers,
+            }),
+            ..reason.into()
+        };
+    }
+    let start = scratch.expected_start(now, &request, view);
+    GroupWait {
+        is_reserved: reserve_room(scratch, case, &request, view, reserved),
+        start: start.map(|at| ExpectedStart {
+            at,
+            workers: Vec::new(),
+        }),
+        ..reason.into()
+    }
+}
+
+fn explain_step(
+    case: &StepCase<'_>,
+    trial: StepTrial,
+    groups_before: usize,
+    view: &CapacityView,
+) -> StepExplanation {
+    let (now, step) = (case.now, case.step);
+    let placements = trial.placements.into_iter();
+    let mut starts: Vec<_> = placements.map(|placed| placed.workers).collect();
+    let mut start = starts.first().map(|workers| ExpectedStart {
+        at: now,
+        workers: workers.clone(),
+    });
+    let (mut wait, mut stops, mut is_reserved) = (None, None, false);
+    if let Some(found) = trial.wait {
+        start = start.or(found.start);
+        (wait, stops, is_reserved) = (Some(found.cause), found.stops, found.is_reserved);
     }
-    let needs_approval = planner.advice_settings(&case.job.accepted.queue).is_some();
-    if needs_approval && !starts.is_empty() {
+    if case.advice.is_some() && !starts.is_empty() {
         let workers = std::mem::take(&mut starts).into_iter().flatten();
         wait = Some(WaitCause::Approval {
             workers: workers.collect::<BTreeSet<_>>().into_iter().collect(),
@@ -302,37 +264,43 @@
         start = None;
     }
     let millis = |at: MonotonicTime| at.since(now).as_millis() as u64;
+    let shape = case.shape();
+    let end = start.as_ref().filter(|_| !shape.is_long_running);
     StepExplanation {
         step: step.key.step,
         groups: step.groups.len(),
-        units_per_group: request.count,
+        units_per_group: shape.group_size(),
         groups_before,
         starts,
         wait,
         stops,
-        start_in_ms: start.map(millis),
-        end_in_ms: start
-            .filter(|_| !case.shape.is_long_running)
-            .map(|start| millis(start + case.run_time)),
+        is_reserved,
+        start_in_ms: start.as_ref().map(|start| millis(start.at)),
+        end_in_ms: end.map(|start| millis(start.at + run_time_on(case, view, &start.workers))),
         objective_in_ms: millis(step.due_by),
         late_objective_in_ms: millis(step.late_by),
     }
 }
 
-/// Returns why the first group of a step that does not start would wait.
+/// Returns the expected run time of a group on these workers, at average speed if they are not
+/// known.
+fn run_time_on(case: &StepCase<'_>, view: &CapacityView, workers: &[WorkerName]) -> Duration {
+    let Some(goal) = case.goal else {
+        return case.run_time;
+    };
+    let placement = Placement {
+        workers: workers.to_vec(),
+        is_remote: false,
+    };
+    goal.run_time.div_f64(view.slowest_speed(&placement))
+}
+
+/// Returns why a group without room would wait.
 fn wait_cause(
-    case: &StepCase<'_>,
-    trial: &StepTrial,
+    planner: &PlannerState,
     request: &PlaceRequest<'_>,
     view: &CapacityView,
 ) -> WaitCause {
-    let planner = case.planner;
-    if let Some(bar) = planner.start_gate.orders_bar(case.now) {
-        return WaitCause::Barred { bar: bar.label() };
-    }
-    if trial.is_kept_free {
-        return WaitCause::KeptForUrgent;
-    }
     let eligible = view.eligible_rows(request);
     if eligible.is_empty() {
         return no_eligible_worker(planner, request);
--- a/crates/domain/src/process/planner/explain/report.rs
+++ b/crates/domain/src/process/planner/explain/report.rs
@@ -47,6 +47,8 @@
     pub wait: Option<WaitCause>,
     /// What the first waiting group would stop.
     pub stops: Option<StopExplanation>,
+    /// Whether capacity that becomes free would be reserved for the first waiting group.
+    pub is_reserved: bool,
     /// Expected start of the first group, where it is known.
     pub start_in_ms: Option<u64>,
     /// Expected end of the first group; `None` also for a long-running step.
@@ -98,6 +100,12 @@
     },
     /// The capacity is free, but kept for urgent work.
     KeptForUrgent,
+    /// The capacity is free, but on workers on which the group would miss its objective, and
+    /// faster ones become free in time.
+    FasterWorkers {
+        /// The faster workers, one for each unit.
+        workers: Vec<WorkerName>,
+    },
     /// Too little capacity is free.
     NoCapacity {
         /// Workers that may run the units.
@@ -193,6 +201,9 @@
                 "  stops {groups} (cost {lost:.0} core seconds) to run on {workers}"
             )?;
         }
+        if self.is_reserved {
+            writeln!(f, "  capacity is reserved for the first waiting group")?;
+        }
         let time = |time: Option<u64>| time.map_or("unknown".to_owned(), |ms| format!("{ms} ms"));
         writeln!(
             f,
@@ -240,6 +251,11 @@
                  one rack"
             ),
             Self::KeptForUrgent => f.write_str("the free workers are kept for urgent work"),
+            Self::FasterWorkers { workers } => write!(
+                f,
+                "waits for faster workers that become free in time: {}",
+                join(workers)
+            ),
             Self::NoCapacity {
                 eligible,
                 fitting_units,
--- a/crates/domain/src/process/planner/guarantee.rs
+++ b/crates/domain/src/process/planner/guarantee.rs
@@ -10,16 +10,8 @@
     /// Returns the urgent jobs that their customers' guarantees cover: of each customer those
     /// accepted first, as many as need no more than the guarantee together.
     pub(super) fn guaranteed_jobs(&self) -> BTreeSet<JobKey> {
-        self.guaranteed_among(self.jobs.values())
-    }
-
-    /// The same for other jobs than those of the planner.
-    pub(super) fn guaranteed_among<'a>(
-        &self,
-        jobs: impl Iterator<Item = &'a PlanJob>,
-    ) -> BTreeSet<JobKey> {
         let is_urgent = |job: &&PlanJob| job.accepted.priority == 0 && !job.is_closing;
-        let mut urgent: Vec<&PlanJob> = jobs.filter(is_urgent).collect();
+        let mut urgent: Vec<&PlanJob> = self.jobs.values().filter(is_urgent).collect();
         urgent.sort_by_key(|job| (job.accepted.accepted_at, job.key));
         let mut used: BTreeMap<&CustomerName, u32> = BTreeMap::new();
         let mut covered = BTreeSet::new();
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -229,6 +229,11 @@
         self.has_leader_lease(now) && !self.is_superseded && !self.is_resigning
     }
 
+    /// Whether something changed since the newest pass.
+    pub const fn is_pass_due(&self) -> bool {
+        self.is_dirty
+    }
+
     /// Returns the workers by name.
     pub const fn workers(&self) -> &PlanWorkers {
         &self.workers
