Planner: begun work of a customer beyond its share no longer precedes the others

Cause: every step of an occurrence that was begun kept its place, however much its customer held. A customer that floods the pool begins many jobs with capacity that is idle for a moment, and all of them preceded the steps of the others.

Begun steps beyond the share now come after the steps within a share and before other steps beyond it.

--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -11,7 +11,9 @@
 use crate::process::planner::objectives::StartForecast;
 use crate::process::planner::order::{WaitingStep, put_delayed_last, waiting_steps};
 use crate::process::planner::place::{CapacityRow, CapacityView, EndGoal, PlaceRequest, Placement};
-use crate::process::planner::shares::{PoolShares, beyond_share, waits};
+use crate::process::planner::shares::{
+    PoolShares, ShareRank, beyond_share, fair_shares, share_rank, waits,
+};
 use crate::process::planner::sharing::{SharedUse, UnitShare};
 use crate::process::planner::start::MAX_PREFERENCE_WAIT;
 use crate::process::planner::state::{PlanContext, PlannerState};
@@ -67,6 +69,8 @@
     service: ServiceName,
     customer: Option<CustomerName>,
     share: f64,
+    /// The same for all groups of the step, also those that run or are done.
+    whole_share: f64,
 }
 
 impl PlannerState {
@@ -110,7 +114,8 @@
     }
 
     /// Puts the steps that exceed the fair shares of their customers after the others of their
-    /// priority. Steps within a guarantee and work that was begun keep their place.
+    /// priority, first those of work that was begun. Steps within a guarantee keep their place, and
+    /// begun steps that exceed the share by themselves.
     fn put_beyond_share_last(&self, waiting: &mut Vec<WaitingStep>) {
         let pools = self.pool_sizes();
         let needs: Vec<StepNeed> = waiting
@@ -122,8 +127,9 @@
             return;
         }
         let uses = self.pool_shares(&pools, &needs);
-        let mut is_beyond = vec![false; waiting.len()];
+        let mut ranks = vec![ShareRank::Within; waiting.len()];
         for (service, uses) in &uses {
+            let fair = fair_shares(uses);
             let own: Vec<usize> = (0..needs.len())
                 .filter(|index| needs[*index].service == *service)
                 .collect();
@@ -132,21 +138,25 @@
                 .map(|index| (needs[*index].customer.clone(), needs[*index].share))
                 .collect();
             for (index, beyond) in own.into_iter().zip(beyond_share(uses, &shares)) {
-                let step = &waiting[index];
-                is_beyond[index] = beyond && !step.is_guaranteed && !self.has_begun(step);
+                let (step, need) = (&waiting[index], &needs[index]);
+                let is_wide = fair
+                    .get(&need.customer)
+                    .is_some_and(|fair| need.whole_share > *fair);
+                if beyond && !step.is_guaranteed {
+                    ranks[index] = share_rank(self.has_begun(step), is_wide);
+                }
             }
         }
-        let mut flagged: Vec<(bool, WaitingStep)> =
-            is_beyond.into_iter().zip(waiting.drain(..)).collect();
-        flagged.sort_by_key(|(beyond, step)| {
+        let mut ranked: Vec<(ShareRank, WaitingStep)> =
+            ranks.into_iter().zip(waiting.drain(..)).collect();
+        ranked.sort_by_key(|(rank, step)| {
             let group = (step.is_too_late, step.priority, !step.is_guaranteed);
-            (group, *beyond)
+            (group, *rank)
         });
-        waiting.extend(flagged.into_iter().map(|(_, step)| step));
+        waiting.extend(ranked.into_iter().map(|(_, step)| step));
     }
 
-    /// Whether some group of the step's occurrence has run. Work that was begun goes on: a wide
-    /// job exceeds the share of its customer by itself, and would not be done otherwise.
+    /// Whether some group of the step's occurrence has run.
     fn has_begun(&self, step: &WaitingStep) -> bool {
         let job = self.jobs.get(&step.key.job);
         let occurrence = job.and_then(|job| job.occurrences.get(&step.key.occurrence));
@@ -161,11 +171,13 @@
         let job = self.jobs.get(&step.key.job)?;
         let shape = job.shape(step.key.step)?;
         let pool = pools.get(&job.accepted.service)?;
-        let groups = step.groups.len() as f64 * f64::from(shape.group_size());
+        let unit_share = shape.reserved_demand().share_of(pool);
+        let waiting = step.groups.len() as f64 * f64::from(shape.group_size());
         Some(StepNeed {
             service: job.accepted.service.clone(),
             customer: job.accepted.customer.clone(),
-            share: shape.reserved_demand().share_of(pool) * groups,
+            share: unit_share * waiting,
+            whole_share: unit_share * f64::from(shape.count),
         })
     }
 
--- a/crates/domain/src/process/planner/shares.rs
+++ b/crates/domain/src/process/planner/shares.rs
@@ -16,6 +16,17 @@
     pub waiting: f64,
 }
 
+/// Place of a waiting step among those of its priority.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum ShareRank {
+    /// Within the share of its customer, within a guarantee, or a wide step that was begun.
+    Within,
+    /// Beyond the share, of an occurrence that was begun.
+    Begun,
+    /// Beyond the share.
+    Beyond,
+}
+
 /// Uses of a pool by customer; `None` for callers without a key, who count as one.
 pub type PoolShares = BTreeMap<Option<CustomerName>, CustomerUse>;
 
@@ -80,3 +91,15 @@
     }
     pairs
 }
+
+/// Returns the place of a step beyond the share of its customer. A begun step that is wider than
+/// the share keeps its place: it would never be done otherwise. Other begun steps do not, since
+/// a customer that floods the pool begins many jobs with capacity that is idle for a moment, and
+/// all of them would precede the steps of the others.
+pub const fn share_rank(has_begun: bool, is_wide: bool) -> ShareRank {
+    match (has_begun, is_wide) {
+        (true, true) => ShareRank::Within,
+        (true, false) => ShareRank::Begun,
+        (false, _) => ShareRank::Beyond,
+    }
+}
--- a/crates/domain/tests/shares.rs
+++ b/crates/domain/tests/shares.rs
@@ -2,7 +2,7 @@
 
 use flamingowalk_domain::prelude::*;
 use flamingowalk_domain::process::planner::shares::{
-    CustomerUse, PoolShares, beyond_share, fair_shares, waits,
+    CustomerUse, PoolShares, ShareRank, beyond_share, fair_shares, share_rank, waits,
 };
 
 fn customer(name: &str) -> CustomerName {
@@ -53,3 +53,13 @@
     let uses = uses(&[("a", 0.8, 1.0), ("b", 0.1, 0.5), ("c", 0.1, 0.0)]);
     assert_eq!(waits(&uses), [(Some(customer("b")), Some(customer("a")))]);
 }
+
+/// Guards against wide steps that are begun and never done, and against a customer that overtakes
+/// the others since it has begun many jobs.
+#[test]
+fn share_rank_begun_steps() {
+    assert_eq!(share_rank(true, true), ShareRank::Within);
+    assert_eq!(share_rank(true, false), ShareRank::Begun);
+    assert_eq!(share_rank(false, true), ShareRank::Beyond);
+    assert!(ShareRank::Within < ShareRank::Begun && ShareRank::Begun < ShareRank::Beyond);
+}
