Planner: polls workers before urgent starts of customers with a guarantee

Cause: idle workers are not polled and a long poll is answered after up to 2 s, so a start went to a worker lost up to 1.8 s before. It was not answered, and its unit had to wait for the end of the lease.

Change: while such a start is recorded, those of its workers that have not answered within 100 ms are polled. The start is sent once all have answered; after 300 ms it is given up unsent, and the group is planned on other workers. The workers of a claim are polled as well when it is made. Other starts are as before. Two units never run at once by this: fewer starts are sent, none more.

Evidence: reclaim_search_holds_beside_lost_workers, start_look.rs.

--- a/crates/domain-sim/tests/reclaim_search.rs
+++ b/crates/domain-sim/tests/reclaim_search.rs
@@ -14,6 +14,8 @@
 
 /// Time within which all units of the first step have to begin, as users require at most.
 const RECLAIM_BOUND: Duration = Duration::from_millis(3_400);
+/// The bound that deployments set.
+const CONFIGURED_BOUND: Duration = Duration::from_millis(2_700);
 /// Time for which the pool is filled before the job under test.
 const LOAD_TIME: Duration = Duration::from_secs(6);
 /// Interval at which other jobs may be submitted.
@@ -160,6 +162,15 @@
     assert_eq!(check_seed(seed, RECLAIM_BOUND), Ok(()));
 }
 
+/// Guards against starts on workers that were lost up to 1.8 s before: such a start is not
+/// answered, and its unit waits for the end of the lease.
+#[rstest]
+fn reclaim_search_holds_beside_lost_workers(
+    #[values(15, 144, 229, 319, 352, 469, 485, 582, 691)] seed: u64,
+) {
+    assert_eq!(check_seed(seed, CONFIGURED_BOUND), Ok(()));
+}
+
 /// Plays the seeds of the environment variable `SEARCH_SEEDS`, such as `100..2100`, and prints
 /// those that fail. `SEARCH_BOUND_MS` replaces the bound.
 #[test]
--- a/crates/domain/src/process/planner.rs
+++ b/crates/domain/src/process/planner.rs
@@ -39,6 +39,7 @@
 pub mod sharing;
 pub mod speed;
 pub mod start;
+pub mod start_look;
 pub mod state;
 pub mod takeover;
 pub mod upkeep;
--- a/crates/domain/src/process/planner/reclaim.rs
+++ b/crates/domain/src/process/planner/reclaim.rs
@@ -192,7 +192,7 @@
         let free_at = choice
             .awaited_until
             .max(context.now + self.limits.stop_grace);
-        self.claim_capacity(free_at, key, request, placement, view);
+        self.claim_capacity(context.now, free_at, key, request, placement, view);
         for victim in choice.victims {
             self.count_stopped_work(context.now, &victim, "urgent group");
             self.stop_group(context.now, victim);
@@ -310,6 +310,7 @@
     /// Claims capacity that is expected to be free at `free_at`.
     fn claim_capacity(
         &mut self,
+        now: MonotonicTime,
         free_at: MonotonicTime,
         key: GroupKey,
         request: &PlaceRequest<'_>,
@@ -322,6 +323,7 @@
             }
         }
         view.allocate(request, &placement);
+        self.look_at_workers(now, &placement.workers);
         let until = free_at + CLAIM_SLACK;
         self.claims.insert(key, CapacityClaim { placement, until });
     }
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -83,6 +83,7 @@
             &JobRecord::Group(key, record),
             Some(CommitEffect::Start(key, run)),
         );
+        self.look_before_start(now, key, run, &placement.workers);
     }
 
     /// Sends the starts of a run whose record is in the log, unless it was abandoned.
@@ -104,6 +105,9 @@
         }
         let members = group.members.clone();
         let saved = group.saved.clone();
+        if !self.may_send_start(context.now, key, run) {
+            return;
+        }
         let bar = self.start_bar(context.now, &members);
         let refusal = if !self.has_leader_lease(context.now) {
             Some("the planner has no leader lease")
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -19,6 +19,7 @@
 use crate::process::planner::outage::WorkerOutage;
 use crate::process::planner::reclaim::CapacityClaim;
 use crate::process::planner::release::ReleaseNotes;
+use crate::process::planner::start_look::StartLook;
 use crate::process::planner::upkeep::UpkeepState;
 use crate::process::planner::worker::{PlanWorker, PlanWorkers};
 use crate::process::planner::worker_figures::PoolSpeeds;
@@ -105,6 +106,8 @@
     pub(super) stopping: BTreeMap<UnitKey, StopOrder>,
     /// Starts of released members that may still be carried out.
     pub(super) late_starts: BTreeMap<GroupKey, Vec<LateStart>>,
+    /// Starts of urgent groups that are preceded by polls of their workers.
+    pub(super) looks: BTreeMap<GroupKey, StartLook>,
     /// Newest answer of any worker.
     pub(super) answered_at: MonotonicTime,
     pub(super) outage: Option<WorkerOutage>,
@@ -181,6 +184,7 @@
             jobs: BTreeMap::new(),
             stopping: BTreeMap::new(),
             late_starts: BTreeMap::new(),
+            looks: BTreeMap::new(),
             answered_at: now,
             outage: None,
             releases: ReleaseNotes::default(),
@@ -437,6 +441,7 @@
         }
         let effects = self.writer.take_ready_effects();
         self.apply_effects(context, effects);
+        self.send_looked_starts(context);
         if self.writer.is_next_idle() {
             self.record_figures(now, context.wall);
         }
