Planner: groups within a guarantee stop others only once the runs they await are about to end

Cause: such a gang stopped all other work as soon as it arrived, although the runs that it awaited went on for up to 3 s. The emptied workers were idle until then, refilled afterwards, and emptied by the next gang.

Change: until what it awaits ends within the grace of a stop, the group gets a reservation in each pass, which shorter work may use and other urgent groups respect, and stops nothing. place.rs gets the reservation, pass.rs skips the ordinary one; both are otherwise unchanged.

Evidence: shrunk_pool.rs. Before, the waiting gang stops 14 batch units and begins after 2.5 s; now it stops none and begins after 2.5 s.

--- a/crates/domain-sim/tests/domain.rs
+++ b/crates/domain-sim/tests/domain.rs
@@ -17,6 +17,7 @@
 mod reread;
 mod search;
 mod sharing;
+mod shrunk_pool;
 mod size;
 mod speeds;
 mod support;
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -576,8 +576,10 @@
         view: &mut CapacityView,
         reserved: &mut ReservationCount,
     ) {
-        self.reclaim_for(context, key, step, request, view);
-        if self.claims.contains_key(&key) || (step.is_too_late && !step.is_guaranteed) {
+        if self.reclaim_for(context, key, step, request, view) || self.claims.contains_key(&key) {
+            return;
+        }
+        if step.is_too_late && !step.is_guaranteed {
             return;
         }
         let (count, limit) = if request.is_urgent {
--- a/crates/domain/src/process/planner/place.rs
+++ b/crates/domain/src/process/planner/place.rs
@@ -42,6 +42,8 @@
     pub from: MonotonicTime,
     /// Whether the group is urgent. Only these reservations bind other urgent groups.
     pub is_urgent: bool,
+    /// Whether the group will stop runs on the worker before it starts.
+    pub is_reclaim: bool,
 }
 
 /// Workers for the members of a group, in their order.
@@ -283,6 +285,15 @@
         free
     }
 
+    /// Returns the capacity reserved for groups that will stop runs for it.
+    pub fn reserved_for_reclaim(&self) -> UnitDemand {
+        let reservations = self.reservations.iter();
+        let reservations = reservations.filter(|reservation| reservation.is_reclaim);
+        reservations.fold(UnitDemand::default(), |sum, reservation| {
+            sum.plus(&reservation.demand)
+        })
+    }
+
     /// Returns how many members of the group would fit if nothing ran on the worker.
     fn max_slots(&self, request: &PlaceRequest<'_>) -> u32 {
         let limit = request
@@ -592,6 +603,25 @@
         found.ok()
     }
 
+    /// Reserves capacity from a time on for a group that will stop runs for it.
+    pub fn reserve(
+        &mut self,
+        workers: &[WorkerName],
+        request: &PlaceRequest<'_>,
+        from: MonotonicTime,
+    ) {
+        for name in workers {
+            if let Some(index) = self.row_index(name) {
+                self.rows[index].reservations.push(CapacityReservation {
+                    demand: request.shape.reserved_demand(),
+                    from,
+                    is_urgent: request.is_urgent,
+                    is_reclaim: true,
+                });
+            }
+        }
+    }
+
     /// Allocates the capacity of a placed group.
     pub fn allocate(&mut self, request: &PlaceRequest<'_>, placement: &Placement) {
         for name in &placement.workers {
--- a/crates/domain/src/process/planner/reclaim.rs
+++ b/crates/domain/src/process/planner/reclaim.rs
@@ -135,7 +135,9 @@
 
 impl PlannerState {
     /// Stops less urgent runs to free capacity for an urgent group, or fillers for a
-    /// serving group.
+    /// serving group. A group within a guarantee that has to wait for other runs as well gets a
+    /// reservation until these are about to end: what is stopped earlier leaves its workers idle
+    /// meanwhile, and again if the runs go on. Returns whether it got a reservation.
     pub(super) fn reclaim_for(
         &mut self,
         context: &mut PlanContext<'_>,
@@ -143,11 +145,11 @@
         step: &WaitingStep,
         request: &PlaceRequest<'_>,
         view: &mut CapacityView,
-    ) {
+    ) -> bool {
         let is_serving = UnitShare::of(request.shape) == UnitShare::Serving;
         let is_hopeless = step.is_too_late && !step.is_guaranteed;
         if (step.priority != 0 && !is_serving) || is_hopeless {
-            return;
+            return false;
         }
         let is_covered = |failed: &FailedSearch| failed.covers(request);
         let (max_searches, has_failed) = if step.is_guaranteed {
@@ -157,18 +159,18 @@
             (MAX_SEARCHES_PER_PASS, has_failed)
         };
         if has_failed || view.reclaim_searches >= max_searches {
-            return;
+            return false;
         }
         let limits_stops = self.limits.overload.limits_stops;
         if limits_stops && !step.is_guaranteed && !is_serving {
             if view.room_checks >= MAX_ROOM_CHECKS_PER_PASS {
-                return;
+                return false;
             }
             view.room_checks += 1;
             let room_at = self.room_expected_at(context.now, request, view);
             if room_at.is_some_and(|at| is_in_time_after_wait(at, context.now, step, request)) {
                 counter!(STOPS_SPARED, "reason" => "ends in time").increment(1);
-                return;
+                return false;
             }
         }
         view.reclaim_searches += 1;
@@ -176,8 +178,12 @@
             if !step.is_guaranteed && request.avoided.is_empty() && request.approved.is_none() {
                 view.failed_reclaims.push(FailedSearch::new(request));
             }
-            return;
+            return false;
         };
+        if is_stop_early(&choice, context.now, self.limits.stop_grace) {
+            view.reserve(&choice.workers, request, choice.awaited_until);
+            return true;
+        }
         log::info!(
             target: "reclaim", group = key.to_string().as_str(), victims = choice.victims.len(),
             members = choice.workers.len(), guaranteed = step.is_guaranteed,
@@ -197,6 +203,7 @@
             self.count_stopped_work(context.now, &victim, "urgent group");
             self.stop_group(context.now, victim);
         }
+        false
     }
 
     /// Returns where a group that found no placement would run and what would stop for it;
@@ -448,6 +455,11 @@
         let claims = worker.claimed.values();
         let claimed = claims.fold(UnitDemand::default(), |sum, claim| sum.plus(&claim.demand));
         let mut owed = claimed.minus(&worker.free);
+        // The same for groups with reservations that will stop runs later: what is stopped or
+        // ends goes to them first.
+        let mut reserved = row
+            .reserved_for_reclaim()
+            .minus(&worker.free.minus(&claimed));
         let mut slots = 0;
         let mut plans = Vec::new();
         let mut pending = Vec::new();
@@ -459,10 +471,14 @@
                 if victim.awaited_until.is_some() {
                     freed = freed.minus(&owed);
                     owed = owed.minus(&victim.demand);
-                    if freed == UnitDemand::default() {
-                        continue;
-                    }
                 }
+                let own = freed.minus(&reserved);
+                reserved = reserved.minus(&freed);
+                let is_bound = victim.awaited_until.is_some() || own != freed;
+                if is_bound && own == UnitDemand::default() && !victim.must_stop {
+                    continue;
+                }
+                freed = own;
                 available = available.plus(&freed);
                 pending.push(*victim);
                 mandatory_left = mandatory_left.saturating_sub(usize::from(victim.must_stop));
@@ -562,6 +578,12 @@
     }
 }
 
+/// Whether runs would be stopped before they have to be: others are waited for that go on for
+/// longer than a stop takes.
+fn is_stop_early(choice: &ReclaimChoice, now: MonotonicTime, stop_grace: Duration) -> bool {
+    !choice.victims.is_empty() && choice.awaited_until > now + stop_grace
+}
+
 /// Whether a group that begins at `at` rather than now still meets its objective, with a margin
 /// for runs that end later than expected.
 fn is_in_time_after_wait(
--- a/crates/domain/src/process/planner/reservation.rs
+++ b/crates/domain/src/process/planner/reservation.rs
@@ -61,6 +61,7 @@
                 demand: request.shape.reserved_demand(),
                 from,
                 is_urgent: request.is_urgent,
+                is_reclaim: false,
             });
         }
         true
@@ -117,6 +118,7 @@
                 demand: request.shape.reserved_demand(),
                 from,
                 is_urgent: request.is_urgent,
+                is_reclaim: false,
             });
         }
         true
