--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -357,8 +357,8 @@
                 self.request_advice(context, settings, &case.request(&group), view);
             }
             let request = case.waiting_request(&group);
-            self.reclaim_for(context, group.key, step, &request, view);
-            if !self.claims.contains_key(&group.key) {
+            let is_reserved = self.reclaim_for(context, group.key, step, &request, view);
+            if !is_reserved && !self.claims.contains_key(&group.key) {
                 reserve_room(self, &case, &request, view, reserved);
             }
         }
