Estimate the current speed of the pool

Callers of a pool whose workers all slow down at times lose work to stops and moves that assume the usual speed. The planner has no estimate of the present one.

No decision uses it yet.

--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -17,6 +17,7 @@
 use crate::process::planner::limits::PlanLimits;
 use crate::process::planner::objectives::ObjectiveTally;
 use crate::process::planner::outage::WorkerOutage;
+use crate::process::planner::pool_speed::PoolSpeed;
 use crate::process::planner::reclaim::CapacityClaim;
 use crate::process::planner::release::ReleaseNotes;
 use crate::process::planner::upkeep::UpkeepState;
@@ -117,6 +118,8 @@
     pub(super) objectives: BTreeMap<QueueName, ObjectiveTally>,
     /// Speeds of the workers, learned from all runs.
     pub(super) speeds: PoolSpeeds,
+    /// Current speed of the pool, known while a key of `[overload]` that uses it is on.
+    pub(super) pool_speed: PoolSpeed,
     /// Whether something changed that may let a group start.
     pub(super) is_dirty: bool,
     /// Capacity that is being reclaimed for groups.
@@ -189,6 +192,7 @@
             run_times: RunTimes::default(),
             objectives: BTreeMap::new(),
             speeds: PoolSpeeds::default(),
+            pool_speed: PoolSpeed::new(now),
             is_dirty: true,
             claims: BTreeMap::new(),
             advice: AdviceCache::default(),
@@ -403,6 +407,7 @@
         self.expire_unlisted_members(context.now);
         self.expire_claims(context.now);
         self.compare_speeds(context.now);
+        self.update_pool_speed(context.now);
         // Work that a successor may have planned anew is neither stopped nor moved.
         if self.has_leader_lease(context.now) {
             self.check_progress(context);
