Sim: play a load on a pool that is slow for most of the time

Nothing in the tests plays the load in which most workers are slow for 15 of every 17 s and the planner is replaced each time. slow_pool.rs does, at 24 workers and a demand of 1.3 times the usual capacity, and prints what callers get by kind, the lost work and the runs.

Unreachable workers and the faults of the log are not played.

--- a/crates/domain-sim/tests/domain.rs
+++ b/crates/domain-sim/tests/domain.rs
@@ -18,6 +18,7 @@
 mod search;
 mod sharing;
 mod size;
+mod slow_pool;
 mod speeds;
 mod support;
 mod upkeep;
