Count stops and moves with the current speed of the pool

Callers on a pool of which most workers are slow lost work to moves and stops that gained nothing: a restarted run was assumed to run at the usual speed, and an urgent group that would be late on the slow pool stopped others for it.

With stops of [overload], expected ends, the time of a restarted run, the time until a checkpoint and the decision whether an urgent group is in time are divided by the current speed; a run's end comes from the paces of its members. Without the key decisions are as before.

--- a/crates/domain/src/process/planner/pool_speed.rs
+++ b/crates/domain/src/process/planner/pool_speed.rs
@@ -6,6 +6,7 @@
 use crate::process::planner::job::{GroupPhase, MemberStage, PlanMember};
 use crate::process::planner::sample::is_near;
 use crate::process::planner::state::PlannerState;
+use crate::request::submission::StepShape;
 
 /// Interval between two updates; each looks at all runs.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(250);
@@ -17,6 +18,9 @@
 const MIN_PACES: usize = 8;
 /// Speed from which the pool counts as usual: run times spread by a quarter in calm conditions.
 const USUAL_SPEED: f64 = 0.75;
+/// Speed below which run times are not learned from: they would count as the usual ones, so that
+/// the pool would no longer seem slow.
+const SLOW_SPEED: f64 = 0.5;
 /// Least speed, so that expected ends stay finite.
 const MIN_SPEED: f64 = 0.05;
 
@@ -37,6 +41,8 @@
     /// Speed relative to the usual one, at most 1.
     pub(super) value: f64,
     next_update_at: MonotonicTime,
+    /// When the pool was last far slower than usual.
+    slow_at: Option<MonotonicTime>,
 }
 
 impl PoolSpeed {
@@ -45,8 +51,14 @@
         Self {
             value: 1.0,
             next_update_at: now,
+            slow_at: None,
         }
     }
+
+    /// Whether the pool was far slower than usual at some time since `from`.
+    pub(super) fn was_slow_since(&self, from: MonotonicTime) -> bool {
+        self.slow_at.is_some_and(|at| at >= from)
+    }
 }
 
 /// Returns the current speed of a pool relative to its usual one: the median over the recent
@@ -81,6 +93,26 @@
             log::info!(target: "worker", speed = value; "pool begins or ends to be slow");
         }
         self.pool_speed.value = value;
+        if value < SLOW_SPEED {
+            self.pool_speed.slow_at = Some(now);
+        }
+    }
+
+    /// Returns the speed with which stops and moves count: the current one if the deployment
+    /// limits stops, or else the usual one.
+    pub(super) const fn stop_speed(&self) -> f64 {
+        if self.limits.overload.limits_stops {
+            self.pool_speed.value
+        } else {
+            1.0
+        }
+    }
+
+    /// Returns the expected duration of a whole run that starts now on a worker of average
+    /// speed.
+    pub(super) fn current_run_time(&self, queue: &QueueName, shape: &StepShape) -> Duration {
+        let usual = self.run_times.expected(queue, shape.estimate_ms);
+        usual.div_f64(self.stop_speed())
     }
 
     /// Returns the newest paces of the runs on reachable workers. Runs away from their data or
--- a/crates/domain/src/process/planner/progress.rs
+++ b/crates/domain/src/process/planner/progress.rs
@@ -43,7 +43,7 @@
 /// What is left of a run when a move is weighed.
 #[derive(Clone, Copy, Debug)]
 struct RemainingWork {
-    /// Expected time of a whole run.
+    /// Expected time of a whole run at the current speed of the pool.
     expected: Duration,
     has_checkpoints: bool,
     /// Whether its worker may become as fast as before.
@@ -272,9 +272,7 @@
         group: &PlanGroup,
     ) -> Option<MoveOrder> {
         let shape = job.shape(key.step).filter(|shape| !shape.is_long_running)?;
-        let expected = self
-            .run_times
-            .expected(&job.accepted.queue, shape.estimate_ms);
+        let expected = self.current_run_time(&job.accepted.queue, shape);
         let is_running = |stage: MemberStage| matches!(stage, MemberStage::Running(_));
         if !group.members.iter().all(|member| is_running(member.stage)) {
             return None;
--- a/crates/domain/src/process/planner/reclaim.rs
+++ b/crates/domain/src/process/planner/reclaim.rs
@@ -166,7 +166,11 @@
             }
             view.room_checks += 1;
             let room_at = self.room_expected_at(context.now, request, view);
-            if room_at.is_some_and(|at| is_in_time_after_wait(at, context.now, step, request)) {
+            if room_at.is_some_and(|at| {
+                let run_time = request.ends_at.since(context.now);
+                let run_time = run_time.div_f64(self.stop_speed());
+                is_in_time_after_wait(at, context.now, step, run_time)
+            }) {
                 counter!(STOPS_SPARED, "reason" => "ends in time").increment(1);
                 return;
             }
@@ -249,8 +253,9 @@
     /// stops other runs.
     fn max_loss(&self, now: MonotonicTime, step: &WaitingStep, request: &PlaceRequest<'_>) -> f64 {
         let run_time = request.ends_at.since(now);
+        let current_end = now + run_time.div_f64(self.stop_speed());
         let own_work = cores(&request.shape.demand) * f64::from(request.count);
-        let is_in_time = request.ends_at + self.limits.stop_grace <= step.due_by;
+        let is_in_time = current_end + self.limits.stop_grace <= step.due_by;
         let factor = match (is_in_time, self.limits.overload.limits_stops) {
             (true, false) => MAX_LOSS_FACTOR,
             (false, false) => MAX_LATE_LOSS_FACTOR,
@@ -285,20 +290,26 @@
             has_end: !shape.is_long_running,
         };
         let ran = now.since(group.started_at);
-        let expected = self
+        let usual = self
             .run_times
             .expected(&job.accepted.queue, shape.estimate_ms);
+        let expected = usual.div_f64(self.stop_speed());
         let unsaved = if shape.has_checkpoints {
-            ran.min(Duration::from_secs_f64(MAX_CHECKPOINT_LOSS_SECONDS))
+            let checkpoint_time = MAX_CHECKPOINT_LOSS_SECONDS / self.stop_speed();
+            ran.min(Duration::from_secs_f64(checkpoint_time))
         } else {
             ran
         };
+        let members_end = (0..group.members.len())
+            .map(|index| self.expected_end(now, key, index))
+            .max();
+        let ends_at = members_end.unwrap_or(now + expected.saturating_sub(ran));
         let members = f64::from(shape.group_size());
         let case = StopCase {
             cores: cores(&shape.demand) * members,
             unsaved,
-            job_work: cores(&shape.demand) * members * expected.as_secs_f64(),
-            ends_at: now + expected.saturating_sub(ran),
+            job_work: cores(&shape.demand) * members * usual.as_secs_f64(),
+            ends_at,
             restart_ends_at: now
                 + self.limits.stop_grace
                 + expected.saturating_sub(ran.saturating_sub(unsaved)),
@@ -566,9 +577,8 @@
     at: MonotonicTime,
     now: MonotonicTime,
     step: &WaitingStep,
-    request: &PlaceRequest<'_>,
+    run_time: Duration,
 ) -> bool {
-    let run_time = request.ends_at.since(now);
     let margin = STOP_WAIT_MARGIN.max(at.since(now).mul_f64(STOP_WAIT_SHARE));
     at + margin + run_time <= step.due_by
 }
