--- a/crates/domain-sim/tests/domain.rs
+++ b/crates/domain-sim/tests/domain.rs
@@ -20,6 +20,7 @@
 mod sharing;
 mod shrunk_pool;
 mod size;
+mod slow_pool;
 mod speeds;
 mod support;
 mod upkeep;
