Reclaim: the decision is apart from what is done; the dry run uses it

The test compared all stops of a pass with those reported. After the merge with the reservations a pass also stopped runs for a group that had lost its room to the candidate (trace: claims of both groups). Then the reported stops have to be among those of the pass; in all cases the claim of the candidate is compared as well.

--- a/crates/domain/src/process/planner/explain.rs
+++ b/crates/domain/src/process/planner/explain.rs
@@ -15,6 +15,7 @@
 };
 use crate::process::planner::job::{PlanJob, PlanOccurrence};
 use crate::process::planner::place::{CapacityView, PlaceRequest, Placement};
+use crate::process::planner::reclaim::ReclaimDecision;
 use crate::process::planner::state::PlannerState;
 use crate::process::record::AcceptedJob;
 use crate::request::submission::UnitDemand;
@@ -137,8 +138,8 @@
     (job, (due > wall.0).then(|| due - wall.0))
 }
 
-/// Decides about the groups of another job that come before. They stop nothing: a pass that ran
-/// since they came has claimed that capacity already.
+/// Decides about the groups of another job that come before. What they would stop is claimed
+/// already if a pass ran since they came.
 fn plan_earlier_step(
     scratch: &mut PlannerState,
     case: &StepCase<'_>,
@@ -149,7 +150,17 @@
     while let Some((group, decision)) = decide_next(scratch, case, &mut cursor, view, reserved) {
         if decision == GroupDecision::NoRoom {
             let request = case.waiting_request(&group);
-            reserve_room(scratch, case, &request, view, reserved);
+            match scratch.decide_reclaim(case.now, case.step, &request, view) {
+                ReclaimDecision::Reserve(choice) => {
+                    view.reserve(&choice.workers, &request, choice.awaited_until);
+                }
+                ReclaimDecision::Stop(choice) => {
+                    view.allocate(&request, &placement_of(choice.workers));
+                }
+                ReclaimDecision::StopNothing | ReclaimDecision::EndsInTime => {
+                    reserve_room(scratch, case, &request, view, reserved);
+                }
+            }
         } else {
             scratch.apply_decision(case, &group, &decision, view);
         }
@@ -207,25 +218,34 @@
     if matches!(reason, WaitCause::NoEligibleWorker { .. }) {
         return reason.into();
     }
-    if let Some(choice) = scratch.choose_stops(now, case.step, &request, view) {
-        let placement = Placement {
-            workers: choice.workers.clone(),
-            is_remote: false,
-        };
-        view.allocate(&request, &placement);
-        let at = choice.awaited_until.max(now + scratch.limits.stop_grace);
-        return GroupWait {
-            stops: Some(StopExplanation {
-                groups: choice.victims.iter().map(GroupKey::to_string).collect(),
-                lost_core_seconds: choice.lost,
-                workers: choice.workers,
-            }),
-            start: Some(ExpectedStart {
-                at,
-                workers: placement.workers,
-            }),
-            ..reason.into()
-        };
+    match scratch.decide_reclaim(now, case.step, &request, view) {
+        ReclaimDecision::Stop(choice) => {
+            view.allocate(&request, &placement_of(choice.workers.clone()));
+            return GroupWait {
+                start: Some(ExpectedStart {
+                    at: choice.awaited_until.max(now + scratch.limits.stop_grace),
+                    workers: choice.workers.clone(),
+                }),
+                stops: Some(StopExplanation {
+                    groups: choice.victims.iter().map(GroupKey::to_string).collect(),
+                    lost_core_seconds: choice.lost,
+                    workers: choice.workers,
+                }),
+                ..reason.into()
+            };
+        }
+        ReclaimDecision::Reserve(choice) => {
+            view.reserve(&choice.workers, &request, choice.awaited_until);
+            return GroupWait {
+                is_reserved: true,
+                start: Some(ExpectedStart {
+                    at: choice.awaited_until,
+                    workers: choice.workers,
+                }),
+                ..reason.into()
+            };
+        }
+        ReclaimDecision::StopNothing | ReclaimDecision::EndsInTime => {}
     }
     let start = scratch.expected_start(now, &request, view);
     GroupWait {
@@ -238,6 +258,13 @@
     }
 }
 
+fn placement_of(workers: Vec<WorkerName>) -> Placement {
+    Placement {
+        workers,
+        is_remote: false,
+    }
+}
+
 fn explain_step(
     case: &StepCase<'_>,
     trial: StepTrial,
--- a/crates/domain/src/process/planner/reclaim.rs
+++ b/crates/domain/src/process/planner/reclaim.rs
@@ -106,6 +106,19 @@
     pub(super) awaited_until: MonotonicTime,
 }
 
+/// What is done for a group that found no placement.
+#[derive(Clone, Debug)]
+pub(super) enum ReclaimDecision {
+    StopNothing,
+    /// Nothing is stopped, since runs that end by themselves leave room in time.
+    EndsInTime,
+    /// The group also waits for runs that may not be stopped, and gets a reservation until these
+    /// are about to end: what is stopped earlier leaves its workers idle meanwhile, and again if
+    /// the runs go on.
+    Reserve(ReclaimChoice),
+    Stop(ReclaimChoice),
+}
+
 /// Who asks for the capacity.
 #[derive(Clone, Copy, Debug)]
 struct ReclaimRequest<'a> {
@@ -134,22 +147,19 @@
 }
 
 impl PlannerState {
-    /// Stops less urgent runs to free capacity for an urgent group, or fillers for a
-    /// serving group. A group within a guarantee that has to wait for other runs as well gets a
-    /// reservation until these are about to end: what is stopped earlier leaves its workers idle
-    /// meanwhile, and again if the runs go on. Returns whether it got a reservation.
-    pub(super) fn reclaim_for(
-        &mut self,
-        context: &mut PlanContext<'_>,
-        key: GroupKey,
+    /// Decides whether less urgent runs are stopped to free capacity for an urgent group, or
+    /// fillers for a serving group. Counts the searches of the pass in the view.
+    pub(super) fn decide_reclaim(
+        &self,
+        now: MonotonicTime,
         step: &WaitingStep,
         request: &PlaceRequest<'_>,
         view: &mut CapacityView,
-    ) -> bool {
+    ) -> ReclaimDecision {
         let is_serving = UnitShare::of(request.shape) == UnitShare::Serving;
         let is_hopeless = step.is_too_late && !step.is_guaranteed;
         if (step.priority != 0 && !is_serving) || is_hopeless {
-            return false;
+            return ReclaimDecision::StopNothing;
         }
         let is_covered = |failed: &FailedSearch| failed.covers(request);
         let (max_searches, has_failed) = if step.is_guaranteed {
@@ -159,35 +169,56 @@
             (MAX_SEARCHES_PER_PASS, has_failed)
         };
         if has_failed || view.reclaim_searches >= max_searches {
-            return false;
+            return ReclaimDecision::StopNothing;
         }
         let limits_stops = self.limits.overload.limits_stops;
         if limits_stops && !step.is_guaranteed && !is_serving {
             if view.room_checks >= MAX_ROOM_CHECKS_PER_PASS {
-                return false;
+                return ReclaimDecision::StopNothing;
             }
             view.room_checks += 1;
-            let room_at = self.room_expected_at(context.now, request, view);
-            if room_at.is_some_and(|at| {
-                let run_time = request.ends_at.since(context.now);
-                let run_time = run_time.div_f64(self.stop_speed());
-                is_in_time_after_wait(at, context.now, step, run_time)
-            }) {
-                counter!(STOPS_SPARED, "reason" => "ends in time").increment(1);
-                return false;
+            let room_at = self.room_expected_at(now, request, view);
+            let run_time = request.ends_at.since(now).div_f64(self.stop_speed());
+            if room_at.is_some_and(|at| is_in_time_after_wait(at, now, step, run_time)) {
+                return ReclaimDecision::EndsInTime;
             }
         }
         view.reclaim_searches += 1;
-        let Some(choice) = self.choose_stops(context.now, step, request, view) else {
+        let Some(choice) = self.choose_stops(now, step, request, view) else {
             if !step.is_guaranteed && request.avoided.is_empty() && request.approved.is_none() {
                 view.failed_reclaims.push(FailedSearch::new(request));
             }
-            return false;
+            return ReclaimDecision::StopNothing;
         };
-        if is_stop_early(&choice, context.now, self.limits.stop_grace) {
-            view.reserve(&choice.workers, request, choice.awaited_until);
-            return true;
+        if is_stop_early(&choice, now, self.limits.stop_grace) {
+            ReclaimDecision::Reserve(choice)
+        } else {
+            ReclaimDecision::Stop(choice)
         }
+    }
+
+    /// Stops the runs that [`decide_reclaim`](Self::decide_reclaim) chooses for a group, and
+    /// claims their capacity. Returns whether the group got a reservation instead.
+    pub(super) fn reclaim_for(
+        &mut self,
+        context: &mut PlanContext<'_>,
+        key: GroupKey,
+        step: &WaitingStep,
+        request: &PlaceRequest<'_>,
+        view: &mut CapacityView,
+    ) -> bool {
+        let choice = match self.decide_reclaim(context.now, step, request, view) {
+            ReclaimDecision::StopNothing => return false,
+            ReclaimDecision::EndsInTime => {
+                counter!(STOPS_SPARED, "reason" => "ends in time").increment(1);
+                return false;
+            }
+            ReclaimDecision::Reserve(choice) => {
+                view.reserve(&choice.workers, request, choice.awaited_until);
+                return true;
+            }
+            ReclaimDecision::Stop(choice) => choice,
+        };
         log::info!(
             target: "reclaim", group = key.to_string().as_str(), victims = choice.victims.len(),
             members = choice.workers.len(), guaranteed = step.is_guaranteed,
@@ -212,7 +243,7 @@
 
     /// Returns where a group that found no placement would run and what would stop for it;
     /// `None` if that is not possible or not worthwhile.
-    pub(super) fn choose_stops(
+    fn choose_stops(
         &self,
         now: MonotonicTime,
         step: &WaitingStep,
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -168,6 +168,11 @@
 }
 
 impl PlannerState {
+    /// Returns the capacity that is being reclaimed, by the group that it is for.
+    pub const fn claims(&self) -> &BTreeMap<GroupKey, CapacityClaim> {
+        &self.claims
+    }
+
     /// Creates a planner without jobs and workers. The log accepted its epoch after
     /// `announced_at`.
     pub fn new(
