Tests: misbehaving clients at each listener of the entry daemon

The entry daemon had one test of one load at its listener for callers, and none at its listener for peers. New loads: a WebSocket upgrade that stops midway, an upgraded connection that sends 1 MB of a 4 MB message without having proved the secret, and garbage instead of a head.

The figures and bounds of a process move from the tests of the planning domain's daemon into a file that both share; its cases, crowds and bounds are unchanged.

--- a/crates/entry/tests/misbehaving_clients.rs
+++ b/crates/entry/tests/misbehaving_clients.rs
@@ -12,11 +12,17 @@
 #[path = "../../../platform/tests/misbehaving/cases.rs"]
 mod cases;
 #[path = "../../../platform/tests/misbehaving/crowd.rs"]
+#[allow(
+    dead_code,
+    reason = "some loads are only for the listeners of the entry daemon"
+)]
 mod crowd;
 #[path = "../../../platform/tests/misbehaving/daemon.rs"]
 mod daemon;
 #[path = "../../../platform/tests/misbehaving/platform.rs"]
 mod platform;
+#[path = "../../../platform/tests/misbehaving/process.rs"]
+mod process;
 #[path = "../../../platform/tests/standin.rs"]
 #[allow(
     dead_code,
