Entry daemon: budgets as settings, and limits for peers without the secret

A client without the secret of the peers could run an entry host out of memory: links took messages of up to 4 MiB before the proof, and the listener had no limit of connections. The budgets at the listener for callers were fixed at 64 MiB and 2,048 connections, more than a small host has.

Messages to a host are limited to 16 KiB until the sender has proved the secret. The connections of peers are bounded, with the guard that callers have: at the limit the oldest link without a proof gives way, a proved one never. New settings, with the former sizes as defaults: clients.buffer-kb 65536, clients.connections 2048; new limit peer.connections 1024 (the largest measured installation has 300 hosts, of which each has links to at most as many).

A 1 MiB message from a proved peer still arrives (peer_links.rs).

--- a/crates/entry/tests/misbehaving_entry/daemon.rs
+++ b/crates/entry/tests/misbehaving_entry/daemon.rs
@@ -28,10 +28,15 @@
     /// and its host list.
     pub fn start(limits: HostLimits) -> Self {
         let [callers, peers] = free_addresses();
+        // The shares that docs/operators/misbehaving-clients.md names.
+        let connections = (limits.max_files / 4).min(limits.memory_mb * 3);
+        let (peers_max, buffer_kb) = (connections / 2, limits.memory_mb * 1_000 / 12);
         let text = format!(
             "[host]\nname = a-entry0\nzone = a\nregion = r\n\
              [listen]\ncaller = {callers}\npeer = {peers}\n\
-             [platform]\nlog = 127.0.0.1:9\nhosts = 127.0.0.1:9\n[peer]\nsecret = {SECRET}\n"
+             [platform]\nlog = 127.0.0.1:9\nhosts = 127.0.0.1:9\n[peer]\nsecret = {SECRET}\n\
+             connections = {peers_max}\n\
+             [clients]\nbuffer-kb = {buffer_kb}\nconnections = {connections}\n"
         );
         let file = format!("misbehaving-entry-{}.ini", std::process::id());
         let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
--- a/crates/node/src/connection/client_limits.rs
+++ b/crates/node/src/connection/client_limits.rs
@@ -62,14 +62,16 @@
         checks: usize::MAX,
         operators: usize::MAX,
     };
-    /// Budget of the product's entry daemon, which has no setting for it. Its calls have bodies
-    /// of up to 4 MiB, each buffered until the call ends.
-    pub const ENTRY: Self = Self {
-        buffered_bytes: 64 * 1024 * 1024,
-        callers: 2_048,
-        checks: 64,
-        operators: 8,
-    };
+    /// Returns the budget of an entry daemon. Checks and operators share the listener of its
+    /// callers and have no reserve.
+    pub const fn for_entry(buffered_bytes: usize, connections: usize) -> Self {
+        Self {
+            buffered_bytes,
+            callers: connections,
+            checks: 0,
+            operators: 0,
+        }
+    }
 
     /// Returns the budget of a host with this memory and number of descriptors.
     pub fn for_host(memory_mb: u64, max_files: u64) -> Self {
--- a/crates/node/src/connection/peer_link.rs
+++ b/crates/node/src/connection/peer_link.rs
@@ -9,10 +9,11 @@
 use metrics::counter;
 use rand::Rng;
 use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
-use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::protocol::{Role, WebSocketConfig};
 
 use crate::border::peer::{
     LinkSide, MAX_MESSAGE_BYTES, PROTOCOL_VERSION, PeerHello, PeerMessage, decode_message,
@@ -25,6 +26,11 @@
 /// Timeout for sending a message. An unresponsive connection accepts no message once its
 /// buffers are full.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum size of a message to this host before its sender has proved the secret: hello and
+/// proof have a few hundred bytes.
+const MAX_UNPROVED_BYTES: usize = 16 * 1024;
+/// Read buffer of an accepted link before the proof. The library allocates it at once.
+const UNPROVED_BUFFER_BYTES: usize = 4 * 1024;
 /// Number of random hexadecimal digits in a nonce.
 const NONCE_DIGITS: usize = 32;
 
@@ -79,7 +85,7 @@
                 tokio_tungstenite::client_async_with_config(url, stream, Some(socket_config()))
                     .await;
             let (socket, _) = upgraded.map_err(|_error| LinkError::Unreachable)?;
-            authenticate(socket, LinkSide::Caller, identity).await
+            authenticate(socket, identity).await
         };
         let opened = tokio::time::timeout(OPEN_TIMEOUT, opening).await;
         opened.unwrap_or(Err(LinkError::Unreachable))
@@ -89,13 +95,16 @@
     ///
     /// # Errors
     /// Returns a [`LinkError`]; only hello and proof may have been sent.
-    pub async fn accept(stream: TcpStream, identity: &LinkIdentity) -> Result<Self, LinkError> {
+    pub async fn accept(mut stream: TcpStream, identity: &LinkIdentity) -> Result<Self, LinkError> {
         let opening = async {
             let _ = stream.set_nodelay(true);
-            let upgraded =
-                tokio_tungstenite::accept_async_with_config(stream, Some(socket_config())).await;
-            let socket = upgraded.map_err(|_error| LinkError::Unreachable)?;
-            authenticate(socket, LinkSide::Responder, identity).await
+            let (peer, proof) = receive_opening(&mut stream, identity).await?;
+            // The caller sends nothing between its proof and this host's, so that no input is
+            // buffered, and the stream can continue with the limits of a proved peer.
+            let config = Some(socket_config());
+            let mut socket = WebSocketStream::from_raw_socket(stream, Role::Server, config).await;
+            send_message(&mut socket, &proof).await?;
+            Ok(Self { socket, peer })
         };
         let opened = tokio::time::timeout(OPEN_TIMEOUT, opening).await;
         opened.unwrap_or(Err(LinkError::Unreachable))
@@ -126,35 +135,67 @@
         .max_frame_size(Some(MAX_MESSAGE_BYTES))
 }
 
-/// Exchanges hello messages and proofs. The caller sends its proof first, so that an
-/// unauthenticated caller learns only the identity in the hello message, no secret.
+/// Returns the configuration of an accepted link whose peer has not proved the secret yet.
+fn unproved_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(UNPROVED_BUFFER_BYTES)
+        .max_message_size(Some(MAX_UNPROVED_BYTES))
+        .max_frame_size(Some(MAX_UNPROVED_BYTES))
+}
+
+/// Exchanges hello messages and proofs as the caller, which sends its proof first.
 async fn authenticate(
     mut socket: WebSocketStream<TcpStream>,
-    side: LinkSide,
     identity: &LinkIdentity,
 ) -> Result<PeerLink, LinkError> {
+    let (own, peer) = exchange_hellos(&mut socket, identity).await?;
+    let proof = own_proof(LinkSide::Caller, identity, &own, &peer);
+    send_message(&mut socket, &proof).await?;
+    receive_proof(&mut socket, LinkSide::Responder, identity, &peer, &own).await?;
+    Ok(PeerLink { socket, peer })
+}
+
+/// Accepts the upgrade, the hello and the proof of the caller, and returns its hello and the
+/// proof to send. An unauthenticated caller learns only the identity in the hello message, no
+/// secret.
+async fn receive_opening(
+    stream: &mut TcpStream,
+    identity: &LinkIdentity,
+) -> Result<(PeerHello, PeerMessage), LinkError> {
+    let upgraded =
+        tokio_tungstenite::accept_async_with_config(stream, Some(unproved_config())).await;
+    let mut socket = upgraded.map_err(|_error| LinkError::Unreachable)?;
+    let (own, peer) = exchange_hellos(&mut socket, identity).await?;
+    receive_proof(&mut socket, LinkSide::Caller, identity, &peer, &own).await?;
+    let proof = own_proof(LinkSide::Responder, identity, &own, &peer);
+    Ok((peer, proof))
+}
+
+/// Returns the hello message that was sent and the one that was received.
+async fn exchange_hellos<S: AsyncRead + AsyncWrite + Unpin>(
+    socket: &mut WebSocketStream<S>,
+    identity: &LinkIdentity,
+) -> Result<(PeerHello, PeerHello), LinkError> {
     let own = new_hello(identity);
-    send_message(&mut socket, &PeerMessage::PeerHello(own.clone())).await?;
-    let PeerMessage::PeerHello(peer) = receive_message(&mut socket).await? else {
-        return Err(LinkError::Unauthenticated);
-    };
-    let mac = sign_hello(&identity.secret, side, &own, &peer);
-    let proof = PeerMessage::PeerProof(PeerProof { mac });
-    match side {
-        LinkSide::Caller => {
-            send_message(&mut socket, &proof).await?;
-            receive_proof(&mut socket, LinkSide::Responder, identity, &peer, &own).await?;
-        }
-        LinkSide::Responder => {
-            receive_proof(&mut socket, LinkSide::Caller, identity, &peer, &own).await?;
-            send_message(&mut socket, &proof).await?;
-        }
+    send_message(socket, &PeerMessage::PeerHello(own.clone())).await?;
+    match receive_message(socket).await? {
+        PeerMessage::PeerHello(peer) => Ok((own, peer)),
+        _ => Err(LinkError::Unauthenticated),
     }
-    Ok(PeerLink { socket, peer })
 }
 
-async fn receive_proof(
-    socket: &mut WebSocketStream<TcpStream>,
+fn own_proof(
+    side: LinkSide,
+    identity: &LinkIdentity,
+    own: &PeerHello,
+    peer: &PeerHello,
+) -> PeerMessage {
+    let mac = sign_hello(&identity.secret, side, own, peer);
+    PeerMessage::PeerProof(PeerProof { mac })
+}
+
+async fn receive_proof<S: AsyncRead + AsyncWrite + Unpin>(
+    socket: &mut WebSocketStream<S>,
     side: LinkSide,
     identity: &LinkIdentity,
     peer: &PeerHello,
@@ -180,8 +221,8 @@
     }
 }
 
-async fn send_message(
-    socket: &mut WebSocketStream<TcpStream>,
+async fn send_message<S: AsyncRead + AsyncWrite + Unpin>(
+    socket: &mut WebSocketStream<S>,
     message: &PeerMessage,
 ) -> Result<(), LinkError> {
     let bytes = encode_message(message).map_err(|_unknown| LinkError::Closed)?;
@@ -190,8 +231,8 @@
     sent.map_err(|_error| LinkError::Closed)
 }
 
-async fn receive_message(
-    socket: &mut WebSocketStream<TcpStream>,
+async fn receive_message<S: AsyncRead + AsyncWrite + Unpin>(
+    socket: &mut WebSocketStream<S>,
 ) -> Result<PeerMessage, LinkError> {
     loop {
         let frame = socket
--- a/crates/node/src/process/entry_host.rs
+++ b/crates/node/src/process/entry_host.rs
@@ -131,6 +131,9 @@
         secret: settings.peer_secret.clone(),
     };
     let peers = PeerPort::new(identity.clone(), events.clone());
+    let budget = ClientBudget::for_entry(settings.buffered_bytes, settings.client_connections);
+    let guard = ClientGuard::new(budget);
+    let peer_connections = settings.peer_connections;
     let mut state = new_state(settings, incarnation, clock, phase, peers);
     start_streams(&mut state, &client, &events);
     let mut tasks = Vec::new();
@@ -147,6 +150,8 @@
         peer_listener,
         identity,
         events.clone(),
+        guard.clone(),
+        peer_connections,
     )));
     let pool = TargetPool::default();
     let calls = CallContext {
@@ -158,8 +163,8 @@
     let server_events = events.clone();
     let rules = ListenerRules {
         name: "callers",
-        guard: ClientGuard::new(ClientBudget::ENTRY),
-        max_connections: ClientBudget::ENTRY.callers,
+        max_connections: guard.budget().callers,
+        guard,
         refuses_responses: false,
         limits: Box::new(ClientLimits::default),
         check_head: Box::new(check_head),
--- a/crates/node/src/process/host_settings.rs
+++ b/crates/node/src/process/host_settings.rs
@@ -30,6 +30,12 @@
     /// Minimum time for which the log keeps records; live state is written again well
     /// before it has passed.
     pub log_retention: Duration,
+    /// Limit of the bytes buffered for callers: bodies and large responses.
+    pub buffered_bytes: usize,
+    /// Limit of the connections of callers, operators and the balancer.
+    pub client_connections: usize,
+    /// Limit of the connections that peers have opened.
+    pub peer_connections: usize,
     /// Secret shared by all entry hosts; a peer without it is refused.
     pub peer_secret: String,
     /// Time between the moment `/readyz` stops reporting ready and the closing of the
@@ -48,7 +54,7 @@
 
 /// Every key that the settings file may hold, in the order of the operator
 /// documentation.
-pub const KNOWN_KEYS: [KnownKey; 15] = [
+pub const KNOWN_KEYS: [KnownKey; 18] = [
     required("host", "name"),
     required("host", "zone"),
     required("host", "region"),
@@ -59,6 +65,9 @@
     optional("platform", "hosts-interval-ms", "1000"),
     optional("platform", "log-retention-ms", "86400000"),
     required("peer", "secret"),
+    optional("peer", "connections", "1024"),
+    optional("clients", "buffer-kb", "65536"),
+    optional("clients", "connections", "2048"),
     optional("drain", "wait-ms", "2000"),
     optional("drain", "limit-ms", "60000"),
     optional("seat", "time-ms", "4000"),
@@ -85,6 +94,9 @@
             list_interval: reader.millis("platform", "hosts-interval-ms"),
             log_retention: reader.millis("platform", "log-retention-ms"),
             peer_secret: reader.text("peer", "secret"),
+            peer_connections: reader.count("peer", "connections"),
+            buffered_bytes: reader.count("clients", "buffer-kb").saturating_mul(1024),
+            client_connections: reader.count("clients", "connections"),
             drain_wait: reader.millis("drain", "wait-ms"),
             drain_limit: reader.millis("drain", "limit-ms"),
             leader_lease_duration: reader.millis("seat", "time-ms"),
--- a/crates/node/src/process/settings_reader.rs
+++ b/crates/node/src/process/settings_reader.rs
@@ -205,6 +205,17 @@
         })
     }
 
+    /// Returns the value of a key as a whole number above zero.
+    pub fn count(&mut self, section: &str, key: &str) -> usize {
+        let value = self.text(section, key);
+        let count = value.parse::<u32>().ok().filter(|count| *count > 0);
+        count.unwrap_or_else(|| {
+            let problem = format!("{value:?} is not a whole number above zero");
+            self.record_error(section, key, &problem, "write a number, as 1000");
+            1
+        }) as usize
+    }
+
     /// Returns the value of a key as a number of milliseconds above zero.
     pub fn millis(&mut self, section: &str, key: &str) -> Duration {
         let value = self.text(section, key);
--- a/crates/node/tests/host_settings.rs
+++ b/crates/node/tests/host_settings.rs
@@ -14,6 +14,9 @@
     assert_eq!(settings.list_interval, Duration::from_secs(1));
     assert_eq!(settings.leader_lease_duration, Duration::from_secs(4));
     assert_eq!(settings.drain_limit, Duration::from_mins(1));
+    assert_eq!(settings.buffered_bytes, 64 * 1024 * 1024);
+    assert_eq!(settings.client_connections, 2_048);
+    assert_eq!(settings.peer_connections, 1_024);
 }
 
 #[test]
@@ -25,6 +28,16 @@
     insta::assert_snapshot!(errors.to_string());
 }
 
+/// Guards against a limit of zero, under which a host would serve nobody.
+#[test]
+fn parse_limits_of_zero() {
+    let text =
+        VALID_SETTINGS.to_owned() + "connections = 0\n[clients]\nbuffer-kb = 0\nconnections = -1\n";
+    let errors = HostSettings::parse("host.ini", &text).expect_err("invalid settings");
+    let keys: Vec<_> = errors.errors.iter().map(|error| &*error.key).collect();
+    assert_eq!(keys, ["connections", "buffer-kb", "connections"]);
+}
+
 #[test]
 fn parse_not_ini() {
     let errors = HostSettings::parse("host.ini", "[host\nname").expect_err("invalid INI");
--- a/crates/node/tests/peer_links.rs
+++ b/crates/node/tests/peer_links.rs
@@ -57,6 +57,17 @@
     assert_eq!(responder.receive().await, Ok(message));
 }
 
+/// Guards against the limit for messages before the proof that stays in force after it.
+#[tokio::test]
+async fn receive_large_message_after_proof() {
+    let (caller, responder) = open_link(identity("a0", "s"), identity("a1", "s")).await;
+    let (mut caller, mut responder) = (caller.expect("a link"), responder.expect("a link"));
+    let record = serde_json::Value::from("x".repeat(1 << 20));
+    let message = PeerMessage::ConfigPush(ConfigPush { record, version: 1 });
+    let (sent, received) = tokio::join!(caller.send(&message), responder.receive());
+    assert_eq!((sent, received), (Ok(()), Ok(message)));
+}
+
 #[tokio::test]
 async fn open_other_secret() {
     let (caller, responder) = open_link(identity("a0", "guess"), identity("a1", "s")).await;
