Benchmark of passes: read the operator's orders, and check that a pass was made

Since the evacuation of zones a planner starts nothing before it has read the operator's orders.

It now confirms the orders and fails if no pass was made or half of the workers are idle. It also measures a dry run.

--- a/crates/domain/benches/planner.rs
+++ b/crates/domain/benches/planner.rs
@@ -1,4 +1,5 @@
-//! Time of one planning pass in a full pool, by the number of workers and of waiting groups.
+//! Time of one planning pass in a full pool, by the number of workers and of waiting groups, and
+//! of one dry run.
 
 #![allow(
     missing_docs,
@@ -11,6 +12,7 @@
 use flamingowalk_domain::prelude::*;
 use flamingowalk_domain::process::action::{HostAction, WorkerOrder};
 use flamingowalk_domain::process::event::{RunningUnit, WorkerAnswer, WorkerListing};
+use flamingowalk_domain::process::planner::explain::explain_job;
 use flamingowalk_domain::process::planner::state::PlanContext;
 use flamingowalk_domain::process::planner::{PlanLimits, PlannerState};
 use flamingowalk_domain::process::record::{AcceptedJob, RunTimesRecord, SpeedRecord, SpeedRow};
@@ -71,6 +73,8 @@
         &mut self,
         call: impl FnOnce(&mut PlannerState, &mut PlanContext<'_>),
     ) -> Vec<HostAction> {
+        // Nothing starts before the planner has read the operator's orders recently.
+        self.planner.confirm_orders(Some(self.now));
         let mut actions = Vec::new();
         let mut context = PlanContext {
             now: self.now,
@@ -161,6 +165,11 @@
                 let steps = self.planner.waiting(self.now);
                 let count: usize = steps.iter().map(|step| step.groups.len()).sum();
                 if count >= waiting {
+                    // A part of the workers is kept free for urgent work.
+                    let workers = self.planner.workers();
+                    let idle = workers.values().filter(|worker| worker.holdings.is_empty());
+                    let idle = idle.count();
+                    assert!(idle * 2 < workers.len(), "{idle} workers are idle");
                     return;
                 }
             }
@@ -175,6 +184,7 @@
             planner.set_manifest(manifest);
             planner.flush(context);
         });
+        assert!(!self.planner.is_pass_due(), "no pass was made");
         actions.len()
     }
 }
@@ -311,5 +321,24 @@
     group.finish();
 }
 
-criterion_group!(planner, bench_pass);
+/// Measures a dry run, which copies the planner's state and makes the decisions of a pass.
+fn bench_dry_run(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("dry-run");
+    group.sample_size(20);
+    let (workers, waiting) = (1_100, 2_000);
+    let mut pool = FullPool::new(workers);
+    pool.restore_speeds(workers);
+    pool.fill(waiting);
+    // The last in the order, so that all groups come before it.
+    let job = accepted_job(19);
+    group.bench_function("three-speeds/1100-2000", |bencher| {
+        bencher.iter(|| {
+            let explained = explain_job(&pool.planner, pool.now, WallTime(WALL), job.clone());
+            black_box(explained)
+        });
+    });
+    group.finish();
+}
+
+criterion_group!(planner, bench_pass, bench_dry_run);
 criterion_main!(planner);
