Bound a schedule of 5,000 units without demand, in the product and in the check

Seen: `numbers_of_submission_stop_nothing` once ran for over 8 minutes.

Cause: a schedule in the past opens up to 5,000 occurrences of a job at once. If its units need no processor, memory or accelerators, all of them start on four workers. The simulation verified all holdings after each event: 42 s for the 5,000 starts alone (2.7 s without). The product was slow only when such a job is cancelled: each released unit searched the job's groups for one that is still held, from the front; 7.9 s on an optimized build.

Change: the search begins with the last groups, which are stopped last. The simulation verifies after each event up to 500 held units, and less often in proportion beyond that: a smaller number of checks, of a state that lasts from one event to the next.

--- a/crates/domain-sim/src/sim_world.rs
+++ b/crates/domain-sim/src/sim_world.rs
@@ -14,7 +14,7 @@
 };
 use flamingowalk_domain::process::event::{HostEvent, WorkerError};
 use flamingowalk_domain::process::host::{DomainHost, HostIdentity};
-use flamingowalk_domain::process::planner::PlanLimits;
+use flamingowalk_domain::process::planner::{PlanLimits, PlannerState};
 use flamingowalk_domain::process::stream::{AppendOrder, StreamError, StreamName};
 use flamingowalk_domain::process::worker_report::WorkerReport;
 use flamingowalk_domain::request::caller_request::{CallerResponse, RequestTicket};
@@ -208,8 +208,11 @@
     /// Violated invariants, with the time: orders that a worker must never see, and
     /// inconsistencies that the planner's verifier found.
     pub violations: Vec<String>,
-    /// Whether the planner's state is verified after each event of its host.
+    /// Whether the planner's state is verified after the events of its host, by default after
+    /// each ([`VERIFIED_HOLDINGS`]).
     pub verifies_planner: bool,
+    /// Events of planning hosts since the newest verification.
+    unverified_events: usize,
     /// Evacuated zones, and when the log confirmed the order.
     pub evacuations: BTreeMap<ZoneName, MonotonicTime>,
     /// Time after that from which a start in the zone is a violation.
@@ -224,6 +227,23 @@
     pub wasted_core_seconds: f64,
 }
 
+/// Number of units on workers up to which the planner is verified after each event. With twice as
+/// many it is verified after every second event, and so on: a job of 5,000 units without demand
+/// would make the verifications of one test take minutes. Violations that last are found.
+const VERIFIED_HOLDINGS: usize = 500;
+
+/// Counts an event, and returns whether the planner's state is verified after it.
+fn is_verification_due(planner: &PlannerState, unverified_events: &mut usize) -> bool {
+    let workers = planner.workers().values();
+    let holdings: usize = workers.map(|worker| worker.holdings.len()).sum();
+    *unverified_events += 1;
+    let is_due = *unverified_events * VERIFIED_HOLDINGS >= holdings;
+    if is_due {
+        *unverified_events = 0;
+    }
+    is_due
+}
+
 impl SimWorld {
     /// Creates a world whose hosts and workers start at once.
     pub fn new(
@@ -279,6 +299,7 @@
             next_request: 0,
             violations: Vec::new(),
             verifies_planner: true,
+            unverified_events: 0,
             evacuations: BTreeMap::new(),
             evacuation_bound: Duration::from_secs(5),
             unanswered_stream: None,
@@ -454,6 +475,7 @@
         let actions = state.handle(local, wall, event);
         if self.verifies_planner
             && let Some(planner) = state.planner()
+            && is_verification_due(planner, &mut self.unverified_events)
         {
             for violation in planner.verify() {
                 self.violations.push(format!("{now}: {violation}"));
--- a/crates/domain-sim/tests/numbers.rs
+++ b/crates/domain-sim/tests/numbers.rs
@@ -79,6 +79,32 @@
     }
 }
 
+/// Guards against a random case that runs for minutes: a schedule in the past opens thousands of
+/// occurrences at once, and all of their units start, since they need no capacity.
+#[test]
+fn schedule_in_past_without_demand() {
+    let mut shape = step(1, 0);
+    shape.demand.cpu_millis = 0;
+    shape.demand.memory_mb = 0;
+    let submission = JobSubmission {
+        schedule: Some(OccurrenceSchedule {
+            first_at: 0,
+            interval_ms: 1,
+            count: u32::MAX,
+        }),
+        ..job(vec![shape])
+    };
+    let mut world = SimWorld::new(4, manifest(1), 1, workers(4));
+    world.run_for(Duration::from_secs(4));
+    world.submit(0, BATCH, JobKey(1), &submission, Duration::from_mins(1));
+    world.run_for(Duration::from_millis(500));
+    assert!(world.starts >= 4_000, "{} starts", world.starts);
+    world.cancel(0, BATCH, JobKey(1));
+    world.run_for(Duration::from_secs(2));
+    assert_eq!(world.violations, Vec::<String>::new());
+    check_usual_jobs(world);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(CASES) })]
 
--- a/crates/domain/src/process/planner/job.rs
+++ b/crates/domain/src/process/planner/job.rs
@@ -317,9 +317,11 @@
 
     /// Whether any member of the job may occupy a worker.
     pub fn is_held(&self) -> bool {
-        self.occurrences.values().any(|occurrence| {
-            let mut groups = occurrence.steps.iter().flat_map(|step| &step.groups);
-            groups.any(PlanGroup::is_held)
+        // Stops are sent and listed in the order of the units, so the last groups are held for
+        // longest. From the front, a cancelled job of 5,000 groups took seconds.
+        self.occurrences.values().rev().any(|occurrence| {
+            let mut steps = occurrence.steps.iter().rev();
+            steps.any(|step| step.groups.iter().rev().any(PlanGroup::is_held))
         })
     }
 
