Planner: a claim is given up once its worker is set aside

Cause: the worker of its claim was set aside (slowed down) after the claim was made. Such a worker takes no start, so the claim was kept until it expired.

Change: start_claimed treats a worker that was set aside like one that does not answer: what is free by now is found again. Only groups within a guarantee.

--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -633,8 +633,11 @@
             .map(|(name, _)| self.workers.get(*name))
             .peekable();
         let is_free = missing.peek().is_none();
-        // A worker that does not answer is not waited for. What is free by now is found again.
-        let is_lost = is_guaranteed && missing.all(|worker| worker.is_none_or(PlanWorker::is_lost));
+        // A worker that does not answer or has slowed down is not waited for. What is free by now
+        // is found again.
+        let is_unusable =
+            |worker: &PlanWorker| worker.is_lost() || worker.is_set_aside(context.now);
+        let is_lost = is_guaranteed && missing.all(|worker| worker.is_none_or(is_unusable));
         if !is_free && !is_lost {
             return true;
         }
