Planner: workers stay open while their runs may not be moved for upkeep

Cause: a machine that is due is closed to starts until it is empty. The step lacks more units than it may miss, so none of its units may be moved, and all workers stay closed.

Change: a worker on which runs may not be moved for 2 s is open until they may be; nothing else is moved off it meanwhile. may-miss is respected as before.

Evidence: wave_beside_step_that_lacks_workers_leaves_workers_open fails without the change. It stays unlikely that such a wave ends before units are cancelled.

--- a/crates/domain-sim/tests/upkeep.rs
+++ b/crates/domain-sim/tests/upkeep.rs
@@ -231,6 +231,39 @@
     check_all_workers_open(&mut world, 3);
 }
 
+/// Guards against a wave that keeps all workers closed for as long as it is open, since a step
+/// lacks more units than it may miss, so that none of its units may be moved.
+#[test]
+fn wave_beside_step_that_lacks_workers_leaves_workers_open() {
+    let mut world = ready_world(104, 3, 2);
+    let workers: Vec<_> = world.workers.keys().cloned().collect();
+    world.machines.add_workers(workers.into_iter());
+    let mut wide = step(4, 2);
+    wide.is_long_running = true;
+    wide.may_miss = Some(1);
+    wide.worker_limit = Some(1);
+    let work = Duration::from_mins(10);
+    world.submit(0, BATCH, JobKey(2), &job(vec![wide]), work);
+    world.run_for(Duration::from_secs(1));
+    let order = WaveOrder {
+        number: WAVE,
+        machines: world.machines.machines.keys().cloned().collect(),
+        duration: Duration::from_secs(20),
+        cap: 2,
+    };
+    world.log.put_wave(WAVE, Some(order));
+    // Runs are moved after at most 10 s.
+    world.run_for(Duration::from_secs(14));
+    let work = Duration::from_secs(1);
+    world.submit(0, BATCH, JobKey(3), &job(vec![step(2, 4)]), work);
+    world.run_for(Duration::from_secs(4));
+    assert!(world.jobs[&JobKey(3)].done_at.is_some());
+    assert_eq!(world.machines.upkeeps, 0, "upkeep beside a pinned unit");
+    let running = world.workers.values().map(|worker| worker.running.len());
+    assert_eq!(running.sum::<usize>(), 2, "units of the wide step");
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 /// Guards against a planner that goes on with a wave while the log turns it away, and so ends
 /// the units that its successor starts on workers that it takes for empty.
 #[rstest]
--- a/crates/domain/src/process/planner/upkeep.rs
+++ b/crates/domain/src/process/planner/upkeep.rs
@@ -25,6 +25,9 @@
 const MAX_UNLISTED_CORDON: Duration = Duration::from_secs(10);
 /// Maximum time for which a worker may go on with its runs before they are moved.
 const MAX_DRAIN_WAIT: Duration = Duration::from_secs(10);
+/// Time for which a worker stays closed although runs on it may not be moved. A unit that was
+/// moved before them is in service again within about a second.
+const MAX_PINNED_TIME: Duration = Duration::from_secs(2);
 
 /// A wave and its progress.
 #[derive(Clone, Debug)]
@@ -74,6 +77,11 @@
     /// Machines whose worker is being drained, and since when. Chosen anew by each step of the
     /// waves.
     draining: BTreeMap<MachineName, MonotonicTime>,
+    /// Those of them that hold runs which should be moved and may not be, since their steps lack
+    /// other units, and since when. After [`MAX_PINNED_TIME`] they are open meanwhile: if all
+    /// machines were closed, such a step would lack its units, and all other work would wait, for
+    /// as long as the wave is open.
+    pinned: BTreeMap<MachineName, MonotonicTime>,
     /// Machines that may be unavailable for their upkeep, and since when. A listing that is
     /// requested after that and shows them in another state removes them.
     unavailable: BTreeMap<MachineName, MonotonicTime>,
@@ -148,6 +156,7 @@
     /// that end with an upkeep that was ordered or is about to be ordered again.
     fn cordoned_workers(&self, now: MonotonicTime) -> BTreeSet<WorkerName> {
         let draining = self.draining.keys();
+        let draining = draining.filter(|name| !self.is_stuck(name, now));
         let ordered = self.orders.iter().map(|order| &order.machine);
         let unlisted = self.unavailable.iter();
         let unlisted = unlisted.filter(|(_, since)| now < **since + MAX_UNLISTED_CORDON);
@@ -163,6 +172,13 @@
             .collect()
     }
 
+    /// Whether a machine holds runs that may not be moved, and has for longer than the next unit
+    /// of their step takes to start.
+    fn is_stuck(&self, name: &MachineName, now: MonotonicTime) -> bool {
+        let since = self.pinned.get(name);
+        since.is_some_and(|since| now >= *since + MAX_PINNED_TIME)
+    }
+
     /// Whether an order may take effect whose result no listing shows yet.
     fn has_unlisted_order(&self, now: MonotonicTime) -> bool {
         let mut unlisted = self.unavailable.values();
@@ -221,12 +237,13 @@
             return;
         }
         let mut draining = BTreeMap::new();
+        let pinned_before = std::mem::take(&mut self.upkeep.pinned);
         if is_active {
             self.request_machine_list(context);
             if self.upkeep.listed_at.is_some() {
                 let numbers: Vec<_> = self.upkeep.waves.keys().copied().collect();
                 for number in numbers {
-                    self.advance_wave(context, number, &mut draining);
+                    self.advance_wave(context, number, &mut draining, &pinned_before);
                 }
             }
         }
@@ -285,6 +302,7 @@
         context: &mut PlanContext<'_>,
         number: WaveNumber,
         draining: &mut BTreeMap<MachineName, MonotonicTime>,
+        pinned_before: &BTreeMap<MachineName, MonotonicTime>,
     ) {
         let now = context.now;
         let Some(wave) = self.upkeep.waves.get(&number) else {
@@ -330,10 +348,17 @@
                 continue;
             }
             let since = self.upkeep.draining.get(&machine).copied().unwrap_or(now);
-            draining.insert(machine, since);
             if now >= since + max_wait {
-                self.move_runs_off(now, &worker);
+                if self.has_pinned_run(&worker) {
+                    let since = pinned_before.get(&machine).copied().unwrap_or(now);
+                    self.upkeep.pinned.insert(machine.clone(), since);
+                }
+                // What is moved while other runs stay for long is lost for nothing.
+                if !self.upkeep.is_stuck(&machine, now) {
+                    self.move_runs_off(now, &worker);
+                }
             }
+            draining.insert(machine, since);
         }
     }
 
@@ -370,6 +395,19 @@
         });
     }
 
+    /// Whether a run on a worker may not be moved, since its step lacks other units.
+    fn has_pinned_run(&self, name: &WorkerName) -> bool {
+        let worker = self.workers.get(name);
+        let mut holdings = worker.iter().flat_map(|worker| worker.holdings.values());
+        holdings.any(|held| {
+            let job = self.jobs.get(&held.group.job);
+            let is_active = job
+                .and_then(|job| job.group(&held.group))
+                .is_some_and(|group| group.phase == GroupPhase::Active);
+            is_active && !job.is_some_and(|job| job.may_stop_alone(&held.group, &self.workers))
+        })
+    }
+
     /// Moves the runs that may be moved off a worker.
     fn move_runs_off(&mut self, now: MonotonicTime, name: &WorkerName) {
         let Some(worker) = self.workers.get(name) else {
