--- a/crates/domain/src/process/planner/decision.rs
+++ b/crates/domain/src/process/planner/decision.rs
@@ -327,9 +327,10 @@
     if missing.peek().is_none() {
         return Some(GroupDecision::StartClaimed { placement });
     }
-    // A worker that does not answer is not waited for. What is free by now is found again.
-    let is_lost =
-        case.step.is_guaranteed && missing.all(|worker| worker.is_none_or(PlanWorker::is_lost));
+    // A worker that does not answer or has slowed down is not waited for. What is free by now is
+    // found again.
+    let is_unusable = |worker: &PlanWorker| worker.is_lost() || worker.is_set_aside(case.now);
+    let is_lost = case.step.is_guaranteed && missing.all(|worker| worker.is_none_or(is_unusable));
     Some(if is_lost {
         GroupDecision::ReleaseClaim { placement }
     } else {
