Limit moves, stops and claims on a slow pool to workers that are not slow

On a pool of which most workers are slow, a gang within a guarantee began after others were stopped for it, was moved for one slow member into a full pool, and others were stopped for it again. Claims whose worker slowed down meanwhile expired and were made anew.

With stops of [overload], while the pool is slow: a run that still rises is moved only if workers that are not slow have free room for its whole group; an urgent group beyond its guarantee stops runs only on workers on which it is in time; urgent groups prefer workers that are not slow, other groups those that are; a claim is used although its worker has slowed down. In any pool, groups that were stopped before are stopped last. Groups within a guarantee stop others as before. Without the key decisions are as before.

--- a/crates/domain-sim/tests/slow_pool.rs
+++ b/crates/domain-sim/tests/slow_pool.rs
@@ -2,13 +2,17 @@
 //! every 17 s, and the planner is replaced each time. Compares what callers get, and the work
 //! that is lost to stops, with the key `stops` of `[overload]` off and on.
 
-use crate::support::{manifest, restart_hosts, workers};
+use crate::support::{
+    BATCH, URGENT, gang, job, manifest, ready_world, restart_hosts, step, workers,
+};
 use flamingowalk_domain::prelude::*;
 use flamingowalk_domain::process::planner::OverloadLimits;
 use flamingowalk_domain::request::submission::UnitDemand;
 use flamingowalk_domain::version::manifest::{CustomerEntry, DomainManifest, QueueSettings};
 use flamingowalk_domain_sim::load::LoadJob;
 use flamingowalk_domain_sim::{LoadClass, LoadPlan, SimWorld};
+use rstest::rstest;
+use std::sync::LazyLock;
 
 /// Number of workers of the pool, with 8 accelerators each.
 const WORKERS: usize = 24;
@@ -32,6 +36,9 @@
 const STEP: Duration = Duration::from_millis(250);
 /// Factor on the objective after which a completed job is of no use.
 const LATE_FACTOR: f64 = 3.0;
+/// Least ratio of the share of the largest jobs that are of use to that of all jobs of their
+/// kind, as users require.
+const MIN_SIZE_SHARE: f64 = 0.5;
 /// Paths and stretches of the kinds, in the order of their priority.
 const KINDS: [(&str, f64); 3] = [("/urgent/", 1.5), ("/normal/", 2.0), ("/batch/", 3.0)];
 
@@ -264,6 +271,156 @@
     )
 }
 
+/// Plays of seeds 1 to 6 without keys and with `stops`, which three tests check.
+static PLAYS: LazyLock<[Vec<PlayResult>; 2]> =
+    LazyLock::new(|| [OFF, STOPS].map(|limits| (1..7).map(|seed| play(seed, limits)).collect()));
+
+/// Guards against moves and stops that lose work on a pool on which a restarted run is as slow.
+#[test]
+fn limited_stops_lose_a_third_on_slow_pool() {
+    let [before, after] = &*PLAYS;
+    let (off, on) = (
+        mean_of(before, |play| play.lost),
+        mean_of(after, |play| play.lost),
+    );
+    let text = format!("off: {}, on: {}", describe(before), describe(after));
+    assert!(on * 3.0 <= off, "{text}");
+}
+
+/// Guards against work that is kept but gains callers nothing.
+#[test]
+fn limited_stops_serve_more_in_time_on_slow_pool() {
+    let [before, after] = &*PLAYS;
+    let text = format!("off: {}, on: {}", describe(before), describe(after));
+    for kind in 0..KINDS.len() {
+        let in_time = |plays: &[PlayResult]| mean_of(plays, |play| play.in_time[kind]);
+        assert!(in_time(after) > in_time(before), "kind {kind}: {text}");
+    }
+}
+
+/// Guards against serving only the small jobs of a kind.
+#[test]
+fn limited_stops_serve_large_jobs_on_slow_pool() {
+    let [_, after] = &*PLAYS;
+    for kind in 0..KINDS.len() {
+        let tenth = mean_of(after, |play| play.tenth[kind]);
+        let fifth = mean_of(after, |play| play.fifth[kind]);
+        let text = format!("kind {kind}: tenth {tenth:.2} fifth {fifth:.2}");
+        assert!(tenth >= MIN_SIZE_SHARE && fifth >= MIN_SIZE_SHARE, "{text}");
+    }
+}
+
+/// Returns a pool of 3 workers that is full of batch units and at a fifth of its speed.
+fn full_slow_world(limits_stops: bool) -> SimWorld {
+    let mut world = ready_world(7, 3, 3);
+    world.limits.overload.limits_stops = limits_stops;
+    restart_hosts(&mut world);
+    world.caller_key = "key".into();
+    let work = Duration::from_secs(20);
+    let mut units = step(12, 2);
+    units.estimate_ms = 20_000;
+    // Otherwise more work would be lost than an urgent group may stop.
+    units.has_checkpoints = true;
+    // Slow from the start: workers whose runs slow down are set aside, and nothing is stopped there.
+    set_speed(&mut world, SLOW_SPEED);
+    world.submit(0, BATCH, JobKey(1), &job(vec![units]), work);
+    world.run_for(Duration::from_secs(5));
+    assert_eq!(world.starts, 12, "the units hold the pool");
+    world
+}
+
+fn set_speed(world: &mut SimWorld, speed: f64) {
+    let now = world.now();
+    for worker in world.workers.values_mut() {
+        worker.change_speed(now, speed);
+    }
+}
+
+/// Guards against stopping runs for an urgent group beyond its guarantee that is late on the
+/// slow pool all the same, and against a pool that still counts as slow 4 s after it recovered.
+#[rstest]
+#[case::off(false, false, true)]
+#[case::on(true, false, false)]
+#[case::on_recovered(true, true, true)]
+fn late_urgent_group_on_slow_pool(
+    #[case] limits_stops: bool,
+    #[case] recovers: bool,
+    #[case] stops: bool,
+) {
+    let mut world = full_slow_world(limits_stops);
+    if recovers {
+        set_speed(&mut world, 1.0);
+        world.run_for(Duration::from_secs(4));
+    }
+    // Three workers' worth, so that the guarantee does not cover the job.
+    let work = Duration::from_secs(2);
+    world.submit(0, URGENT, JobKey(2), &job(vec![gang(3, 8)]), work);
+    world.run_for(Duration::from_secs(1));
+    assert_eq!(world.wasted_core_seconds > 0.0, stops);
+}
+
+/// Guards against a group within a guarantee that begins late since the pool is slow.
+#[test]
+fn guaranteed_group_begins_on_slow_pool() {
+    let mut world = full_slow_world(true);
+    let work = Duration::from_secs(2);
+    world.submit(0, URGENT, JobKey(2), &job(vec![gang(2, 8)]), work);
+    world.run_for(world.limits.reclaim_bound);
+    assert!(world.jobs[&JobKey(2)].began_at.is_some());
+}
+
+/// Guards against moving an urgent gang, whose work is lost with it, when the workers that it
+/// would move to are as slow.
+#[rstest]
+#[case::off(false, true)]
+#[case::on(true, false)]
+fn urgent_gang_on_slow_pool(#[case] limits_stops: bool, #[case] is_moved: bool) {
+    let mut world = ready_world(7, 3, 6);
+    world.limits.overload.limits_stops = limits_stops;
+    restart_hosts(&mut world);
+    world.caller_key = "key".into();
+    let work = Duration::from_secs(4);
+    let mut units = gang(8, 2);
+    units.estimate_ms = 4_000;
+    world.submit(0, URGENT, JobKey(1), &job(vec![units]), work);
+    world.run_for(Duration::from_millis(1_200));
+    set_speed(&mut world, SLOW_SPEED);
+    world.run_for(Duration::from_secs(6));
+    assert_eq!(world.wasted_core_seconds > 0.0, is_moved);
+}
+
+/// Guards against a run that is stopped again and again, since it has lost least each time.
+#[test]
+fn restarted_run_stopped_last() {
+    let mut world = ready_world(7, 3, 2);
+    world.limits.overload.limits_stops = true;
+    restart_hosts(&mut world);
+    world.caller_key = "key".into();
+    let long = Duration::from_secs(30);
+    let mut unit = step(1, 5);
+    unit.estimate_ms = 30_000;
+    for key in [JobKey(1), JobKey(2)] {
+        world.submit(0, BATCH, key, &job(vec![unit.clone()]), long);
+        world.run_for(Duration::from_secs(1));
+    }
+    for key in [JobKey(3), JobKey(4)] {
+        world.submit(
+            0,
+            URGENT,
+            key,
+            &job(vec![step(1, 8)]),
+            Duration::from_secs(2),
+        );
+        world.run_for(Duration::from_secs(5));
+        assert!(world.jobs[&key].done_at.is_some());
+    }
+    let runs = |key| {
+        let starts = world.start_log.iter();
+        starts.filter(|(_, unit, _, _)| unit.job == key).count()
+    };
+    assert_eq!([runs(JobKey(1)), runs(JobKey(2))], [2, 2]);
+}
+
 /// Prints what callers get with no key, with `stops` and with all keys, over the seeds in
 /// `SLOW_POOL_SEEDS`.
 #[test]
@@ -274,7 +431,9 @@
         .split(' ')
         .filter_map(|text| text.parse().ok())
         .collect();
-    for (name, limits) in [("none", OFF), ("stops", STOPS), ("all", ALL)] {
+    let keys = std::env::var("SLOW_POOL_KEYS").unwrap_or_else(|_| "none stops all".to_owned());
+    let cases = [("none", OFF), ("stops", STOPS), ("all", ALL)];
+    for (name, limits) in cases.into_iter().filter(|(name, _)| keys.contains(name)) {
         let plays: Vec<PlayResult> = seeds.iter().map(|seed| play(*seed, limits)).collect();
         println!("{name:5} {}", describe(&plays));
     }
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -297,6 +297,9 @@
                 row.tier = tier_of(speed.cautious_log());
                 row.speed = Some(speed);
             }
+            if self.stop_speed() < 1.0 {
+                row.tier += tier_of(self.pool_speed.of_worker(&row.report.name).ln());
+            }
         }
         let mut view = CapacityView {
             rows,
@@ -618,7 +621,7 @@
                 let is_admitted = shared.admits(UnitShare::of(request.shape));
                 let is_certain = !view.uncertain.contains(name);
                 let bar = self.start_gate.start_bar(context.now, &worker.report.zone);
-                worker.is_open(context.now)
+                self.may_start_claim(context.now, worker)
                     && bar.is_none()
                     && is_certain
                     && is_admitted
@@ -647,6 +650,13 @@
         true
     }
 
+    /// Whether a claim on a worker may be used now. On a slow pool the worker is no slower than
+    /// those for which other runs would be stopped instead.
+    fn may_start_claim(&self, now: MonotonicTime, worker: &PlanWorker) -> bool {
+        let is_usable = worker.accepts_starts() && worker.health.is_available(now);
+        worker.is_open(now) || (is_usable && self.stop_speed() < 1.0)
+    }
+
     /// Updates the rows of a placement's workers to what their holdings and claims leave.
     fn refresh_rows(&self, view: &mut CapacityView, placement: &Placement) {
         for name in &placement.workers {
--- a/crates/domain/src/process/planner/pool_speed.rs
+++ b/crates/domain/src/process/planner/pool_speed.rs
@@ -36,11 +36,13 @@
 }
 
 /// Newest estimate of the speed of the pool.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(super) struct PoolSpeed {
     /// Speed relative to the usual one, at most 1.
     pub(super) value: f64,
     next_update_at: MonotonicTime,
+    /// Speeds of the workers of which runs report, while the pool is slow.
+    workers: BTreeMap<WorkerName, f64>,
     /// When the pool was last far slower than usual.
     slow_at: Option<MonotonicTime>,
 }
@@ -51,10 +53,22 @@
         Self {
             value: 1.0,
             next_update_at: now,
+            workers: BTreeMap::new(),
             slow_at: None,
         }
     }
 
+    /// Returns the current speed of a worker relative to its usual one; that of the pool if no
+    /// run on it reports.
+    pub(super) fn of_worker(&self, name: &WorkerName) -> f64 {
+        self.workers.get(name).copied().unwrap_or(self.value)
+    }
+
+    /// Returns the current speed of the fastest worker relative to its usual one.
+    pub(super) fn fastest(&self) -> f64 {
+        self.workers.values().copied().fold(self.value, f64::max)
+    }
+
     /// Whether the pool was far slower than usual at some time since `from`.
     pub(super) fn was_slow_since(&self, from: MonotonicTime) -> bool {
         self.slow_at.is_some_and(|at| at >= from)
@@ -80,6 +94,26 @@
     }
 }
 
+/// Returns the current speed of each worker relative to its usual one: the median over the
+/// recent paces there. A worker counts as usual from half of its speed, since few runs report
+/// and their estimates may be wrong by as much.
+pub fn worker_speeds(samples: &[(WorkerName, PaceSample)]) -> BTreeMap<WorkerName, f64> {
+    let mut ratios: BTreeMap<WorkerName, Vec<f64>> = BTreeMap::new();
+    for (name, sample) in samples {
+        if sample.age <= MAX_PACE_AGE && sample.expected > 0.0 {
+            let ratio = sample.pace / sample.expected;
+            ratios.entry(name.clone()).or_default().push(ratio);
+        }
+    }
+    let speeds = ratios.into_iter().map(|(name, mut ratios)| {
+        let middle = ratios.len() / 2;
+        let (_, median, _) = ratios.select_nth_unstable_by(middle, f64::total_cmp);
+        let is_usual = *median >= SLOW_SPEED;
+        (name, if is_usual { 1.0 } else { median.max(MIN_SPEED) })
+    });
+    speeds.collect()
+}
+
 impl PlannerState {
     /// Updates the speed of the pool, if that is due.
     pub(super) fn update_pool_speed(&mut self, now: MonotonicTime) {
@@ -87,12 +121,19 @@
             return;
         }
         self.pool_speed.next_update_at = now + UPDATE_INTERVAL;
-        let value = pool_speed(&self.pace_samples(now));
+        let samples = self.pace_samples(now);
+        let paces: Vec<PaceSample> = samples.iter().map(|(_, sample)| *sample).collect();
+        let value = pool_speed(&paces);
         let was_usual = self.pool_speed.value >= 1.0;
         if was_usual != (value >= 1.0) {
             log::info!(target: "worker", speed = value; "pool begins or ends to be slow");
         }
         self.pool_speed.value = value;
+        self.pool_speed.workers = if value < 1.0 {
+            worker_speeds(&samples)
+        } else {
+            BTreeMap::new()
+        };
         if value < SLOW_SPEED {
             self.pool_speed.slow_at = Some(now);
         }
@@ -117,7 +158,7 @@
 
     /// Returns the newest paces of the runs on reachable workers. Runs away from their data or
     /// their rack are left out: they are slow on any worker.
-    fn pace_samples(&self, now: MonotonicTime) -> Vec<PaceSample> {
+    fn pace_samples(&self, now: MonotonicTime) -> Vec<(WorkerName, PaceSample)> {
         let mut samples = Vec::new();
         for job in self.jobs.values().filter(|job| !job.is_closing) {
             for (key, group) in job.groups() {
@@ -134,7 +175,9 @@
                 let expected = self.run_times.expected(queue, shape.estimate_ms);
                 let members = group.members.iter();
                 samples.extend(members.filter_map(|member| {
-                    self.pace_sample(now, member, 100.0 / expected.as_secs_f64().max(0.001))
+                    let expected = 100.0 / expected.as_secs_f64().max(0.001);
+                    let sample = self.pace_sample(now, member, expected)?;
+                    Some((member.worker.clone(), sample))
                 }));
             }
         }
--- a/crates/domain/src/process/planner/reclaim.rs
+++ b/crates/domain/src/process/planner/reclaim.rs
@@ -61,8 +61,9 @@
 /// The same as a share of the time that it waits for them: expected ends are as rough as the
 /// estimates.
 const STOP_WAIT_SHARE: f64 = 0.5;
-/// Increase of the cost of a stop for each earlier stop of the same group.
-const REPEATED_STOP_FACTOR: f64 = 1.0;
+/// Cost of a stop for each earlier stop of the same group, in core seconds; above that of any
+/// other stop, so that what was restarted is stopped last.
+const REPEATED_STOP_CORE_SECONDS: f64 = 5_000.0;
 
 /// Counter of searches for runs to stop that were not made, by `reason`.
 pub const STOPS_SPARED: &str = "flamingowalk_domain_stops_spared_total";
@@ -114,6 +115,8 @@
     is_guaranteed: bool,
     /// Whether runs that may not be stopped are waited for.
     awaits_runs: bool,
+    /// Least current speed of the workers to be used, relative to their usual one.
+    min_speed: f64,
     place: &'a PlaceRequest<'a>,
 }
 
@@ -159,8 +162,11 @@
         if has_failed || view.reclaim_searches >= max_searches {
             return;
         }
-        let limits_stops = self.limits.overload.limits_stops;
-        if limits_stops && !step.is_guaranteed && !is_serving {
+        if self.must_be_in_time(step, request) {
+            if self.least_speed_in_time(context.now, step, request) > self.pool_speed.fastest() {
+                counter!(STOPS_SPARED, "reason" => "late all the same").increment(1);
+                return;
+            }
             if view.room_checks >= MAX_ROOM_CHECKS_PER_PASS {
                 return;
             }
@@ -177,7 +183,11 @@
         }
         view.reclaim_searches += 1;
         let Some(choice) = self.choose_stops(context.now, step, request, view) else {
-            if !step.is_guaranteed && request.avoided.is_empty() && request.approved.is_none() {
+            // On a slow pool the workers that come into question depend on the objective as well.
+            let is_general = request.avoided.is_empty()
+                && request.approved.is_none()
+                && self.stop_speed() >= 1.0;
+            if !step.is_guaranteed && is_general {
                 view.failed_reclaims.push(FailedSearch::new(request));
             }
             return;
@@ -231,6 +241,11 @@
         } else {
             &[false]
         };
+        let min_speed = if self.must_be_in_time(step, request) {
+            self.least_speed_in_time(now, step, request)
+        } else {
+            0.0
+        };
         let found = waits.iter().find_map(|awaits_runs| {
             places.iter().find_map(|place| {
                 let reclaim = ReclaimRequest {
@@ -238,6 +253,7 @@
                     priority: step.priority,
                     is_guaranteed: step.is_guaranteed,
                     awaits_runs: *awaits_runs,
+                    min_speed,
                     place,
                 };
                 self.find_victims(&reclaim, view)
@@ -249,13 +265,35 @@
         found.filter(is_worthwhile)
     }
 
+    /// Whether a group may stop others only if it meets its objective by that.
+    fn must_be_in_time(&self, step: &WaitingStep, request: &PlaceRequest<'_>) -> bool {
+        let is_serving = UnitShare::of(request.shape) == UnitShare::Serving;
+        self.limits.overload.limits_stops && !step.is_guaranteed && !is_serving
+    }
+
+    /// Returns the least current speed, relative to the usual one, of workers on which a group
+    /// meets its objective after the stops; infinite if it is late on any.
+    fn least_speed_in_time(
+        &self,
+        now: MonotonicTime,
+        step: &WaitingStep,
+        request: &PlaceRequest<'_>,
+    ) -> f64 {
+        let left = step.due_by.since(now + self.limits.stop_grace);
+        let run_time = request.ends_at.since(now);
+        if left.is_zero() {
+            f64::INFINITY
+        } else {
+            run_time.as_secs_f64() / left.as_secs_f64()
+        }
+    }
+
     /// Returns the lost work, in core seconds, up to which a group that no guarantee covers
     /// stops other runs.
     fn max_loss(&self, now: MonotonicTime, step: &WaitingStep, request: &PlaceRequest<'_>) -> f64 {
         let run_time = request.ends_at.since(now);
-        let current_end = now + run_time.div_f64(self.stop_speed());
         let own_work = cores(&request.shape.demand) * f64::from(request.count);
-        let is_in_time = current_end + self.limits.stop_grace <= step.due_by;
+        let is_in_time = request.ends_at + self.limits.stop_grace <= step.due_by;
         let factor = match (is_in_time, self.limits.overload.limits_stops) {
             (true, false) => MAX_LOSS_FACTOR,
             (false, false) => MAX_LATE_LOSS_FACTOR,
@@ -315,7 +353,7 @@
                 + expected.saturating_sub(ran.saturating_sub(unsaved)),
         };
         let stops = group.run.0.saturating_sub(1 + u32::from(group.failures));
-        stop_loss(&terms, &case) * (1.0 + REPEATED_STOP_FACTOR * f64::from(stops))
+        stop_loss(&terms, &case) + REPEATED_STOP_CORE_SECONDS * f64::from(stops)
     }
 
     /// Claims capacity that is expected to be free at `free_at`.
@@ -414,7 +452,10 @@
                 .filter(|_| requires_locality)
                 .is_none_or(|rack| row.report.rack.as_ref() == Some(rack));
             let worker = self.workers.get(&row.report.name);
-            let Some(worker) = worker.filter(|_| is_near && row.is_eligible(request)) else {
+            let is_fast = reclaim.min_speed <= 0.0
+                || self.pool_speed.of_worker(&row.report.name) >= reclaim.min_speed;
+            let is_open = is_near && is_fast && row.is_eligible(request);
+            let Some(worker) = worker.filter(|_| is_open) else {
                 continue;
             };
             let rack = row.report.rack.as_ref().filter(|_| needs_rack);
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -243,6 +243,11 @@
         &self.speeds
     }
 
+    /// Returns the current speed of the pool relative to its usual one.
+    pub const fn pool_speed(&self) -> f64 {
+        self.pool_speed.value
+    }
+
     /// Returns the jobs by identifier.
     pub const fn jobs(&self) -> &BTreeMap<JobKey, PlanJob> {
         &self.jobs
--- a/crates/domain/tests/pool_speed.rs
+++ b/crates/domain/tests/pool_speed.rs
@@ -1,7 +1,7 @@
 //! Tests of the current speed of a pool.
 
 use flamingowalk_domain::prelude::*;
-use flamingowalk_domain::process::planner::pool_speed::{PaceSample, pool_speed};
+use flamingowalk_domain::process::planner::pool_speed::{PaceSample, pool_speed, worker_speeds};
 use rstest::rstest;
 
 fn samples(ratios: &[f64], age_ms: u64) -> Vec<PaceSample> {
@@ -48,3 +48,21 @@
     }
     assert!((pool_speed(&paces) - 1.0).abs() < 1e-9);
 }
+
+/// Guards against workers that count as slow by the wrong estimate of one run, and against a
+/// speed from paces of a worker that no longer answers.
+#[test]
+fn worker_speeds_from_paces() {
+    let mut paces = Vec::new();
+    for (name, ratios, age_ms) in [
+        ("calm", [0.6, 0.55, 0.9], 100),
+        ("slow", [0.2, 0.1, 1.0], 100),
+        ("lost", [0.2, 0.2, 0.2], 2_600),
+    ] {
+        let own = samples(&ratios, age_ms).into_iter();
+        paces.extend(own.map(|sample| (WorkerName::from(name), sample)));
+    }
+    let speeds = worker_speeds(&paces);
+    let expected = [("calm", 1.0), ("slow", 0.2)].map(|(name, speed)| (name.into(), speed));
+    assert_eq!(speeds, BTreeMap::from(expected));
+}
