--- a/crates/domain/src/process/planner/explain.rs
+++ b/crates/domain/src/process/planner/explain.rs
@@ -157,7 +157,9 @@
                 ReclaimDecision::Stop(choice) => {
                     view.allocate(&request, &placement_of(choice.workers));
                 }
-                ReclaimDecision::StopNothing | ReclaimDecision::EndsInTime => {
+                ReclaimDecision::StopNothing
+                | ReclaimDecision::EndsInTime
+                | ReclaimDecision::LateAnyway => {
                     reserve_room(scratch, case, &request, view, reserved);
                 }
             }
@@ -245,7 +247,9 @@
                 ..reason.into()
             };
         }
-        ReclaimDecision::StopNothing | ReclaimDecision::EndsInTime => {}
+        ReclaimDecision::StopNothing
+        | ReclaimDecision::EndsInTime
+        | ReclaimDecision::LateAnyway => {}
     }
     let start = scratch.expected_start(now, &request, view);
     GroupWait {
