HTTP server: a request is charged until its handler is done

When a client disconnected after its request was complete, the charge for the body ended with the connection, while the handler continued: a submission for up to 2.7 s, a call until its attempt ended. Clients that send and disconnect could thus hold more than the budget.

The charge moves to the complete body. It lasts until the last copy of the body is dropped and, for submissions, until the reply: these run to their end in a task that holds the charge but not the body. Neither daemon stopped a submission whose client had disconnected before, so callers see no change.

Evidence: request_charged_until_its_handler_is_done fails with the charge left at the connection (0 instead of 200,000 bytes) and passes now. body_completed_after_shedding_is_never_handled passed before, too: a client that is told to give way gets a 503 and is not served, even if its body is complete by then.

--- a/crates/node/src/connection/client_guard.rs
+++ b/crates/node/src/connection/client_guard.rs
@@ -54,8 +54,10 @@
     budget: ClientBudget,
     clients: RefCell<BTreeMap<u64, Rc<ClientRecord>>>,
     next_client: Cell<u64>,
-    /// Bytes charged for bodies.
+    /// Bytes charged for bodies that are being read.
     body_bytes: Cell<usize>,
+    /// Bytes charged for complete bodies that their handlers hold.
+    handled_bytes: Arc<AtomicUsize>,
     /// Bytes charged for responses. Atomic, since the buffers of responses are shared with
     /// the server, which requires them to be sendable.
     response_bytes: Arc<AtomicUsize>,
@@ -84,6 +86,7 @@
                 clients: RefCell::default(),
                 next_client: Cell::new(0),
                 body_bytes: Cell::new(0),
+                handled_bytes: Arc::default(),
                 response_bytes: Arc::default(),
                 pressed_at: Cell::new(None),
                 shed_count: Cell::new(0),
@@ -98,7 +101,9 @@
 
     /// Returns the bytes buffered for clients.
     pub fn buffered_bytes(&self) -> usize {
-        self.shared.body_bytes.get() + self.shared.response_bytes.load(Ordering::Relaxed)
+        self.shared.body_bytes.get()
+            + self.shared.handled_bytes.load(Ordering::Relaxed)
+            + self.shared.response_bytes.load(Ordering::Relaxed)
     }
 
     /// Returns the number of connections of a listener, without those that are ending.
@@ -199,11 +204,9 @@
         if size < CHARGED_RESPONSE_BYTES {
             return body;
         }
-        let charged_bytes = Arc::clone(&self.shared.response_bytes);
-        charged_bytes.fetch_add(size, Ordering::Relaxed);
-        Bytes::from_owner(ChargedResponse {
+        Bytes::from_owner(ChargedBody {
             body,
-            charged_bytes,
+            _charge: BodyCharge::new(size, &self.shared.response_bytes),
         })
     }
 
@@ -298,6 +301,20 @@
         Ok(has_shed)
     }
 
+    /// Moves the charge of this client to its complete body. It is released with the last copy of
+    /// the body and of the returned charge, since handlers continue after their client has
+    /// disconnected.
+    pub fn hand_over(&self, body: Bytes) -> (Bytes, BodyCharge) {
+        let size = self.record.charged_bytes.get();
+        self.release();
+        let charge = BodyCharge::new(size, &self.guard.shared.handled_bytes);
+        let body = Bytes::from_owner(ChargedBody {
+            body,
+            _charge: charge.clone(),
+        });
+        (body, charge)
+    }
+
     /// Enters a stage.
     pub fn enter(&self, stage: ClientStage) {
         self.record.enter(stage, Instant::now());
@@ -316,21 +333,46 @@
     }
 }
 
-/// A response whose charge is released when it was sent or discarded.
-struct ChargedResponse {
-    body: Bytes,
-    charged_bytes: Arc<AtomicUsize>,
+/// A charge to the budget that is released when its last copy is dropped. The extensions of a
+/// request with a body have it, for handlers that need the body no more.
+#[derive(Clone, Debug)]
+pub struct BodyCharge {
+    _amount: Arc<ChargedAmount>,
 }
 
-impl AsRef<[u8]> for ChargedResponse {
-    fn as_ref(&self) -> &[u8] {
-        &self.body
+impl BodyCharge {
+    fn new(size: usize, charged_bytes: &Arc<AtomicUsize>) -> Self {
+        charged_bytes.fetch_add(size, Ordering::Relaxed);
+        let charged_bytes = Arc::clone(charged_bytes);
+        Self {
+            _amount: Arc::new(ChargedAmount {
+                size,
+                charged_bytes,
+            }),
+        }
     }
 }
 
-impl Drop for ChargedResponse {
+#[derive(Debug)]
+struct ChargedAmount {
+    size: usize,
+    charged_bytes: Arc<AtomicUsize>,
+}
+
+impl Drop for ChargedAmount {
     fn drop(&mut self) {
-        self.charged_bytes
-            .fetch_sub(self.body.len(), Ordering::Relaxed);
+        self.charged_bytes.fetch_sub(self.size, Ordering::Relaxed);
+    }
+}
+
+/// A body with its charge.
+struct ChargedBody {
+    body: Bytes,
+    _charge: BodyCharge,
+}
+
+impl AsRef<[u8]> for ChargedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
     }
 }
--- a/crates/node/src/connection/http_server.rs
+++ b/crates/node/src/connection/http_server.rs
@@ -28,7 +28,7 @@
 use crate::connection::client_limits::{ClientBudget, ClientLimits};
 use crate::connection::client_record::{ClientRecord, ClientStage, SweepClock};
 use crate::connection::client_stream::ClientStream;
-pub use crate::connection::request_body::BodyError;
+pub use crate::connection::request_body::{BodyError, run_charged};
 use crate::connection::request_body::{discard_body, read_body};
 
 /// Delay after a failed accept, so that the server does not spin while the process has no
@@ -305,7 +305,7 @@
         let text = BodyError::Shed.to_string();
         return text_response(StatusCode::SERVICE_UNAVAILABLE, text);
     }
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
     if head_size(&head) > limits.max_head_bytes {
         let text = format!(
             "the head exceeds {} bytes; send less\n",
@@ -342,6 +342,8 @@
     let body = body.and_then(|body| {
         let handled_bytes = HANDLING_FACTOR * body.len();
         let _has_shed = ticket.charge(handled_bytes, Instant::now())?;
+        let (body, charge) = ticket.hand_over(body);
+        head.extensions.insert(charge);
         Ok(body)
     });
     let is_shed = body == Err(BodyError::Shed);
--- a/crates/node/src/connection/request_body.rs
+++ b/crates/node/src/connection/request_body.rs
@@ -11,7 +11,7 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
-use crate::connection::client_guard::ClientTicket;
+use crate::connection::client_guard::{BodyCharge, ClientTicket};
 use crate::connection::client_record::ClientRemoval;
 
 /// Size of the first part of a body; most bodies fit into it.
@@ -167,6 +167,21 @@
     }
 }
 
+/// Runs the handling of a request to its end, even if its client disconnects, and holds its
+/// charge until then. Returns `None` if the handling panics. Must run inside a `LocalSet`.
+pub async fn run_charged<F>(charge: Option<BodyCharge>, handling: F) -> Option<F::Output>
+where
+    F: Future + 'static,
+    F::Output: 'static,
+{
+    let handling = tokio::task::spawn_local(async move {
+        let output = handling.await;
+        drop(charge);
+        output
+    });
+    handling.await.ok()
+}
+
 /// Discards what arrives of a body within a short time, up to `limit` bytes, unless the client
 /// has to give way.
 pub async fn discard_body(mut body: Incoming, ticket: &ClientTicket, limit: usize) {
--- a/crates/node/src/request/job_request.rs
+++ b/crates/node/src/request/job_request.rs
@@ -8,7 +8,8 @@
 use tokio::sync::oneshot;
 
 use crate::border::caller::{JobError, job_error_response};
-use crate::connection::http_server::{BufferedResponse, json_response};
+use crate::connection::client_guard::BodyCharge;
+use crate::connection::http_server::{BufferedResponse, json_response, run_charged};
 use crate::process::counters::JOB_REQUESTS;
 use crate::process::host_event::{EventSender, HostEvent};
 
@@ -16,7 +17,11 @@
 const MAX_JOB_ID_BYTES: usize = 120;
 
 /// Handles `POST /v1/jobs`: parses the submission and passes it to the event loop.
-pub async fn submit_job(body: Bytes, events: EventSender) -> BufferedResponse {
+pub async fn submit_job(
+    body: Bytes,
+    charge: Option<BodyCharge>,
+    events: EventSender,
+) -> BufferedResponse {
     let submission: JobSubmission = match serde_json::from_slice(&body) {
         Ok(submission) => submission,
         Err(error) => {
@@ -24,17 +29,16 @@
             return finish_request("submit", "", Err(JobError::Invalid(text)));
         }
     };
+    drop(body);
     let id = submission.id.clone();
     if let Err(error) = check_id(&id) {
         return finish_request("submit", &id, Err(error));
     }
     let (reply, response) = oneshot::channel();
     let event = HostEvent::JobSubmitted { submission, reply };
-    finish_request(
-        "submit",
-        &id,
-        request_status(&events, event, response).await,
-    )
+    let handling = async move { request_status(&events, event, response).await };
+    let status = run_charged(charge, handling).await;
+    finish_request("submit", &id, status.unwrap_or_else(|| Err(stopped())))
 }
 
 /// Handles `GET /v1/jobs/{id}`: responds with the state of the job.
@@ -67,10 +71,12 @@
         message: "the host is stopping; use another host".to_owned(),
         retry_after: Some(Duration::ZERO),
     })?;
-    response.await.unwrap_or_else(|_closed| {
-        let text = "the host stopped before the log answered; ask again with this id";
-        Err(JobError::OutcomeUnknown(text.to_owned()))
-    })
+    response.await.unwrap_or_else(|_closed| Err(stopped()))
+}
+
+fn stopped() -> JobError {
+    let text = "the host stopped before the log answered; ask again with this id";
+    JobError::OutcomeUnknown(text.to_owned())
 }
 
 fn finish_request(
--- a/crates/node/src/request/route.rs
+++ b/crates/node/src/request/route.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 
 use crate::border::caller::{CallHeaders, REQUEST_HEADER};
+use crate::connection::client_guard::BodyCharge;
 use crate::connection::http_server::{
     BufferedRequest, BufferedResponse, HeadVerdict, json_response, text_response, typed_response,
 };
@@ -51,13 +52,16 @@
         };
     }
     match (method, path.as_str()) {
-        (Method::POST, "/v1/jobs") => match request.into_body() {
-            Ok(body) => submit_job(body, events).await,
-            Err(error) => {
-                let text = format!("{error}. The request was not run");
-                text_response(error.status(), text)
+        (Method::POST, "/v1/jobs") => {
+            let charge = request.extensions().get::<BodyCharge>().cloned();
+            match request.into_body() {
+                Ok(body) => submit_job(body, charge, events).await,
+                Err(error) => {
+                    let text = format!("{error}. The request was not run");
+                    text_response(error.status(), text)
+                }
             }
-        },
+        }
         (Method::GET, "/v1/status") => {
             reply_with(&events, |reply| HostEvent::StatusRequested { reply }).await
         }
--- a/crates/node/tests/client_server.rs
+++ b/crates/node/tests/client_server.rs
@@ -9,15 +9,16 @@
 use flamingowalk_node::connection::client_guard::ClientGuard;
 use flamingowalk_node::connection::client_limits::{ClientBudget, ClientLimits};
 use flamingowalk_node::connection::http_server::{
-    BodyError, BufferedRequest, HeadVerdict, ListenerRules, ServePhase, serve_connections,
-    text_response,
+    BodyError, BufferedRequest, HeadVerdict, ListenerRules, ServePhase, run_charged,
+    serve_connections, text_response,
 };
 use hyper::StatusCode;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::task::LocalSet;
+use tokio::time::Instant;
 
 const BUDGET: ClientBudget = ClientBudget {
     buffered_bytes: 400_000,
@@ -183,6 +184,75 @@
     LocalSet::new().run_until(check).await;
 }
 
+/// Guards against serving a client that was told to give way, whose body is complete by the time
+/// that it is read.
+#[tokio::test(flavor = "current_thread")]
+async fn body_completed_after_shedding_is_never_handled() {
+    let check = async {
+        let server = TestServer::start().await;
+        let mut stalled = server.connect().await;
+        send(&mut stalled, &post("/open", "content-length: 200000")).await;
+        send(&mut stalled, &"a".repeat(199_999)).await;
+        while server.guard.buffered_bytes() < 199_999 {
+            tokio::task::yield_now().await;
+        }
+        // Nothing is read between these two steps.
+        let other = server.guard.open("test", 16_384, Instant::now());
+        other.charge(300_000, Instant::now()).expect("room");
+        assert_eq!(stalled.try_write(b"a").expect("sent"), 1);
+        let response = receive(&mut stalled).await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert_eq!(*server.bodies.borrow(), [Err(BodyError::Shed)]);
+    };
+    LocalSet::new().run_until(check).await;
+}
+
+/// Guards against complete requests that are in no budget once their clients have disconnected,
+/// while their handlers still hold them.
+#[tokio::test(flavor = "current_thread")]
+async fn request_charged_until_its_handler_is_done() {
+    let check = async {
+        let server = TestServer::start().await;
+        let mut stream = server.connect().await;
+        send(&mut stream, &post("/known", "content-length: 100000")).await;
+        send(&mut stream, &"a".repeat(100_000)).await;
+        let response = receive(&mut stream).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        drop(stream);
+        while server.guard.connections("test") > 0 {
+            tokio::task::yield_now().await;
+        }
+        // The handler of this server keeps the bodies.
+        assert_eq!(server.guard.buffered_bytes(), 200_000);
+        server.bodies.borrow_mut().clear();
+        assert_eq!(server.guard.buffered_bytes(), 0);
+    };
+    LocalSet::new().run_until(check).await;
+}
+
+/// Guards against handling that ends, or whose charge is released, when the client disconnects.
+#[tokio::test(flavor = "current_thread")]
+async fn charged_handling_outlives_its_client() {
+    let check = async {
+        let guard = ClientGuard::new(BUDGET);
+        let ticket = guard.open("test", 16_384, Instant::now());
+        ticket.charge(1_000, Instant::now()).expect("room");
+        let (_, charge) = ticket.hand_over(Bytes::from_static(b"body"));
+        let (end, ended) = oneshot::channel::<()>();
+        let client = tokio::task::spawn_local(run_charged(Some(charge), ended));
+        tokio::task::yield_now().await;
+        client.abort();
+        drop(ticket);
+        assert!(client.await.is_err_and(|error| error.is_cancelled()));
+        assert_eq!(guard.buffered_bytes(), 1_000);
+        end.send(()).expect("the handling waits");
+        while guard.buffered_bytes() > 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    LocalSet::new().run_until(check).await;
+}
+
 /// Guards against limits of the configuration that are not in force for the next request on an
 /// open connection.
 #[tokio::test(flavor = "current_thread")]
