--- a/crates/entry/tests/misbehaving_entry/cases.rs
+++ b/crates/entry/tests/misbehaving_entry/cases.rs
@@ -5,7 +5,7 @@
 
 use rstest::rstest;
 
-use crate::crowd::{Crowd, CrowdPlan, Load};
+use crate::crowd::{Crowd, CrowdPlan, Load, reset_connections};
 use crate::daemon::EntryDaemon;
 use crate::process::HostLimits;
 
@@ -25,6 +25,8 @@
     memory_mb: 60,
     max_files: 200,
 };
+/// Connections that are reset one after the other.
+const RESETS: usize = 2_000;
 /// Turns after which a crowd stops sending. Bounds the duration of a test.
 const MAX_TURNS: usize = 4_000;
 
@@ -84,6 +86,19 @@
         has_key: false,
     };
     let mut crowd = Crowd::connect(place.address(&daemon), plan);
+    send_all(&mut daemon, &mut crowd);
+    let violations = check_host(&mut daemon);
+    let (answered, connected) = (crowd.answered(), crowd.len());
+    println!(
+        "{load:?} at {place:?}: {}; {answered} of {connected} clients answered or closed",
+        daemon.process.figures()
+    );
+    let describe = |text| format!("{load:?} at {place:?}: {text}");
+    violations.into_iter().map(describe).collect()
+}
+
+/// Lets the crowd send, and observes the process meanwhile.
+fn send_all(daemon: &mut EntryDaemon, crowd: &mut Crowd) {
     for turn in 0..MAX_TURNS {
         let has_more = crowd.send_turn();
         if turn % 16 == 0 {
@@ -93,23 +108,22 @@
             break;
         }
     }
+}
+
+/// Checks that ordinary requests and a peer are served while the crowd is still connected, and
+/// returns the violated bounds.
+fn check_host(daemon: &mut EntryDaemon) -> Vec<String> {
     daemon.process.wait_settled();
     daemon.process.observe_files();
-    let mut violations = daemon.process.violations();
-    if !violations.iter().any(|text| text.contains("ended")) {
-        daemon.wait_alive();
-        daemon.wait_call_decided();
-        daemon.wait_peer_linked();
-        daemon.process.observe_files();
-        violations = daemon.process.violations();
+    let violations = daemon.process.violations();
+    if violations.iter().any(|text| text.contains("ended")) {
+        return violations;
     }
-    let (answered, connected) = (crowd.answered(), crowd.len());
-    println!(
-        "{load:?} at {place:?}: {}; {answered} of {connected} clients answered or closed",
-        daemon.process.figures()
-    );
-    let describe = |text| format!("{load:?} at {place:?}: {text}");
-    violations.into_iter().map(describe).collect()
+    daemon.wait_alive();
+    daemon.wait_call_decided();
+    daemon.wait_peer_linked();
+    daemon.process.observe_files();
+    daemon.process.violations()
 }
 
 /// Guards against memory that grows with the number of clients and of the bytes that they
@@ -137,6 +151,22 @@
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
+/// Guards against connections that are reset at any byte of a request and leave a descriptor, a
+/// charge or a waiting listener behind.
+#[test]
+fn entry_connections_reset_in_a_loop() {
+    let _alone = run_alone();
+    let mut violations = Vec::new();
+    for place in [Place::Call, Place::Peer] {
+        let mut daemon = EntryDaemon::start(FEW_FILES);
+        reset_connections(place.address(&daemon), place.path(), RESETS);
+        let found = check_host(&mut daemon);
+        println!("resets at {place:?}: {}", daemon.process.figures());
+        violations.extend(found.into_iter().map(|text| format!("{place:?}: {text}")));
+    }
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 /// Guards against clients that use up the descriptors which the host needs for the log, the
 /// workers and its peers.
 #[rstest]
