Runs of cold workers do not teach their speed; tests of a slow rack and of cold workers

Cause: samples of such runs counted, and after 15 s of slow ones the worker was learned anew.

Change: a run that began while its worker was reported as cold is no sample, in each deployment; the rank of cold workers stays as it was.

--- a/crates/domain-sim/tests/speeds.rs
+++ b/crates/domain-sim/tests/speeds.rs
@@ -391,6 +391,88 @@
     check_all_done(world);
 }
 
+/// Time for which a rack is slow; slow phases last some seconds.
+const SLOW_TIME: Duration = Duration::from_secs(12);
+/// Time for which workers are slow after their start. Slow samples over so long a time would
+/// otherwise make the planner learn them anew.
+const COLD_TIME: Duration = Duration::from_secs(45);
+/// Difference of logarithms within which a speed counts as known.
+const KNOWN_ERROR: f64 = 0.2;
+
+/// Returns the first rack's workers with their speeds.
+fn first_rack(world: &SimWorld) -> Vec<(WorkerName, f64)> {
+    let rack = Some(RackName::from("rack-0"));
+    let workers = world.workers.iter();
+    let workers = workers.filter(|(_, worker)| worker.report.rack == rack);
+    workers
+        .map(|(name, worker)| (name.clone(), worker.speed))
+        .collect()
+}
+
+/// Runs a load while the first rack is slow, and checks its learned speeds at the end of that
+/// time.
+fn check_rack_not_learned(world: &mut SimWorld, rack: &[(WorkerName, f64)], slow_time: Duration) {
+    let learned = speeds_of(world);
+    let before: Vec<f64> = rack
+        .iter()
+        .map(|(name, _)| learned.estimate(name).log)
+        .collect();
+    let plan = load(7, world.now(), 2.5);
+    let slow_until = world.now() + slow_time;
+    let first_start = world.start_log.len();
+    for (number, load) in plan.jobs.iter().enumerate() {
+        if load.at > slow_until {
+            break;
+        }
+        world.run_for(load.at.since(world.now()));
+        let path = if load.class == 0 { URGENT } else { BATCH };
+        let key = JobKey(1_000_000 + number as u64);
+        world.submit(number % 4, path, key, &load.submission, load.work);
+    }
+    world.run_for(slow_until.since(world.now()));
+    let starts = world.start_log[first_start..].iter();
+    let starts = starts.filter(|(.., name)| rack.iter().any(|(other, _)| other == name));
+    assert!(
+        starts.count() >= 8,
+        "the rack was hardly used while it was slow"
+    );
+    let after = speeds_of(world);
+    for ((name, _), before) in rack.iter().zip(before) {
+        let after = after.estimate(name).log;
+        assert!(
+            (after - before).abs() < KNOWN_ERROR,
+            "{name}: {before:.2} before, {after:.2} after"
+        );
+    }
+}
+
+/// Guards against a rack that is slow for some seconds and is learned as such.
+#[rstest]
+fn slow_rack_not_learned(#[values(91, 92, 93)] seed: u64) {
+    let mut world = learned_world(seed);
+    let rack = first_rack(&world);
+    for (name, speed) in &rack {
+        world.workers.get_mut(name).expect("a worker").speed = speed * 0.4;
+    }
+    check_rack_not_learned(&mut world, &rack, SLOW_TIME);
+}
+
+/// Guards against workers that are slow for some time after their start, as their reports say,
+/// and are learned as such.
+#[rstest]
+fn cold_workers_not_learned(#[values(91, 92, 93)] seed: u64, #[values(0.4, 0.7)] factor: f64) {
+    let mut world = learned_world(seed);
+    let rack = first_rack(&world);
+    let now = world.now();
+    for (name, speed) in &rack {
+        let worker = world.workers.get_mut(name).expect("a worker");
+        worker.restart(now);
+        worker.speed = speed * factor;
+        worker.report.cold_remaining = COLD_TIME;
+    }
+    check_rack_not_learned(&mut world, &rack, COLD_TIME);
+}
+
 /// Guards against a run that is long by nature and is started again and again, since its worker
 /// counts as slow; also where each further run would be as long.
 #[rstest]
--- a/crates/domain/src/process/planner/report.rs
+++ b/crates/domain/src/process/planner/report.rs
@@ -53,10 +53,11 @@
             Some(incarnation) if incarnation > report.incarnation => {}
             Some(_) => self.refresh_worker(context.now, name, report, written_after),
         }
-        if self.limits.evacuation_bound.is_some()
-            && let Some(worker) = self.workers.get_mut(name)
-        {
-            worker.refresh_cold(context.now);
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.refresh_unsampled(context.now);
+            if self.limits.evacuation_bound.is_some() {
+                worker.refresh_cold(context.now);
+            }
         }
     }
 
--- a/crates/domain/src/process/planner/sample.rs
+++ b/crates/domain/src/process/planner/sample.rs
@@ -59,7 +59,9 @@
         let Some(member) = member.filter(|member| !member.progress.is_sampled) else {
             return;
         };
-        let is_excluded = shape.is_long_running || shape.is_filler;
+        let worker = self.workers.get(&member.worker);
+        let is_cold = worker.is_some_and(|worker| group.started_at < worker.unsampled_until);
+        let is_excluded = shape.is_long_running || shape.is_filler || is_cold;
         if is_excluded || !is_near(shape, &group.members, &self.workers) {
             return;
         }
--- a/crates/domain/src/process/planner/worker.rs
+++ b/crates/domain/src/process/planner/worker.rs
@@ -92,6 +92,9 @@
     pub speed: WorkerSpeed,
     /// Until when it counts as cold: slow since it has started a short while ago.
     pub cold_until: MonotonicTime,
+    /// Runs that began before this time say nothing about its usual speed. Unlike `cold_until`,
+    /// this is known in each deployment, and decides no placement.
+    pub unsampled_until: MonotonicTime,
 }
 
 /// Workers by name.
@@ -193,6 +196,7 @@
             health: WorkerHealth::default(),
             speed: WorkerSpeed::default(),
             cold_until: MonotonicTime(0),
+            unsampled_until: MonotonicTime(0),
             report,
         }
     }
@@ -292,6 +296,14 @@
         self.cold_until = now + self.report.cold_remaining.min(MAX_COLD_TIME);
     }
 
+    /// Updates until when its runs are no samples, from the report that was read now.
+    pub fn refresh_unsampled(&mut self, now: MonotonicTime) {
+        let cold = self.report.cold_remaining.min(MAX_COLD_TIME);
+        if !cold.is_zero() {
+            self.unsampled_until = now + cold;
+        }
+    }
+
     /// Returns the tier by which it is ranked for new units, lower while it is cold.
     pub fn tier(&self, now: MonotonicTime) -> i32 {
         let usual = self.speed.tier();
