--- a/crates/domain-sim/src/sim_world/runs.rs
+++ b/crates/domain-sim/src/sim_world/runs.rs
@@ -140,7 +140,7 @@
         let cores =
             run.demand.cpu_millis as f64 / 1_000.0 + f64::from(run.demand.accelerators) * 8.0;
         let began = run.began_at.unwrap_or(run.arrived_at);
-        let run_seconds = (run.worked_before + self.now.since(began)).as_secs_f64();
+        let run_seconds = self.now.since(began).as_secs_f64();
         let lost_seconds = if run.has_checkpoints {
             run_seconds.min(1.0)
         } else {
--- a/crates/domain/src/process/host/gauges.rs
+++ b/crates/domain/src/process/host/gauges.rs
@@ -37,8 +37,6 @@
 pub const SPEED_DEVIATION: &str = "flamingowalk_domain_worker_speed_deviation";
 /// Workers whose speed is known well enough to rely on; on the planner.
 pub const KNOWN_SPEEDS: &str = "flamingowalk_domain_worker_speeds_known";
-/// Current speed of the pool relative to the usual one; on a planner that uses it.
-pub const POOL_SPEED: &str = "flamingowalk_domain_pool_speed";
 
 impl DomainHost {
     /// Sets every gauge. The planner's gauges keep their last values when planning ends.
@@ -97,7 +95,6 @@
         0.0
     };
     gauge!(SPEED_DEVIATION).set(deviation);
-    gauge!(POOL_SPEED).set(planner.pool_speed());
     let names = planner.workers().keys();
     let known = names.filter(|name| speeds.estimate(name).is_known());
     gauge!(KNOWN_SPEEDS).set(known.count() as f64);
--- a/crates/domain/src/process/planner.rs
+++ b/crates/domain/src/process/planner.rs
@@ -30,7 +30,6 @@
 pub mod pass;
 pub mod place;
 pub mod poll;
-pub mod pool_speed;
 pub mod progress;
 pub mod reclaim;
 pub mod release;
--- a/crates/domain/src/process/planner/decision.rs
+++ b/crates/domain/src/process/planner/decision.rs
@@ -311,7 +311,7 @@
             let is_admitted = shared.admits(UnitShare::of(request.shape));
             let is_certain = !view.uncertain.contains(name);
             let bar = planner.start_gate.start_bar(case.now, &worker.report.zone);
-            may_start_claim(planner, case.now, worker)
+            worker.is_open(case.now)
                 && bar.is_none()
                 && is_certain
                 && is_admitted
@@ -338,13 +338,6 @@
     })
 }
 
-/// Whether a claim on a worker may be used now. On a slow pool the worker is no slower than those
-/// for which other runs would be stopped instead.
-fn may_start_claim(planner: &PlannerState, now: MonotonicTime, worker: &PlanWorker) -> bool {
-    let is_usable = worker.accepts_starts() && worker.health.is_available(now);
-    worker.is_open(now) || (is_usable && planner.stop_speed() < 1.0)
-}
-
 /// Decides whether an urgent group rather waits than starts on workers on which it would miss
 /// its objective: faster ones become free in time. They are reserved for it.
 fn await_faster(
--- a/crates/domain/src/process/planner/end.rs
+++ b/crates/domain/src/process/planner/end.rs
@@ -201,9 +201,7 @@
             return;
         }
         let started_at = group.started_at;
-        let was_slow =
-            self.limits.overload.limits_stops && self.pool_speed.was_slow_since(started_at);
-        if group.is_full_run && group.phase == GroupPhase::Active && !was_slow {
+        if group.is_full_run && group.phase == GroupPhase::Active {
             self.learn_from_end(now, key);
             let slowest = self.slowest_factor(key);
             let ran = now.since(started_at).mul_f64(slowest);
--- a/crates/domain/src/process/planner/explain.rs
+++ b/crates/domain/src/process/planner/explain.rs
@@ -157,9 +157,7 @@
                 ReclaimDecision::Stop(choice) => {
                     view.allocate(&request, &placement_of(choice.workers));
                 }
-                ReclaimDecision::StopNothing
-                | ReclaimDecision::EndsInTime
-                | ReclaimDecision::LateAnyway => {
+                ReclaimDecision::StopNothing | ReclaimDecision::EndsInTime => {
                     reserve_room(scratch, case, &request, view, reserved);
                 }
             }
@@ -247,9 +245,7 @@
                 ..reason.into()
             };
         }
-        ReclaimDecision::StopNothing
-        | ReclaimDecision::EndsInTime
-        | ReclaimDecision::LateAnyway => {}
+        ReclaimDecision::StopNothing | ReclaimDecision::EndsInTime => {}
     }
     let start = scratch.expected_start(now, &request, view);
     GroupWait {
--- a/crates/domain/src/process/planner/limits.rs
+++ b/crates/domain/src/process/planner/limits.rs
@@ -53,13 +53,6 @@
     pub shares_capacity: bool,
 }
 
-impl OverloadLimits {
-    /// Whether some decision uses the current speed of the pool.
-    pub const fn uses_pool_speed(&self) -> bool {
-        self.orders_by_cost || self.limits_stops || self.rejects_jobs
-    }
-}
-
 impl Default for PlanLimits {
     fn default() -> Self {
         Self {
--- a/crates/domain/src/process/planner/pass.rs
+++ b/crates/domain/src/process/planner/pass.rs
@@ -292,9 +292,6 @@
                 row.tier = tier_of(speed.cautious_log());
                 row.speed = Some(speed);
             }
-            if self.stop_speed() < 1.0 {
-                row.tier += tier_of(self.pool_speed.of_worker(&row.report.name).ln());
-            }
         }
         let mut view = CapacityView {
             rows,
--- a/crates/domain/src/process/planner/progress.rs
+++ b/crates/domain/src/process/planner/progress.rs
@@ -8,7 +8,6 @@
 use crate::process::planner::job::{GroupPhase, MemberStage, PlanGroup, PlanJob, PlanMember};
 use crate::process::planner::speed::PaceChange;
 use crate::process::planner::state::{PlanContext, PlannerState};
-use crate::request::submission::StepShape;
 
 /// Least time without progress after which a run counts as stalled: a long poll that
 /// was held for its full time showed no further percent.
@@ -44,7 +43,7 @@
 /// What is left of a run when a move is weighed.
 #[derive(Clone, Copy, Debug)]
 struct RemainingWork {
-    /// Expected time of a whole run on the workers to be used, at their current speed.
+    /// Expected time of a whole run.
     expected: Duration,
     has_checkpoints: bool,
     /// Whether its worker may become as fast as before.
@@ -273,7 +272,9 @@
         group: &PlanGroup,
     ) -> Option<MoveOrder> {
         let shape = job.shape(key.step).filter(|shape| !shape.is_long_running)?;
-        let expected = self.current_run_time(&job.accepted.queue, shape);
+        let expected = self
+            .run_times
+            .expected(&job.accepted.queue, shape.estimate_ms);
         let is_running = |stage: MemberStage| matches!(stage, MemberStage::Running(_));
         if !group.members.iter().all(|member| is_running(member.stage)) {
             return None;
@@ -305,17 +306,12 @@
                 continue;
             }
             let may_recover = is_stalled || is_slowed;
-            // On a slow pool a run that still rises moves only to workers that are not slow, and
-            // only into free capacity: otherwise it waits, or others are stopped for it.
-            let needs_fast_room = !is_stalled && self.stop_speed() < 1.0;
             let work = RemainingWork {
                 expected,
                 has_checkpoints: shape.has_checkpoints,
                 may_recover,
             };
-            if self.has_move_gain(job, group, index, &work)
-                && (!needs_fast_room || self.has_fast_room(now, job, shape, group, &member.worker))
-            {
+            if self.has_move_gain(job, group, index, &work) {
                 let cause = if is_stalled {
                     STALLED
                 } else if is_slowed {
@@ -334,32 +330,6 @@
         None
     }
 
-    /// Whether workers that are not slow now have room for a group, with what the group itself
-    /// holds there, other than the worker that it leaves.
-    fn has_fast_room(
-        &self,
-        now: MonotonicTime,
-        job: &PlanJob,
-        shape: &StepShape,
-        group: &PlanGroup,
-        left: &WorkerName,
-    ) -> bool {
-        let demand = shape.reserved_demand();
-        let usable = self.workers.iter().filter(|(name, worker)| {
-            let bar = self.start_gate.start_bar(now, &worker.report.zone);
-            *name != left
-                && worker.report.service == job.accepted.service
-                && worker.is_open(now)
-                && bar.is_none()
-                && self.pool_speed.of_worker(name) >= 1.0
-        });
-        let capacities = usable.map(|(name, worker)| {
-            let own = group.members.iter().filter(|member| member.worker == *name);
-            own.fold(worker.free_capacity_for(None), |free, _| free.plus(&demand))
-        });
-        has_room(capacities, &demand, u32::from(shape.group_size()))
-    }
-
     /// Whether a run is expected to complete sooner if it is restarted elsewhere.
     fn has_move_gain(
         &self,
--- a/crates/domain/src/process/planner/reclaim.rs
+++ b/crates/domain/src/process/planner/reclaim.rs
@@ -61,9 +61,8 @@
 /// The same as a share of the time that it waits for them: expected ends are as rough as the
 /// estimates.
 const STOP_WAIT_SHARE: f64 = 0.5;
-/// Cost of a stop for each earlier stop of the same group, in core seconds; above that of any
-/// other stop, so that what was restarted is stopped last.
-const REPEATED_STOP_CORE_SECONDS: f64 = 5_000.0;
+/// Increase of the cost of a stop for each earlier stop of the same group.
+const REPEATED_STOP_FACTOR: f64 = 1.0;
 
 /// Counter of searches for runs to stop that were not made, by `reason`.
 pub const STOPS_SPARED: &str = "flamingowalk_domain_stops_spared_total";
@@ -113,8 +112,6 @@
     StopNothing,
     /// Nothing is stopped, since runs that end by themselves leave room in time.
     EndsInTime,
-    /// Nothing is stopped, since the group misses its objective on any worker.
-    LateAnyway,
     /// The group also waits for runs that may not be stopped, and gets a reservation until these
     /// are about to end: what is stopped earlier leaves its workers idle meanwhile, and again if
     /// the runs go on.
@@ -130,8 +127,6 @@
     is_guaranteed: bool,
     /// Whether runs that may not be stopped are waited for.
     awaits_runs: bool,
-    /// Least current speed of the workers to be used, relative to their usual one.
-    min_speed: f64,
     place: &'a PlaceRequest<'a>,
 }
 
@@ -176,27 +171,20 @@
         if has_failed || view.reclaim_searches >= max_searches {
             return ReclaimDecision::StopNothing;
         }
-        if self.must_be_in_time(step, request) {
-            if self.least_speed_in_time(now, step, request) > self.pool_speed.fastest() {
-                return ReclaimDecision::LateAnyway;
-            }
+        let limits_stops = self.limits.overload.limits_stops;
+        if limits_stops && !step.is_guaranteed && !is_serving {
             if view.room_checks >= MAX_ROOM_CHECKS_PER_PASS {
                 return ReclaimDecision::StopNothing;
             }
             view.room_checks += 1;
             let room_at = self.room_expected_at(now, request, view);
-            let run_time = request.ends_at.since(now).div_f64(self.stop_speed());
-            if room_at.is_some_and(|at| is_in_time_after_wait(at, now, step, run_time)) {
+            if room_at.is_some_and(|at| is_in_time_after_wait(at, now, step, request)) {
                 return ReclaimDecision::EndsInTime;
             }
         }
         view.reclaim_searches += 1;
         let Some(choice) = self.choose_stops(now, step, request, view) else {
-            // On a slow pool the workers that come into question depend on the objective as well.
-            let is_general = request.avoided.is_empty()
-                && request.approved.is_none()
-                && self.stop_speed() >= 1.0;
-            if !step.is_guaranteed && is_general {
+            if !step.is_guaranteed && request.avoided.is_empty() && request.approved.is_none() {
                 view.failed_reclaims.push(FailedSearch::new(request));
             }
             return ReclaimDecision::StopNothing;
@@ -224,10 +212,6 @@
                 counter!(STOPS_SPARED, "reason" => "ends in time").increment(1);
                 return false;
             }
-            ReclaimDecision::LateAnyway => {
-                counter!(STOPS_SPARED, "reason" => "late anyway").increment(1);
-                return false;
-            }
             ReclaimDecision::Reserve(choice) => {
                 view.reserve(&choice.workers, request, choice.awaited_until);
                 return true;
@@ -284,11 +268,6 @@
         } else {
             &[false]
         };
-        let min_speed = if self.must_be_in_time(step, request) {
-            self.least_speed_in_time(now, step, request)
-        } else {
-            0.0
-        };
         let found = waits.iter().find_map(|awaits_runs| {
             places.iter().find_map(|place| {
                 let reclaim = ReclaimRequest {
@@ -296,7 +275,6 @@
                     priority: step.priority,
                     is_guaranteed: step.is_guaranteed,
                     awaits_runs: *awaits_runs,
-                    min_speed,
                     place,
                 };
                 self.find_victims(&reclaim, view)
@@ -308,29 +286,6 @@
         found.filter(is_worthwhile)
     }
 
-    /// Whether a group may stop others only if it meets its objective by that.
-    fn must_be_in_time(&self, step: &WaitingStep, request: &PlaceRequest<'_>) -> bool {
-        let is_serving = UnitShare::of(request.shape) == UnitShare::Serving;
-        self.limits.overload.limits_stops && !step.is_guaranteed && !is_serving
-    }
-
-    /// Returns the least current speed, relative to the usual one, of workers on which a group
-    /// meets its objective after the stops; infinite if it is late on any.
-    fn least_speed_in_time(
-        &self,
-        now: MonotonicTime,
-        step: &WaitingStep,
-        request: &PlaceRequest<'_>,
-    ) -> f64 {
-        let left = step.due_by.since(now + self.limits.stop_grace);
-        let run_time = request.ends_at.since(now);
-        if left.is_zero() {
-            f64::INFINITY
-        } else {
-            run_time.as_secs_f64() / left.as_secs_f64()
-        }
-    }
-
     /// Returns the lost work, in core seconds, up to which a group that no guarantee covers
     /// stops other runs.
     fn max_loss(&self, now: MonotonicTime, step: &WaitingStep, request: &PlaceRequest<'_>) -> f64 {
@@ -371,32 +326,26 @@
             has_end: !shape.is_long_running,
         };
         let ran = now.since(group.started_at);
-        let usual = self
+        let expected = self
             .run_times
             .expected(&job.accepted.queue, shape.estimate_ms);
-        let expected = usual.div_f64(self.stop_speed());
         let unsaved = if shape.has_checkpoints {
-            let checkpoint_time = MAX_CHECKPOINT_LOSS_SECONDS / self.stop_speed();
-            ran.min(Duration::from_secs_f64(checkpoint_time))
+            ran.min(Duration::from_secs_f64(MAX_CHECKPOINT_LOSS_SECONDS))
         } else {
             ran
         };
-        let members_end = (0..group.members.len())
-            .map(|index| self.expected_end(now, key, index))
-            .max();
-        let ends_at = members_end.unwrap_or(now + expected.saturating_sub(ran));
         let members = f64::from(shape.group_size());
         let case = StopCase {
             cores: cores(&shape.demand) * members,
             unsaved,
-            job_work: cores(&shape.demand) * members * usual.as_secs_f64(),
-            ends_at,
+            job_work: cores(&shape.demand) * members * expected.as_secs_f64(),
+            ends_at: now + expected.saturating_sub(ran),
             restart_ends_at: now
                 + self.limits.stop_grace
                 + expected.saturating_sub(ran.saturating_sub(unsaved)),
         };
         let stops = group.run.0.saturating_sub(1 + u32::from(group.failures));
-        stop_loss(&terms, &case) + REPEATED_STOP_CORE_SECONDS * f64::from(stops)
+        stop_loss(&terms, &case) * (1.0 + REPEATED_STOP_FACTOR * f64::from(stops))
     }
 
     /// Claims capacity that is expected to be free at `free_at`.
@@ -497,10 +446,7 @@
                 .filter(|_| requires_locality)
                 .is_none_or(|rack| row.report.rack.as_ref() == Some(rack));
             let worker = self.workers.get(&row.report.name);
-            let is_fast = reclaim.min_speed <= 0.0
-                || self.pool_speed.of_worker(&row.report.name) >= reclaim.min_speed;
-            let is_open = is_near && is_fast && row.is_eligible(request);
-            let Some(worker) = worker.filter(|_| is_open) else {
+            let Some(worker) = worker.filter(|_| is_near && row.is_eligible(request)) else {
                 continue;
             };
             let rack = row.report.rack.as_ref().filter(|_| needs_rack);
@@ -678,8 +624,9 @@
     at: MonotonicTime,
     now: MonotonicTime,
     step: &WaitingStep,
-    run_time: Duration,
+    request: &PlaceRequest<'_>,
 ) -> bool {
+    let run_time = request.ends_at.since(now);
     let margin = STOP_WAIT_MARGIN.max(at.since(now).mul_f64(STOP_WAIT_SHARE));
     at + margin + run_time <= step.due_by
 }
--- a/crates/domain/src/process/planner/reservation.rs
+++ b/crates/domain/src/process/planner/reservation.rs
@@ -263,12 +263,12 @@
             let queue = &job.accepted.queue;
             if self.speeds.spread.differ {
                 let elapsed = now.since(group.started_at);
-                let speed = self.speed_factor(&member.worker) * self.stop_speed();
+                let speed = self.speed_factor(&member.worker);
                 let estimate_ms = shape.estimate_ms;
                 let times = &self.run_times;
                 return now + expected_remaining(times, queue, estimate_ms, elapsed, speed);
             }
-            group.started_at + self.current_run_time(queue, shape)
+            group.started_at + self.run_times.expected(queue, shape.estimate_ms)
         };
         end.max(soon)
     }
--- a/crates/domain/src/process/planner/sample.rs
+++ b/crates/domain/src/process/planner/sample.rs
@@ -158,7 +158,7 @@
 
 /// Whether the members of a group run near their data and in one rack, if they need that:
 /// otherwise they take several times as long.
-pub(super) fn is_near(shape: &StepShape, members: &[PlanMember], workers: &PlanWorkers) -> bool {
+fn is_near(shape: &StepShape, members: &[PlanMember], workers: &PlanWorkers) -> bool {
     let rack_of = |member: &PlanMember| {
         let worker = workers.get(&member.worker);
         worker.and_then(|worker| worker.report.rack.as_ref())
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -17,7 +17,6 @@
 use crate::process::planner::limits::PlanLimits;
 use crate::process::planner::objectives::ObjectiveTally;
 use crate::process::planner::outage::WorkerOutage;
-use crate::process::planner::pool_speed::PoolSpeed;
 use crate::process::planner::reclaim::CapacityClaim;
 use crate::process::planner::release::ReleaseNotes;
 use crate::process::planner::start_look::StartLook;
@@ -121,8 +120,6 @@
     pub(super) objectives: BTreeMap<QueueName, ObjectiveTally>,
     /// Speeds of the workers, learned from all runs.
     pub(super) speeds: PoolSpeeds,
-    /// Current speed of the pool, known while a key of `[overload]` that uses it is on.
-    pub(super) pool_speed: PoolSpeed,
     /// Whether something changed that may let a group start.
     pub(super) is_dirty: bool,
     /// Capacity that is being reclaimed for groups.
@@ -201,7 +198,6 @@
             run_times: RunTimes::default(),
             objectives: BTreeMap::new(),
             speeds: PoolSpeeds::default(),
-            pool_speed: PoolSpeed::new(now),
             is_dirty: true,
             claims: BTreeMap::new(),
             advice: AdviceCache::default(),
@@ -257,11 +253,6 @@
         &self.speeds
     }
 
-    /// Returns the current speed of the pool relative to its usual one.
-    pub const fn pool_speed(&self) -> f64 {
-        self.pool_speed.value
-    }
-
     /// Returns the jobs by identifier.
     pub const fn jobs(&self) -> &BTreeMap<JobKey, PlanJob> {
         &self.jobs
@@ -426,7 +417,6 @@
         self.expire_unlisted_members(context.now);
         self.expire_claims(context.now);
         self.compare_speeds(context.now);
-        self.update_pool_speed(context.now);
         // Work that a successor may have planned anew is neither stopped nor moved.
         if self.has_leader_lease(context.now) {
             self.check_progress(context);
