--- a/crates/domain-sim/src/sim_world.rs
+++ b/crates/domain-sim/src/sim_world.rs
@@ -208,9 +208,12 @@
     /// Violated invariants, with the time: orders that a worker must never see, and
     /// inconsistencies that the planner's verifier found.
     pub violations: Vec<String>,
-    /// Whether the planner's state is verified after the events of its host, by default after
-    /// each ([`VERIFIED_HOLDINGS`]).
+    /// Whether the planner's state is verified after the events of its host.
     pub verifies_planner: bool,
+    /// Number of units on workers up to which it is verified after each event. With twice as many
+    /// it is verified after every second event, and so on. By default it is after each event; a
+    /// test of thousands of units without demand would take minutes that way.
+    pub verified_holdings: usize,
     /// Events of planning hosts since the newest verification.
     unverified_events: usize,
     /// Evacuated zones, and when the log confirmed the order.
@@ -227,17 +230,16 @@
     pub wasted_core_seconds: f64,
 }
 
-/// Number of units on workers up to which the planner is verified after each event. With twice as
-/// many it is verified after every second event, and so on: a job of 5,000 units without demand
-/// would make the verifications of one test take minutes. Violations that last are found.
-const VERIFIED_HOLDINGS: usize = 500;
-
 /// Counts an event, and returns whether the planner's state is verified after it.
-fn is_verification_due(planner: &PlannerState, unverified_events: &mut usize) -> bool {
+fn is_verification_due(
+    planner: &PlannerState,
+    verified_holdings: usize,
+    unverified_events: &mut usize,
+) -> bool {
     let workers = planner.workers().values();
     let holdings: usize = workers.map(|worker| worker.holdings.len()).sum();
     *unverified_events += 1;
-    let is_due = *unverified_events * VERIFIED_HOLDINGS >= holdings;
+    let is_due = unverified_events.saturating_mul(verified_holdings) >= holdings;
     if is_due {
         *unverified_events = 0;
     }
@@ -299,6 +301,7 @@
             next_request: 0,
             violations: Vec::new(),
             verifies_planner: true,
+            verified_holdings: usize::MAX,
             unverified_events: 0,
             evacuations: BTreeMap::new(),
             evacuation_bound: Duration::from_secs(5),
@@ -475,7 +478,7 @@
         let actions = state.handle(local, wall, event);
         if self.verifies_planner
             && let Some(planner) = state.planner()
-            && is_verification_due(planner, &mut self.unverified_events)
+            && is_verification_due(planner, self.verified_holdings, &mut self.unverified_events)
         {
             for violation in planner.verify() {
                 self.violations.push(format!("{now}: {violation}"));
--- a/crates/domain-sim/tests/numbers.rs
+++ b/crates/domain-sim/tests/numbers.rs
@@ -10,6 +10,9 @@
 
 /// Number of worlds for each of the properties; each takes some 20 ms.
 const CASES: u32 = 48;
+/// Units on workers up to which the planner is verified after each event. Submissions may start
+/// 5,000 units at once; verified after each event, these alone took 42 s.
+const VERIFIED_HOLDINGS: usize = 500;
 
 /// Returns numbers at the ends of their range, and usual ones.
 fn any_number() -> impl Strategy<Value = u64> {
@@ -95,6 +98,7 @@
         ..job(vec![shape])
     };
     let mut world = SimWorld::new(4, manifest(1), 1, workers(4));
+    world.verified_holdings = VERIFIED_HOLDINGS;
     world.run_for(Duration::from_secs(4));
     world.submit(0, BATCH, JobKey(1), &submission, Duration::from_mins(1));
     world.run_for(Duration::from_millis(500));
@@ -125,6 +129,7 @@
             customer.guaranteed_accelerators = guaranteed;
         }
         let mut world = SimWorld::new(1, settings, 1, workers(4));
+        world.verified_holdings = VERIFIED_HOLDINGS;
         world.run_for(Duration::from_secs(4));
         let path = if is_urgent { URGENT } else { BATCH };
         world.submit(0, path, JobKey(1), &submission, Duration::from_millis(300));
