--- a/crates/domain/src/process/planner.rs
+++ b/crates/domain/src/process/planner.rs
@@ -40,7 +40,7 @@
 pub mod sharing;
 pub mod speed;
 pub mod start;
-pub mod start_look;
+pub mod start_poll;
 pub mod state;
 pub mod takeover;
 pub mod upkeep;
--- a/crates/domain/src/process/planner/reclaim.rs
+++ b/crates/domain/src/process/planner/reclaim.rs
@@ -364,7 +364,7 @@
             }
         }
         view.allocate(request, &placement);
-        self.look_at_workers(now, &placement.workers);
+        self.poll_silent_workers(now, &placement.workers);
         let until = free_at + CLAIM_SLACK;
         self.claims.insert(key, CapacityClaim { placement, until });
     }
--- a/crates/domain/src/process/planner/start.rs
+++ b/crates/domain/src/process/planner/start.rs
@@ -83,7 +83,7 @@
             &JobRecord::Group(key, record),
             Some(CommitEffect::Start(key, run)),
         );
-        self.look_before_start(now, key, run, &placement.workers);
+        self.poll_before_start(now, key, run, &placement.workers);
     }
 
     /// Sends the starts of a run whose record is in the log, unless it was abandoned.
--- a/crates/domain/src/process/planner/start_look.rs
+++ b/crates/domain/src/process/planner/start_poll.rs
@@ -20,11 +20,11 @@
 pub const RECENT_ANSWER_TIME: Duration = Duration::from_millis(100);
 /// Time after which a start is given up. Workers answer within a few milliseconds; a group has to
 /// stop other runs afterwards in the worst case, which takes a second of its bound of 2.7 s.
-pub const LOOK_TIMEOUT: Duration = Duration::from_millis(300);
+pub const START_POLL_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// A start that waits for answers of its workers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) struct StartLook {
+pub(super) struct StartPoll {
     pub(super) run: RunNumber,
     /// When its workers were asked.
     pub(super) asked_at: MonotonicTime,
@@ -34,7 +34,7 @@
 
 /// What the answers of a start's workers allow.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum LookResult {
+pub enum PollResult {
     /// All have answered.
     Answered,
     /// Some may still answer in time.
@@ -44,7 +44,7 @@
 }
 
 /// Whether the start of a job's groups is preceded by polls of its workers.
-pub(super) fn needs_look(job: &PlanJob, manifest: &DomainManifest) -> bool {
+pub(super) fn needs_poll(job: &PlanJob, manifest: &DomainManifest) -> bool {
     let customer = job.accepted.customer.as_ref();
     job.accepted.priority == 0 && customer.is_some_and(|name| manifest.guaranteed(name) > 0)
 }
@@ -56,27 +56,27 @@
 }
 
 /// Returns what the answers of a start's workers allow.
-pub fn look_result<'a>(
+pub fn poll_result<'a>(
     now: MonotonicTime,
     asked_at: MonotonicTime,
     workers: impl Iterator<Item = (&'a WorkerName, &'a WorkerLink)>,
-) -> LookResult {
+) -> PollResult {
     let silent: BTreeSet<WorkerName> = workers
         .filter(|(_, link)| !has_answered(link, asked_at))
         .map(|(name, _)| name.clone())
         .collect();
     if silent.is_empty() {
-        LookResult::Answered
-    } else if now < asked_at + LOOK_TIMEOUT {
-        LookResult::Pending
+        PollResult::Answered
+    } else if now < asked_at + START_POLL_TIMEOUT {
+        PollResult::Pending
     } else {
-        LookResult::Silent(silent)
+        PollResult::Silent(silent)
     }
 }
 
 impl PlannerState {
     /// Requests short polls of those workers that have not answered lately.
-    pub(super) fn look_at_workers(&mut self, now: MonotonicTime, names: &[WorkerName]) {
+    pub(super) fn poll_silent_workers(&mut self, now: MonotonicTime, names: &[WorkerName]) {
         for name in names {
             if let Some(worker) = self.workers.get_mut(name)
                 && !has_answered(&worker.link, now)
@@ -88,7 +88,7 @@
     }
 
     /// Requests the polls that precede the start of a group on these workers, if it needs any.
-    pub(super) fn look_before_start(
+    pub(super) fn poll_before_start(
         &mut self,
         now: MonotonicTime,
         key: GroupKey,
@@ -96,16 +96,16 @@
         names: &[WorkerName],
     ) {
         let job = self.jobs.get(&key.job);
-        if !job.is_some_and(|job| needs_look(job, &self.manifest)) {
+        if !job.is_some_and(|job| needs_poll(job, &self.manifest)) {
             return;
         }
-        self.look_at_workers(now, names);
-        let look = StartLook {
+        self.poll_silent_workers(now, names);
+        let poll = StartPoll {
             run,
             asked_at: now,
             is_recorded: false,
         };
-        self.looks.insert(key, look);
+        self.start_polls.insert(key, poll);
     }
 
     /// Whether a recorded start may be sent now. Otherwise it is sent once its workers have
@@ -116,25 +116,29 @@
         key: GroupKey,
         run: RunNumber,
     ) -> bool {
-        let Some(look) = self.looks.get_mut(&key).filter(|look| look.run == run) else {
+        let Some(poll) = self
+            .start_polls
+            .get_mut(&key)
+            .filter(|poll| poll.run == run)
+        else {
             return true;
         };
-        look.is_recorded = true;
-        let asked_at = look.asked_at;
+        poll.is_recorded = true;
+        let asked_at = poll.asked_at;
         let group = self.jobs.get(&key.job).and_then(|job| job.group(&key));
         let Some(group) = group else {
             return false;
         };
         let names = group.members.iter().map(|member| &member.worker);
         let links = names.filter_map(|name| Some((name, &self.workers.get(name)?.link)));
-        match look_result(now, asked_at, links) {
-            LookResult::Answered => {
-                self.looks.remove(&key);
+        match poll_result(now, asked_at, links) {
+            PollResult::Answered => {
+                self.start_polls.remove(&key);
                 true
             }
-            LookResult::Pending => false,
-            LookResult::Silent(silent) => {
-                self.looks.remove(&key);
+            PollResult::Pending => false,
+            PollResult::Silent(silent) => {
+                self.start_polls.remove(&key);
                 let members = group.members.iter().enumerate();
                 let avoided: Vec<_> = members
                     .filter(|(_, member)| silent.contains(&member.worker))
@@ -152,13 +156,13 @@
     }
 
     /// Sends or gives up the recorded starts that wait for answers of their workers.
-    pub(super) fn send_looked_starts(&mut self, context: &mut PlanContext<'_>) {
-        self.looks.retain(|key, look| {
+    pub(super) fn send_polled_starts(&mut self, context: &mut PlanContext<'_>) {
+        self.start_polls.retain(|key, poll| {
             let group = self.jobs.get(&key.job).and_then(|job| job.group(key));
-            group.is_some_and(|group| group.phase == GroupPhase::Recording && group.run == look.run)
+            group.is_some_and(|group| group.phase == GroupPhase::Recording && group.run == poll.run)
         });
-        let recorded = self.looks.iter().filter(|(_, look)| look.is_recorded);
-        let recorded: Vec<_> = recorded.map(|(key, look)| (*key, look.run)).collect();
+        let recorded = self.start_polls.iter().filter(|(_, poll)| poll.is_recorded);
+        let recorded: Vec<_> = recorded.map(|(key, poll)| (*key, poll.run)).collect();
         for (key, run) in recorded {
             self.send_starts(context, key, run);
         }
--- a/crates/domain/src/process/planner/state.rs
+++ b/crates/domain/src/process/planner/state.rs
@@ -19,7 +19,7 @@
 use crate::process::planner::outage::WorkerOutage;
 use crate::process::planner::reclaim::CapacityClaim;
 use crate::process::planner::release::ReleaseNotes;
-use crate::process::planner::start_look::StartLook;
+use crate::process::planner::start_poll::StartPoll;
 use crate::process::planner::upkeep::UpkeepState;
 use crate::process::planner::worker::{PlanWorker, PlanWorkers};
 use crate::process::planner::worker_figures::PoolSpeeds;
@@ -107,7 +107,7 @@
     /// Starts of released members that may still be carried out.
     pub(super) late_starts: BTreeMap<GroupKey, Vec<LateStart>>,
     /// Starts of urgent groups that are preceded by polls of their workers.
-    pub(super) looks: BTreeMap<GroupKey, StartLook>,
+    pub(super) start_polls: BTreeMap<GroupKey, StartPoll>,
     /// Newest answer of any worker.
     pub(super) answered_at: MonotonicTime,
     pub(super) outage: Option<WorkerOutage>,
@@ -189,7 +189,7 @@
             jobs: BTreeMap::new(),
             stopping: BTreeMap::new(),
             late_starts: BTreeMap::new(),
-            looks: BTreeMap::new(),
+            start_polls: BTreeMap::new(),
             answered_at: now,
             outage: None,
             releases: ReleaseNotes::default(),
@@ -451,7 +451,7 @@
         }
         let effects = self.writer.take_ready_effects();
         self.apply_effects(context, effects);
-        self.send_looked_starts(context);
+        self.send_polled_starts(context);
         if self.writer.is_next_idle() {
             self.record_figures(now, context.wall);
         }
