review: A unit that lasts and ends as done never runs again

An end that a worker lists as done completes the group of a long-running step, so the planner records it as done and never starts it again. The case starts three hosts, six workers and a client; one unit ends as failed and one as done.

--- /dev/null
+++ b/review/lib-2/main.rs
@@ -0,0 +1,31 @@
+//! Cases 6 to 10 that are scripts: each starts hosts of the domain with the command of the
+//! deploy file, and stand-ins for the platform, the workers and the client.
+
+#![allow(dead_code, reason = "the cases share the stand-ins")]
+
+mod daemon;
+mod http;
+mod json;
+mod lasting;
+mod log;
+mod record;
+mod worker;
+mod world;
+
+use std::path::Path;
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let case = arguments.next().unwrap_or_default();
+    let folder = arguments.next().unwrap_or_default();
+    let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
+    let folder = Path::new(&folder);
+    let code = match case.as_str() {
+        "lasting" => lasting::run(folder, trouble),
+        _ => {
+            eprintln!("usage: cases CASE FOLDER");
+            2
+        }
+    };
+    std::process::exit(code);
+}
