review: Small requests for jobs with many units end every host that plans

The planner keeps state for every unit of all open jobs; units are bounded for one job only. Sixty requests of 296 bytes ask for 40,000 units each, all are accepted, and the planner exceeds its 260 MB; so does each host that takes over. Without the sixty requests no process ends.

--- a/review/lib-2/daemon.rs
+++ b/review/lib-2/daemon.rs
@@ -11,10 +11,35 @@
 
 pub struct Daemon {
     child: Child,
+    command: Launch,
+    pub name: String,
     pub caller: SocketAddr,
     pub ready: SocketAddr,
 }
 
+/// What a host is started with, again after its end.
+struct Launch {
+    root: PathBuf,
+    settings: PathBuf,
+    output: PathBuf,
+}
+
+impl Launch {
+    fn start(&self) -> Child {
+        let output = std::fs::OpenOptions::new().append(true).create(true).open(&self.output);
+        let output = output.expect("a log can be written");
+        Command::new(self.root.join("target/release/flamingowalk-domain"))
+            .arg("--settings")
+            .arg(&self.settings)
+            .current_dir(&self.root)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone().expect("a second handle"))
+            .stderr(output)
+            .spawn()
+            .expect("the daemon starts; build it first")
+    }
+}
+
 /// Bounds and addresses that the settings of all hosts share.
 pub struct Deployment {
     pub root: PathBuf,
@@ -61,18 +86,13 @@
         let template = std::fs::read_to_string(template).expect("the template can be read");
         let settings = deployment.folder.join(format!("{name}.ini"));
         std::fs::write(&settings, render(&template, &fields)).expect("settings can be written");
-        let output = deployment.folder.join(format!("{name}.log"));
-        let output = std::fs::File::create(output).expect("a log can be written");
-        let child = Command::new(deployment.root.join("target/release/flamingowalk-domain"))
-            .arg("--settings")
-            .arg(&settings)
-            .current_dir(&deployment.root)
-            .stdin(Stdio::null())
-            .stdout(output.try_clone().expect("a second handle"))
-            .stderr(output)
-            .spawn()
-            .expect("the daemon starts; build it first");
-        Self { child, caller, ready }
+        let command = Launch {
+            root: deployment.root.clone(),
+            settings,
+            output: deployment.folder.join(format!("{name}.log")),
+        };
+        let child = command.start();
+        Self { child, command, name: name.to_owned(), caller, ready }
     }
 
     pub fn is_ready(&self) -> bool {
@@ -85,6 +105,27 @@
         self.child.id()
     }
 
+    /// Kills the process (SIGKILL).
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again with the same settings.
+    pub fn restart(&mut self) {
+        self.child = self.command.start();
+    }
+
+    /// Returns the resident memory in bytes.
+    pub fn memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid()));
+        let status = status.unwrap_or_default();
+        let mut lines = status.lines();
+        let line = lines.find_map(|line| line.strip_prefix("VmRSS:"));
+        let words = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        words.unwrap_or(0) * 1024
+    }
+
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
     }
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -4,11 +4,15 @@
 #![allow(dead_code, reason = "the cases share the stand-ins")]
 
 mod daemon;
+mod flood;
 mod http;
 mod json;
 mod lasting;
 mod log;
+mod machines;
+mod pending;
 mod record;
+mod upkeep;
 mod worker;
 mod world;
 
@@ -21,6 +25,9 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
     let folder = Path::new(&folder);
     let code = match case.as_str() {
+        "upkeep" => upkeep::run(folder, trouble),
+        "flood" => flood::run(folder, trouble),
+        "pending" => pending::run(folder, trouble),
         "lasting" => lasting::run(folder, trouble),
         _ => {
             eprintln!("usage: cases CASE FOLDER");
--- a/review/lib-2/worker.rs
+++ b/review/lib-2/worker.rs
@@ -46,6 +46,8 @@
     /// Highest run that was stopped or has ended here.
     closed: BTreeMap<String, u64>,
     is_gone: bool,
+    /// The worker is lost: it answers nothing and writes nothing more.
+    is_dark: bool,
 }
 
 pub struct Worker {
@@ -109,6 +111,12 @@
         let mut next_beat = Instant::now();
         let mut sequence = 1;
         loop {
+            if self.state.lock().expect("usable").is_dark {
+                // The platform removes the entry after three intervals of silence.
+                std::thread::sleep(3 * BEAT);
+                log.put("keyed.servers", &self.id, None);
+                return;
+            }
             if self.state.lock().expect("usable").is_gone {
                 server.close();
                 log.put("keyed.servers", &self.id, None);
@@ -211,6 +219,17 @@
         running.len()
     }
 
+    /// Loses the worker for good without a word, with everything that runs on it.
+    pub fn crash(&self) {
+        let mut state = self.state.lock().expect("usable");
+        state.is_dark = true;
+        let running = std::mem::take(&mut state.running);
+        for (unit, run) in &running {
+            self.note_end(unit, run.number, "crash");
+        }
+        self.record.line(&format!("worker {} is lost for good", self.id));
+    }
+
     pub fn running(&self) -> BTreeSet<String> {
         let state = self.state.lock().expect("usable");
         state.running.keys().cloned().collect()
@@ -225,6 +244,9 @@
             return Reply::json(421, "{}".to_owned());
         }
         let mut state = self.state.lock().expect("usable");
+        if state.is_dark {
+            return Reply::Silence;
+        }
         if state.is_gone {
             return Reply::Close;
         }
@@ -309,10 +331,13 @@
         state.ended.retain(|(number, ..)| *number > acknowledged);
         let wait = body.number("wait-ms").unwrap_or(0.0) as u64;
         let until = Instant::now() + Duration::from_millis(wait.min(2_000));
-        while state.ended.is_empty() && !state.is_gone && Instant::now() < until {
+        while state.ended.is_empty() && !state.is_gone && !state.is_dark && Instant::now() < until {
             let left = until.saturating_duration_since(Instant::now());
             state = self.changed.wait_timeout(state, left).expect("usable").0;
         }
+        if state.is_dark {
+            return Reply::Silence;
+        }
         if state.is_gone {
             return Reply::Close;
         }
