review: A start to a lost worker keeps its lasting units from running again in time

Each start extends the lease that the planner assumes for all runs of a worker, also if the worker is lost and does not answer. In the case a worker with a long-running unit is lost, and a small job is sent to it 1.9 s later; the unit runs again after 10.2 s instead of 9 s (rule LOST), in three of three runs. Without the loss it runs on.

--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -9,6 +9,7 @@
 mod json;
 mod lasting;
 mod log;
+mod lost_worker;
 mod machines;
 mod pending;
 mod record;
@@ -28,6 +29,7 @@
         "upkeep" => upkeep::run(folder, trouble),
         "flood" => flood::run(folder, trouble),
         "pending" => pending::run(folder, trouble),
+        "lost-worker" => lost_worker::run(folder, trouble),
         "lasting" => lasting::run(folder, trouble),
         _ => {
             eprintln!("usage: cases CASE FOLDER");
--- a/review/lib-2/worker.rs
+++ b/review/lib-2/worker.rs
@@ -48,6 +48,7 @@
     is_gone: bool,
     /// The worker is lost: it answers nothing and writes nothing more.
     is_dark: bool,
+    waiting_since: Option<Instant>,
 }
 
 pub struct Worker {
@@ -219,6 +220,11 @@
         running.len()
     }
 
+    /// When the newest call that waits for an end arrived.
+    pub fn waiting_since(&self) -> Option<Instant> {
+        self.state.lock().expect("usable").waiting_since
+    }
+
     /// Loses the worker for good without a word, with everything that runs on it.
     pub fn crash(&self) {
         let mut state = self.state.lock().expect("usable");
@@ -331,6 +337,9 @@
         state.ended.retain(|(number, ..)| *number > acknowledged);
         let wait = body.number("wait-ms").unwrap_or(0.0) as u64;
         let until = Instant::now() + Duration::from_millis(wait.min(2_000));
+        if wait > 0 {
+            state.waiting_since = Some(Instant::now());
+        }
         while state.ended.is_empty() && !state.is_gone && !state.is_dark && Instant::now() < until {
             let left = until.saturating_duration_since(Instant::now());
             state = self.changed.wait_timeout(state, left).expect("usable").0;
