review: A job that fills idle processors never begins if every worker serves users

Fillers are never placed on a worker with a unit that has a latency target. In the case eight workers have one such unit each, of a sixteenth of their cores, and an accepted job that fills is still queued after 40 s (rule LOST, 17 s). With one worker without such a unit it begins at once.

--- a/review/lib-2/daemon.rs
+++ b/review/lib-2/daemon.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http::call;
@@ -58,12 +59,7 @@
 
 impl Daemon {
     pub fn start(deployment: &Deployment, name: &str) -> Self {
-        let free: Vec<_> = (0..3)
-            .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
-            .collect();
-        let port = |index: usize| free[index].local_addr().expect("an address");
-        let (caller, ready, status) = (port(0), port(1), port(2));
-        drop(free);
+        let (caller, ready, status) = (free_address(), free_address(), free_address());
         let mut fields: BTreeMap<String, String> = BTreeMap::new();
         let mut set = |name: &str, value: String| fields.insert(name.to_owned(), value);
         set("node", name.to_owned());
@@ -131,6 +127,19 @@
     }
 }
 
+/// Returns a free address below the ports that the system gives to outgoing connections, so that
+/// a host finds it free again when it starts anew.
+fn free_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    loop {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = 20_000 + (std::process::id() as u16 % 300) * 40 + step % 40;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("an address");
+        }
+    }
+}
+
 /// Waits until all hosts are ready.
 pub fn await_ready(daemons: &[Daemon], limit: Duration) -> bool {
     let until = Instant::now() + limit;
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -4,13 +4,13 @@
 #![allow(dead_code, reason = "the cases share the stand-ins")]
 
 mod daemon;
+mod filler;
 mod flood;
 mod http;
 mod json;
 mod lasting;
 mod guarantee;
 mod log;
-mod pending;
 mod record;
 mod stall;
 mod worker;
@@ -26,9 +26,9 @@
     let folder = Path::new(&folder);
     let code = match case.as_str() {
         "flood" => flood::run(folder, trouble),
-        "pending" => pending::run(folder, trouble),
         "stall" => stall::run(folder, trouble),
         "guarantee" => guarantee::run(folder, trouble),
+        "filler" => filler::run(folder, trouble),
         "lasting" => lasting::run(folder, trouble),
         _ => {
             eprintln!("usage: cases CASE FOLDER");
