--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -8,12 +8,11 @@
 mod http;
 mod json;
 mod lasting;
+mod guarantee;
 mod log;
-mod machines;
 mod pending;
 mod record;
 mod stall;
-mod upkeep;
 mod worker;
 mod world;
 
@@ -26,10 +25,10 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
     let folder = Path::new(&folder);
     let code = match case.as_str() {
-        "upkeep" => upkeep::run(folder, trouble),
         "flood" => flood::run(folder, trouble),
         "pending" => pending::run(folder, trouble),
         "stall" => stall::run(folder, trouble),
+        "guarantee" => guarantee::run(folder, trouble),
         "lasting" => lasting::run(folder, trouble),
         _ => {
             eprintln!("usage: cases CASE FOLDER");
