--- a/review/lib-2/world.rs
+++ b/review/lib-2/world.rs
@@ -11,7 +11,7 @@
 use crate::worker::{SERVICE, Spans, Worker, WorkerPlace};
 
 pub const HOST_NAME: &str = "queue.example";
-pub const PREFIX: &str = "/work/";
+pub const PREFIX: &str = "/jobs/";
 pub const KEY: &str = "key-of-tenant-1";
 /// Queue of priority 0.
 pub const URGENT_PREFIX: &str = "/urgent/";
